--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+GOLANGCI_LINT_VERSION := v2.15.0
+BUF_VERSION := v1.75.0
+
+.PHONY: build test lint format generate demo soak java
+
+build:
+	go build -o bin/ ./cmd/...
+
+test: lint java
+	go vet ./...
+	go test -race -timeout 20m ./...
+
+lint: bin/golangci-lint
+	bin/golangci-lint fmt --diff
+	bin/golangci-lint run ./...
+
+format: bin/golangci-lint
+	bin/golangci-lint fmt
+
+bin/golangci-lint:
+	GOBIN=$(CURDIR)/bin go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+
+# Regenerates the committed protobuf code. The build itself needs no generator.
+generate:
+	GOBIN=$(CURDIR)/bin go install google.golang.org/protobuf/cmd/protoc-gen-go
+	PATH="$(CURDIR)/bin:$$PATH" go run github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION) generate
+
+demo: build
+	./demo/run
+
+java:
+	./java/build
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,73 @@
+// Command standin runs a stand-in of the platform or of a target, for tests,
+// the demo and measurements.
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"rhubarbrelay/standin"
+
+	"github.com/alexflint/go-arg"
+)
+
+// platformArgs are the arguments of the platform stand-in.
+type platformArgs struct {
+	Listen    string        `arg:"--listen,required" help:"address to listen on"`
+	Retention time.Duration `arg:"--retention" default:"24h" help:"how long the log keeps a record"`
+}
+
+// targetArgs are the arguments of a target stand-in.
+type targetArgs struct {
+	Listen      string        `arg:"--listen,required" help:"address to listen on"`
+	Slots       int           `arg:"--slots" default:"4" help:"requests that run at once"`
+	NoiseFactor int           `arg:"--noise-factor" default:"1" help:"how many times slower the target gets at random moments"`
+	NoiseLength time.Duration `arg:"--noise-length" default:"100ms" help:"about how long a slow moment lasts"`
+	NoiseShare  float64       `arg:"--noise-share" default:"0.2" help:"share of the time that is slow, between 0 and 1"`
+	Seed        uint64        `arg:"--seed" default:"1" help:"seed of the random moments"`
+}
+
+type args struct {
+	Platform *platformArgs `arg:"subcommand:platform" help:"log and instance list"`
+	Target   *targetArgs   `arg:"subcommand:target" help:"a target of a service"`
+}
+
+func main() {
+	var a args
+	p := arg.MustParse(&a)
+	var err error
+	switch {
+	case a.Platform != nil:
+		err = serve(a.Platform.Listen, standin.NewPlatform(standin.WithRetention(a.Platform.Retention)))
+	case a.Target != nil:
+		err = serve(a.Target.Listen, newTarget(a.Target))
+	default:
+		p.Fail("a subcommand is needed")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+func newTarget(a *targetArgs) *standin.Target {
+	if a.NoiseFactor <= 1 {
+		return standin.NewTarget(a.Slots)
+	}
+	return standin.NewTarget(a.Slots, standin.WithNoise(a.NoiseFactor, a.NoiseLength, a.NoiseShare, a.Seed))
+}
+
+// server serves on a listener.
+type server interface {
+	Serve(net.Listener) error
+}
+
+func serve(address string, s server) error {
+	l, err := net.Listen("tcp", address) //nolint:noctx // The listener lives as long as the process.
+	if err != nil {
+		return err
+	}
+	return s.Serve(l)
+}
