Add the load tool with traces, checks and an ideal central queue

Cause: comparisons need open-loop load on one arrival trace for all policies, and a check against what the targets counted. Change: package loadtest, 'rhubarbrelay load run|ideal|report', scripts that start a small system on loopback, and controls of the stand-ins.

--- a/cmd/rhubarbrelay/main.go
+++ b/cmd/rhubarbrelay/main.go
@@ -18,19 +18,23 @@
 }
 
 type args struct {
-	Admin   string       `arg:"--admin,env:RHUBARBRELAY_ADMIN,required" help:"address of an instance's administration API"`
+	Admin   string       `arg:"--admin,env:RHUBARBRELAY_ADMIN" help:"address of an instance's administration API"`
 	Publish *publishArgs `arg:"subcommand:publish" help:"publish services"`
+	Load    *loadArgs    `arg:"subcommand:load" help:"load and experiment tool"`
 }
 
 func main() {
 	var a args
 	p := arg.MustParse(&a)
-	address, err := netip.ParseAddrPort(a.Admin)
-	if err != nil {
-		p.Fail(err.Error())
-	}
+	var err error
 	switch {
+	case a.Load != nil:
+		err = runLoad(context.Background(), a.Load)
 	case a.Publish != nil:
+		address, parseErr := netip.ParseAddrPort(a.Admin)
+		if parseErr != nil {
+			p.Fail(parseErr.Error())
+		}
 		cmd := &commands.Publish{Client: admin.NewClient(address), Author: os.Getenv("USER"), Out: os.Stdout}
 		err = cmd.Run(context.Background(), a.Publish.File)
 	default:
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -11,8 +11,12 @@
 	"rhubarbrelay/standin"
 
 	"github.com/alexflint/go-arg"
+	"github.com/valyala/fasthttp"
 )
 
+// controlTimeout bounds a control request to a stand-in.
+const controlTimeout = 5 * time.Second
+
 // platformArgs are the arguments of the platform stand-in.
 type platformArgs struct {
 	Listen    string        `arg:"--listen,required" help:"address to listen on"`
@@ -29,9 +33,16 @@
 	Seed        uint64        `arg:"--seed" default:"1" help:"seed of the random moments"`
 }
 
+// putArgs are the arguments of a request that controls a stand-in.
+type putArgs struct {
+	URL  string `arg:"positional,required" help:"address and path of the control request"`
+	Body string `arg:"--body" help:"body of the request"`
+}
+
 type args struct {
 	Platform *platformArgs `arg:"subcommand:platform" help:"log and instance list"`
 	Target   *targetArgs   `arg:"subcommand:target" help:"a target of a service"`
+	Put      *putArgs      `arg:"subcommand:put" help:"send a control request to a stand-in"`
 }
 
 func main() {
@@ -43,6 +54,8 @@
 		err = serve(a.Platform.Listen, standin.NewPlatform(standin.WithRetention(a.Platform.Retention)))
 	case a.Target != nil:
 		err = serve(a.Target.Listen, newTarget(a.Target))
+	case a.Put != nil:
+		err = put(a.Put)
 	default:
 		p.Fail("a subcommand is needed")
 	}
@@ -59,6 +72,20 @@
 	return standin.NewTarget(a.Slots, standin.WithNoise(a.NoiseFactor, a.NoiseLength, a.NoiseShare, a.Seed))
 }
 
+func put(a *putArgs) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.Header.SetMethod(fasthttp.MethodPut)
+	req.SetRequestURI(a.URL)
+	req.SetBodyString(a.Body)
+	if err := fasthttp.DoTimeout(req, resp, controlTimeout); err != nil {
+		return err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return fmt.Errorf("%s: status %d", a.URL, resp.StatusCode())
+	}
+	return nil
+}
+
 // server serves on a listener.
 type server interface {
 	Serve(net.Listener) error
