--- a/config/document.go
+++ b/config/document.go
@@ -1,7 +1,7 @@
 package config
 
 import (
-	"errors"
+	"bytes"
 	"fmt"
 	"net/netip"
 	"strconv"
@@ -11,93 +11,155 @@
 	"gopkg.in/ini.v1"
 )
 
-// ErrInvalid reports a document that cannot be published. The wrapped text
-// names section, key and value of every problem.
-var ErrInvalid = errors.New("invalid configuration")
+// MaxDocumentBytes bounds a document. One service of design scale has 3 KB.
+const MaxDocumentBytes = 1 << 20
 
 // noChildDelimiter keeps the ini library from treating a dot in a section name
 // as inheritance between sections.
 const noChildDelimiter = "\x00"
 
-// ParseDocument reads the services of a published document. The returned
-// error wraps ErrInvalid and lists every problem found.
+// ParseDocument reads the services of a published document, in the order of
+// the document. A key that is left out has its default. The returned error is
+// an *InvalidError with every problem found.
 func ParseDocument(text []byte) ([]*Service, error) {
+	d := &documentReader{services: map[string]*Service{}}
+	if len(text) > MaxDocumentBytes {
+		d.add("", "", "", fmt.Sprintf("document of %d bytes is larger than %d bytes", len(text), MaxDocumentBytes))
+		return nil, d.err()
+	}
+	d.checkLines(text)
 	file, err := ini.LoadSources(ini.LoadOptions{
-		AllowNonUniqueSections: true,
-		ChildSectionDelimiter:  noChildDelimiter,
-		KeyValueDelimiters:     "=",
-		IgnoreInlineComment:    true,
+		AllowNonUniqueSections:     true,
+		AllowShadows:               true,
+		AllowDuplicateShadowValues: true,
+		AllowBooleanKeys:           true, // lines without "=" were reported by checkLines
+		ChildSectionDelimiter:      noChildDelimiter,
+		KeyValueDelimiters:         "=",
+		IgnoreInlineComment:        true,
+		IgnoreContinuation:         true,
+		PreserveSurroundedQuote:    true,
 	}, text)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
-	}
-	d := &documentReader{services: map[string]*Service{}}
-	for _, section := range file.Sections() {
-		d.readSection(section)
+		d.add("", "", "", err.Error())
+		return nil, d.err()
 	}
-	if len(d.problems) > 0 {
-		return nil, fmt.Errorf("%w: %w", ErrInvalid, errors.Join(d.problems...))
+	d.readDocument(file)
+	if err := d.err(); err != nil {
+		return nil, err
 	}
 	return d.ordered, nil
 }
 
-// documentReader collects services and problems while it reads sections in the
-// order of the document.
+// documentReader collects services and problems while it reads sections.
 type documentReader struct {
+	validator
 	services map[string]*Service
 	ordered  []*Service
-	problems []error
 }
 
-func (d *documentReader) readSection(section *ini.Section) {
-	name := section.Name()
-	if name == ini.DefaultSection {
-		if len(section.Keys()) > 0 {
-			d.problem(name, section.Keys()[0].Name(), "", "key outside of a section")
+// checkLines reports the lines that are neither section, key nor comment, and
+// text that the ini library would silently rewrite.
+func (d *documentReader) checkLines(text []byte) {
+	for i, line := range bytes.Split(text, []byte("\n")) {
+		line = bytes.TrimSpace(line)
+		_, value, found := bytes.Cut(line, []byte("="))
+		value = bytes.TrimSpace(value)
+		switch {
+		case len(line) == 0, line[0] == '#', line[0] == ';':
+		case line[0] == '[' && line[len(line)-1] != ']':
+			d.add("", "", "", fmt.Sprintf("line %d: section %q does not end with \"]\"", i+1, line))
+		case line[0] == '[':
+		case !found:
+			d.add("", "", "", fmt.Sprintf("line %d: %q has no \"=\"", i+1, line))
+		case bytes.ContainsAny(line, "\"`"):
+			d.add("", "", "", fmt.Sprintf("line %d: %q has a quotation mark, values are written without", i+1, line))
+		case len(value) == 0:
+			d.add("", "", "", fmt.Sprintf("line %d: %q has no value", i+1, line))
+		}
+	}
+}
+
+// readDocument reads the services before their targets and routes, so that
+// sections may come in any order, and validates the result.
+func (d *documentReader) readDocument(file *ini.File) {
+	for _, section := range file.Sections() {
+		words := strings.Fields(section.Name())
+		if len(words) == 2 && words[0] == "service" {
+			d.readService(section, words[1])
+		}
+	}
+	for _, section := range file.Sections() {
+		d.readPart(section)
+	}
+	addresses := map[netip.AddrPort]string{}
+	for _, s := range d.ordered {
+		d.service(s)
+		d.sharedAddresses(s, addresses)
+	}
+}
+
+// sharedAddresses reports targets of different services on one address: each
+// service would count all slots of that target as its own.
+func (d *documentReader) sharedAddresses(s *Service, used map[netip.AddrPort]string) {
+	for _, t := range s.Targets {
+		plain := netip.AddrPortFrom(t.Address.Addr().Unmap(), t.Address.Port())
+		owner, ok := used[plain]
+		if ok && owner != s.Name {
+			d.add(targetSection(s, t), keyAddress, t.Address.String(), fmt.Sprintf("already the address of a target of service %s", owner))
+		}
+		if !ok && t.Address.IsValid() {
+			used[plain] = s.Name
 		}
-		return
 	}
+}
+
+func (d *documentReader) readPart(section *ini.Section) {
+	name := section.Name()
 	words := strings.Fields(name)
 	switch {
+	case name == ini.DefaultSection:
+		for _, key := range section.Keys() {
+			d.add(name, key.Name(), key.Value(), "key outside of a section")
+		}
 	case len(words) == 2 && words[0] == "service":
-		d.readService(section, words[1])
+		// readService has read it.
 	case len(words) == 3 && words[0] == "target":
 		d.readTarget(section, words[1], words[2])
 	case len(words) == 4 && words[0] == "route":
 		d.readRoute(section, words[1], words[2], words[3])
 	default:
-		d.problem(name, "", "", "unknown section")
+		d.add(name, "", "", "unknown section; known are [service NAME], [target SERVICE NAME] and [route SERVICE METHOD PATH]")
 	}
 }
 
 func (d *documentReader) readService(section *ini.Section, name string) {
 	if _, ok := d.services[name]; ok {
-		d.problem(section.Name(), "", "", "service defined twice")
+		d.add(section.Name(), "", "", "service defined twice")
 		return
 	}
 	s := NewService(name)
-	for _, key := range section.Keys() {
+	for _, key := range d.keys(section) {
 		switch key.Name() {
-		case "policy":
+		case keyPolicy:
 			s.Policy = Policy(key.Value())
-		case "deadline":
-			s.Deadline = d.duration(section, key)
-		case "max_wait":
-			s.MaxWait = d.duration(section, key)
-		case "max_queue":
-			s.MaxQueue = d.integer(section, key)
-		case "entry_per_zone":
-			s.EntryPerZone = d.integer(section, key)
-		case "retry_percent":
-			s.RetryPercent = d.integer(section, key)
-		case "probe_interval":
-			s.ProbeInterval = d.duration(section, key)
-		case "long_percent":
-			s.LongPercent = d.integer(section, key)
-		case "eject_percent":
-			s.EjectPercent = d.integer(section, key)
+		case keyDeadline:
+			d.duration(section, key, &s.Deadline)
+		case keyMaxWait:
+			d.duration(section, key, &s.MaxWait)
+		case keyMaxQueue:
+			d.integer(section, key, &s.MaxQueue)
+		case keyEntryPerZone:
+			d.integer(section, key, &s.EntryPerZone)
+		case keyRetryPercent:
+			d.integer(section, key, &s.RetryPercent)
+		case keyProbeInterval:
+			d.duration(section, key, &s.ProbeInterval)
+		case keyLongPercent:
+			d.integer(section, key, &s.LongPercent)
+		case keyEjectPercent:
+			d.integer(section, key, &s.EjectPercent)
 		default:
-			d.problem(section.Name(), key.Name(), key.Value(), "unknown key")
+			d.unknownKey(section, key)
 		}
 	}
 	d.services[name] = s
@@ -105,125 +167,108 @@
 }
 
 func (d *documentReader) readTarget(section *ini.Section, service, name string) {
-	s, ok := d.services[service]
-	if !ok {
-		d.problem(section.Name(), "", service, "target of an undefined service")
-		return
-	}
 	t := Target{Name: name, Slots: DefaultSlots, MaxConnections: DefaultMaxConnections}
-	for _, key := range section.Keys() {
+	for _, key := range d.keys(section) {
 		switch key.Name() {
-		case "address":
-			t.Address = d.address(section, key)
-		case "zone":
+		case keyAddress:
+			d.address(section, key, &t.Address)
+		case keyZone:
 			t.Zone = key.Value()
-		case "slots":
-			t.Slots = d.integer(section, key)
-		case "max_connections":
-			t.MaxConnections = d.integer(section, key)
+		case keySlots:
+			d.integer(section, key, &t.Slots)
+		case keyMaxConnections:
+			d.integer(section, key, &t.MaxConnections)
 		default:
-			d.problem(section.Name(), key.Name(), key.Value(), "unknown key")
+			d.unknownKey(section, key)
 		}
 	}
-	s.Targets = append(s.Targets, t)
-}
-
-func (d *documentReader) readRoute(section *ini.Section, service, method, path string) {
 	s, ok := d.services[service]
 	if !ok {
-		d.problem(section.Name(), "", service, "route of an undefined service")
+		d.add(section.Name(), "", "", fmt.Sprintf("target of the undefined service %q", service))
 		return
 	}
+	s.Targets = append(s.Targets, t)
+}
+
+func (d *documentReader) readRoute(section *ini.Section, service, method, path string) {
 	r := Route{Method: method, PathPrefix: path}
-	for _, key := range section.Keys() {
+	for _, key := range d.keys(section) {
 		switch key.Name() {
-		case "idempotent":
+		case keyIdempotent:
+			idempotent := false
+			d.boolean(section, key, &idempotent)
 			r.Idempotency = NonIdempotent
-			if d.boolean(section, key) {
+			if idempotent {
 				r.Idempotency = Idempotent
 			}
-		case "long":
-			r.Long = d.boolean(section, key)
-		case "deadline":
-			r.Deadline = d.duration(section, key)
+		case keyLong:
+			d.boolean(section, key, &r.Long)
+		case keyDeadline:
+			if d.duration(section, key, &r.Deadline) && r.Deadline == 0 {
+				d.add(section.Name(), key.Name(), key.Value(), "must be greater than 0")
+			}
 		default:
-			d.problem(section.Name(), key.Name(), key.Value(), "unknown key")
+			d.unknownKey(section, key)
 		}
 	}
+	s, ok := d.services[service]
+	if !ok {
+		d.add(section.Name(), "", "", fmt.Sprintf("route of the undefined service %q", service))
+		return
+	}
 	s.Routes = append(s.Routes, r)
 }
 
-func (d *documentReader) duration(section *ini.Section, key *ini.Key) time.Duration {
+// keys returns the keys of a section and reports those that are set twice.
+func (d *documentReader) keys(section *ini.Section) []*ini.Key {
+	for _, key := range section.Keys() {
+		if values := key.ValueWithShadows(); len(values) > 1 {
+			d.add(section.Name(), key.Name(), strings.Join(values, ", "), "key set more than once")
+		}
+	}
+	return section.Keys()
+}
+
+func (d *documentReader) unknownKey(section *ini.Section, key *ini.Key) {
+	d.add(section.Name(), key.Name(), key.Value(), "unknown key")
+}
+
+// The readers of values leave the destination as it is when the text has the
+// wrong form, so that validation does not report it a second time.
+
+func (d *documentReader) duration(section *ini.Section, key *ini.Key, to *time.Duration) bool {
 	v, err := time.ParseDuration(key.Value())
 	if err != nil {
-		d.problem(section.Name(), key.Name(), key.Value(), "not a duration such as 250ms")
+		d.add(section.Name(), key.Name(), key.Value(), "not a duration such as 250ms")
+		return false
 	}
-	return v
+	*to = v
+	return true
 }
 
-func (d *documentReader) integer(section *ini.Section, key *ini.Key) int {
+func (d *documentReader) integer(section *ini.Section, key *ini.Key, to *int) {
 	v, err := strconv.Atoi(key.Value())
 	if err != nil {
-		d.problem(section.Name(), key.Name(), key.Value(), "not a whole number")
+		d.add(section.Name(), key.Name(), key.Value(), "not a whole number")
+		return
 	}
-	return v
+	*to = v
 }
 
-func (d *documentReader) boolean(section *ini.Section, key *ini.Key) bool {
+func (d *documentReader) boolean(section *ini.Section, key *ini.Key, to *bool) {
 	v, err := strconv.ParseBool(key.Value())
 	if err != nil {
-		d.problem(section.Name(), key.Name(), key.Value(), "not true or false")
+		d.add(section.Name(), key.Name(), key.Value(), "not true or false")
+		return
 	}
-	return v
+	*to = v
 }
 
-func (d *documentReader) address(section *ini.Section, key *ini.Key) netip.AddrPort {
+func (d *documentReader) address(section *ini.Section, key *ini.Key, to *netip.AddrPort) {
 	v, err := netip.ParseAddrPort(key.Value())
 	if err != nil {
-		d.problem(section.Name(), key.Name(), key.Value(), "not an address such as 127.0.0.1:9000")
-	}
-	return v
-}
-
-func (d *documentReader) problem(section, key, value, text string) {
-	d.problems = append(d.problems, fmt.Errorf("section %q, key %q, value %q: %s", section, key, value, text))
-}
-
-// FormatService writes a service in the text format that ParseDocument reads.
-func FormatService(s *Service) []byte {
-	var b strings.Builder
-	fmt.Fprintf(&b, "[service %s]\n", s.Name)
-	fmt.Fprintf(&b, "policy = %s\n", s.Policy)
-	fmt.Fprintf(&b, "deadline = %s\n", s.Deadline)
-	fmt.Fprintf(&b, "max_wait = %s\n", s.MaxWait)
-	fmt.Fprintf(&b, "max_queue = %d\n", s.MaxQueue)
-	fmt.Fprintf(&b, "entry_per_zone = %d\n", s.EntryPerZone)
-	fmt.Fprintf(&b, "retry_percent = %d\n", s.RetryPercent)
-	fmt.Fprintf(&b, "probe_interval = %s\n", s.ProbeInterval)
-	fmt.Fprintf(&b, "long_percent = %d\n", s.LongPercent)
-	fmt.Fprintf(&b, "eject_percent = %d\n", s.EjectPercent)
-	for _, t := range s.Targets {
-		fmt.Fprintf(&b, "\n[target %s %s]\n", s.Name, t.Name)
-		fmt.Fprintf(&b, "address = %s\n", t.Address)
-		fmt.Fprintf(&b, "zone = %s\n", t.Zone)
-		fmt.Fprintf(&b, "slots = %d\n", t.Slots)
-		fmt.Fprintf(&b, "max_connections = %d\n", t.MaxConnections)
-	}
-	for _, r := range s.Routes {
-		formatRoute(&b, s.Name, r)
-	}
-	return []byte(b.String())
-}
-
-func formatRoute(b *strings.Builder, service string, r Route) {
-	fmt.Fprintf(b, "\n[route %s %s %s]\n", service, r.Method, r.PathPrefix)
-	if r.Idempotency != Unmarked {
-		fmt.Fprintf(b, "idempotent = %t\n", r.Idempotency == Idempotent)
-	}
-	if r.Long {
-		fmt.Fprintf(b, "long = true\n")
-	}
-	if r.Deadline != 0 {
-		fmt.Fprintf(b, "deadline = %s\n", r.Deadline)
+		d.add(section.Name(), key.Name(), key.Value(), "not an address such as 127.0.0.1:9000")
+		return
 	}
+	*to = v
 }
