Add the operators' Java library

Cause: operators print their configuration from Java and review it line by line, so the text must equal the canonical form of the Go parser.

--- /dev/null
+++ b/java/src/org/rhubarbrelay/config/Checks.java
@@ -0,0 +1,46 @@
+package org.rhubarbrelay.config;
+
+import java.time.Duration;
+import java.util.regex.Pattern;
+
+/** Checks of values, with the limits that the daemon's parser applies. */
+final class Checks {
+    static final int MAX_COUNT = 1_000_000;
+    static final int MAX_ENTRY_PER_ZONE = 1000;
+    private static final Duration MAX_DURATION = Duration.ofHours(24);
+    private static final int MAX_PATH_LENGTH = 1024;
+    private static final Pattern NAME = Pattern.compile("[a-z0-9._-]{1,64}");
+    private static final Pattern PATH = Pattern.compile("/[!-~&&[^\\[\\]?#\"`]]*");
+
+    private Checks() {
+    }
+
+    static String name(String thing, String name) {
+        if (name == null || !NAME.matcher(name).matches()) {
+            throw new IllegalArgumentException("name of " + thing + " \"" + name
+                    + "\": 1 to 64 characters of a-z, 0-9, dot, underscore and hyphen");
+        }
+        return name;
+    }
+
+    static String path(String path) {
+        if (path == null || path.length() > MAX_PATH_LENGTH || !PATH.matcher(path).matches()) {
+            throw new IllegalArgumentException("path prefix \"" + path + "\": not a path that starts with \"/\"");
+        }
+        return path;
+    }
+
+    static Duration duration(String key, Duration value) {
+        if (value == null || value.isZero() || value.isNegative() || value.compareTo(MAX_DURATION) > 0) {
+            throw new IllegalArgumentException(key + " " + value + ": must be greater than 0 and at most 24 hours");
+        }
+        return value;
+    }
+
+    static int range(String key, int value, int lowest, int highest) {
+        if (value < lowest || value > highest) {
+            throw new IllegalArgumentException(key + " " + value + ": must be from " + lowest + " to " + highest);
+        }
+        return value;
+    }
+}
