--- a/standin/platform.go
+++ b/standin/platform.go
@@ -18,8 +18,12 @@
 // defaultRetention is how long the log keeps a record.
 const defaultRetention = 24 * time.Hour
 
-// maxPageRecords bounds the records of one page.
-const maxPageRecords = 500
+const (
+	// maxPageRecords bounds the records of one page.
+	maxPageRecords = 500
+	// maxPageBytes bounds the data of one page, which has at least one record.
+	maxPageBytes = 1 << 20
+)
 
 // Faults are the failures that the platform shows until they are changed.
 type Faults struct {
@@ -33,6 +37,12 @@
 	FreezeList bool
 	// DropAppends refuses appends without effect, while reads work.
 	DropAppends bool
+	// Silent reads calls and never answers them, as a connection does whose
+	// path has lost its state. Appends have no effect.
+	Silent bool
+	// StaleRecords hides this many of the newest records of each stream from
+	// reads.
+	StaleRecords int
 }
 
 // Platform is the stand-in of the platform: the log and the instance list.
@@ -44,7 +54,9 @@
 	instances map[string]platform.Instance
 	frozen    []platform.Instance
 	faults    Faults
-	http      *fasthttp.Server
+	// changed is closed when the faults change, which ends silent calls.
+	changed chan struct{}
+	http    *fasthttp.Server
 }
 
 // stream is one stream of the log.
@@ -68,6 +80,7 @@
 		retention: defaultRetention,
 		streams:   map[string]*stream{},
 		instances: map[string]platform.Instance{},
+		changed:   make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -79,8 +92,11 @@
 // Serve answers calls until the listener closes.
 func (p *Platform) Serve(l net.Listener) error { return p.http.Serve(l) }
 
-// Close stops serving.
-func (p *Platform) Close() error { return p.http.Shutdown() }
+// Close ends all failures and stops serving.
+func (p *Platform) Close() error {
+	p.SetFaults(Faults{})
+	return p.http.Shutdown()
+}
 
 // SetFaults replaces the failures that the platform shows.
 func (p *Platform) SetFaults(f Faults) {
@@ -90,6 +106,8 @@
 		p.frozen = p.listLocked()
 	}
 	p.faults = f
+	close(p.changed)
+	p.changed = make(chan struct{})
 }
 
 // SetInstance adds or replaces a line of the instance list.
@@ -130,6 +148,16 @@
 	}
 }
 
+// Truncate drops the records from the offset on, as a log that lost its tail.
+func (p *Platform) Truncate(name string, next platform.Offset) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.streamLocked(name)
+	if keep := max(next-s.first, 0); keep < platform.Offset(len(s.records)) {
+		s.records = s.records[:keep:keep]
+	}
+}
+
 func (p *Platform) streamLocked(name string) *stream {
 	s, ok := p.streams[name]
 	if !ok {
@@ -159,9 +187,14 @@
 		return
 	}
 	p.mu.Lock()
-	faults := p.faults
+	faults, changed := p.faults, p.changed
 	p.mu.Unlock()
 	time.Sleep(faults.Delay)
+	if faults.Silent {
+		<-changed
+		_ = ctx.Conn().Close()
+		return
+	}
 	name, isStream := strings.CutPrefix(path, "/v1/streams/")
 	switch {
 	case faults.Down:
@@ -220,18 +253,30 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.streamLocked(name)
-	next := s.first + platform.Offset(len(s.records))
+	records := s.records[:max(0, len(s.records)-p.faults.StaleRecords)]
+	next := s.first + platform.Offset(len(records))
 	page := platform.Page{First: s.first, Next: next, Retention: p.retention}
 	if from < 0 {
-		from = next - 1
+		from = max(next-1, s.first)
 	}
 	if from >= s.first && from < next {
-		end := min(len(s.records), int(from-s.first)+maxPageRecords)
-		page.Records = slices.Clone(s.records[from-s.first : end])
+		page.Records = slices.Clone(firstPage(records[from-s.first:]))
 	}
 	return page, s.appended
 }
 
+// firstPage returns the records that fit into one page.
+func firstPage(records []platform.Record) []platform.Record {
+	size := 0
+	for i, rec := range records {
+		size += len(rec.Data)
+		if i == maxPageRecords || i > 0 && size > maxPageBytes {
+			return records[:i]
+		}
+	}
+	return records
+}
+
 func (p *Platform) handleList(ctx *fasthttp.RequestCtx) {
 	p.mu.Lock()
 	list := p.frozen
@@ -244,7 +289,8 @@
 
 // handleControl serves the tests: PUT /standin/instances, DELETE
 // /standin/instances?id=, PUT /standin/faults?down=&lose_answers=&delay=&
-// freeze_list=&drop_appends=, POST /standin/expire?stream=&below=.
+// freeze_list=&drop_appends=&silent=&stale_records=, POST
+// /standin/expire?stream=&below=, POST /standin/truncate?stream=&next=.
 func (p *Platform) handleControl(ctx *fasthttp.RequestCtx, path string) {
 	args := ctx.QueryArgs()
 	switch path {
@@ -264,9 +310,12 @@
 		p.SetFaults(Faults{
 			Down: args.GetBool("down"), LoseAnswers: args.GetBool("lose_answers"), Delay: delay,
 			FreezeList: args.GetBool("freeze_list"), DropAppends: args.GetBool("drop_appends"),
+			Silent: args.GetBool("silent"), StaleRecords: args.GetUintOrZero("stale_records"),
 		})
 	case "/standin/expire":
 		p.Expire(string(args.Peek("stream")), platform.Offset(args.GetUintOrZero("below")))
+	case "/standin/truncate":
+		p.Truncate(string(args.Peek("stream")), platform.Offset(args.GetUintOrZero("next")))
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
--- /dev/null
+++ b/standin/platform_test.go
@@ -0,0 +1,71 @@
+package standin_test
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"rhubarbrelay/platform"
+	"rhubarbrelay/standin"
+
+	"gotest.tools/v3/assert"
+)
+
+func startPlatform(t *testing.T) (*standin.Platform, *platform.Client) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	p := standin.NewPlatform()
+	served := make(chan error, 1)
+	go func() { served <- p.Serve(l) }()
+	t.Cleanup(func() {
+		assert.NilError(t, p.Close())
+		assert.NilError(t, <-served)
+	})
+	address := netip.MustParseAddrPort(l.Addr().String())
+	return p, platform.NewClient(address, platform.WithTimeout(200*time.Millisecond))
+}
+
+// Guards against a stand-in whose failures differ from those of the fault
+// model, so that tests would prove nothing.
+func TestPlatformFaults(t *testing.T) {
+	p, c := startPlatform(t)
+	ctx := t.Context()
+	for want := range 3 {
+		offset, err := c.Append(ctx, "config", []byte{byte(want)})
+		assert.NilError(t, err)
+		assert.Equal(t, offset, platform.Offset(want))
+	}
+
+	newest, err := c.Read(ctx, "config", -1, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, newest.Records[0].Offset, platform.Offset(2))
+
+	p.SetFaults(standin.Faults{LoseAnswers: true})
+	_, err = c.Append(ctx, "config", nil)
+	assert.ErrorIs(t, err, platform.ErrUncertain)
+
+	p.SetFaults(standin.Faults{DropAppends: true})
+	_, err = c.Append(ctx, "config", nil)
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+
+	p.SetFaults(standin.Faults{StaleRecords: 2})
+	page, err := c.Read(ctx, "config", 0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, page.Next, platform.Offset(2))
+
+	p.SetFaults(standin.Faults{Silent: true})
+	_, err = c.Append(ctx, "config", nil)
+	assert.ErrorIs(t, err, platform.ErrUncertain)
+	_, err = c.Read(ctx, "config", 0, 0)
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+
+	p.SetFaults(standin.Faults{})
+	p.Truncate("config", 3)
+	p.Expire("config", 1)
+	page, err = c.Read(ctx, "config", 0, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, page.First, platform.Offset(1))
+	assert.Equal(t, page.Next, platform.Offset(3))
+}
