Bound the scopes of the folded configuration

Cause: each drained instance leaves a scope for good.

Change: a state holds at most 4,096 scopes; another one evicts the oldest without effect, then the oldest drained instance, services last. The rule depends on the records alone, so all readers agree.

Ruled out: eviction by age, which would lift the drain of an instance that is still there.

--- a/configlog/snapshots.go
+++ b/configlog/snapshots.go
@@ -93,6 +93,9 @@
 		return f.retryDelay
 	}
 	remaining, err := f.snapshotDue(ctx, age, retention)
+	if err != nil {
+		f.logger.WithError(err).Debug("newest snapshot not usable")
+	}
 	if err != nil || remaining > 0 {
 		return max(remaining, interval)
 	}
--- a/configlog/state.go
+++ b/configlog/state.go
@@ -4,6 +4,7 @@
 package configlog
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -36,6 +37,10 @@
 	// More operators than this never race for one scope; each costs about 40
 	// bytes of the snapshot.
 	recentRecords = 16
+	// maxScopes bounds the scopes of a state. Instances are replaced every day
+	// and would leave a scope each for good; services count in the dozens. It is
+	// part of the rule of acceptance and must be the same in every version.
+	maxScopes = 4096
 )
 
 // The errors of snapshots.
@@ -164,16 +169,55 @@
 	}
 	current := s.scopes[m.GetScope()]
 	if m.GetBase() != int64(s.ScopeVersion(m.GetScope())) {
-		s.scopes[m.GetScope()] = rejectedScope(current, &m)
+		s.put(rejectedScope(current, &m))
 		return Conflict
 	}
 	if !knownKind(m.GetKind()) {
 		s.partial = true
 	}
-	s.scopes[m.GetScope()] = acceptedScope(current, &m, rec)
+	s.put(acceptedScope(current, &m, rec))
 	return Accepted
 }
 
+// put replaces the value of a scope and evicts another one when there are too
+// many.
+func (s *State) put(scope *pb.ScopeState) {
+	s.scopes[scope.GetScope()] = scope
+	if len(s.scopes) <= maxScopes {
+		return
+	}
+	var victim *pb.ScopeState
+	for _, candidate := range s.scopes {
+		if candidate != scope && (victim == nil || evictBefore(candidate, victim)) {
+			victim = candidate
+		}
+	}
+	delete(s.scopes, victim.GetScope())
+}
+
+// evictBefore orders scopes by how little their loss matters: those without
+// effect, then drained instances, then services; among equals the oldest.
+func evictBefore(a, b *pb.ScopeState) bool {
+	return cmp.Or(
+		cmp.Compare(evictionRank(a), evictionRank(b)),
+		cmp.Compare(a.GetVersion(), b.GetVersion()),
+		cmp.Compare(a.GetScope(), b.GetScope()),
+	) < 0
+}
+
+func evictionRank(scope *pb.ScopeState) int {
+	switch {
+	case scope.GetVersion() < 0:
+		return 0
+	case scope.GetBody() == nil && !scope.GetDrained():
+		return 1
+	case scope.GetDrained():
+		return 2
+	default:
+		return 3
+	}
+}
+
 // wellFormed reports whether the envelope is that of a configuration record.
 // It must give the same result in every software version.
 func wellFormed(m *pb.ConfigRecord) bool {
--- a/configlog/state_test.go
+++ b/configlog/state_test.go
@@ -117,6 +117,35 @@
 	assert.DeepEqual(t, again, snapshot) // states that share values do not change each other
 }
 
+// Guards against a state that grows by a scope for each replaced instance, and
+// against the loss of a service to make room.
+func TestScopesAreBounded(t *testing.T) {
+	s := NewState()
+	next := platform.Offset(0)
+	apply := func(c Change) {
+		c.ID = fmt.Sprint("id-", next)
+		assert.Equal(t, s.Apply(record(next, encode(c))), Accepted)
+		next++
+	}
+	apply(change("", config.NoVersion, 1))
+	for i := range maxScopes + 10 {
+		scope := config.InstanceScope(fmt.Sprintf("i-%05d", i))
+		apply(Change{Scope: scope, Base: config.NoVersion, Kind: DrainInstance})
+		if i == 100 {
+			apply(Change{Scope: scope, Base: config.Version(next - 1), Kind: UndrainInstance})
+		}
+	}
+	assert.Equal(t, len(s.scopes), maxScopes)
+	fleet := s.Fleet()
+	assert.Assert(t, fleet.Services["a"] != nil)
+	assert.Equal(t, s.ScopeVersion("instance/i-00100"), config.NoVersion, "no effect, so it goes first")
+	assert.Assert(t, !fleet.DrainedInstances["i-00009"])
+	assert.Assert(t, fleet.DrainedInstances["i-00010"])
+	data, err := s.Snapshot()
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) < config.MaxDocumentBytes, "%d bytes", len(data))
+}
+
 // Guards against an older software version that writes a snapshot without the
 // effect of a record that it does not understand.
 func TestUnknownKindPreventsSnapshot(t *testing.T) {
