Complete the request path between callers and targets

Cause: the thin path made one attempt, passed every header on in both directions, decided nothing by key, and left bad input to fasthttp.

Once an attempt, or a request with the same key, may have run, no later refusal says not run. Answers name outcome, reason and request id.

fasthttp accepts a content length together with a transfer encoding, the identity encoding, folded lines, bare line feeds and spaces in header names; the relay refuses all of them. It takes a GET's body as a body. It reorders headers whenever one is removed, also while it reads a chunked body, so the values of a repeated header are put back in order. Its Request.Write normalises paths, its form parser encodes bodies anew, and its log grows with bad input; all three are bypassed.

Ruled out: rebuilding each header instead of removing lines, which costs a copy of every request for the sake of repeated headers.

--- /dev/null
+++ b/relay/answer.go
@@ -0,0 +1,143 @@
+package relay
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"rhubarbrelay/header"
+	"rhubarbrelay/routing"
+	"rhubarbrelay/timeline"
+	"rhubarbrelay/upstream"
+
+	"github.com/valyala/fasthttp"
+)
+
+// retryAfter is the Retry-After of overload refusals, in seconds. It is the
+// smallest value of that header; overloads last seconds.
+const retryAfter = "1"
+
+// failure is an answer that the relay gives in place of a target.
+type failure struct {
+	status  int
+	outcome string
+	reason  string
+	// overload asks the caller to come back later.
+	overload bool
+	// hangUp closes the caller's connection: what follows the request on it
+	// cannot be trusted.
+	hangUp bool
+}
+
+func notRun(status int, reason string) *failure {
+	return &failure{status: status, outcome: header.OutcomeNotRun, reason: reason}
+}
+
+func unknown(status int, reason string) *failure {
+	return &failure{status: status, outcome: header.OutcomeUnknown, reason: reason}
+}
+
+func overloaded(reason string) *failure {
+	return &failure{
+		status: fasthttp.StatusServiceUnavailable, outcome: header.OutcomeNotRun, reason: reason, overload: true,
+	}
+}
+
+// fail answers the call with the failure. A claim of not run is withdrawn when
+// the call may have run.
+func (s *Server) fail(resp *fasthttp.Response, c *call, f *failure) {
+	outcome := f.outcome
+	if outcome == header.OutcomeNotRun && c.mayHaveRun {
+		outcome = header.OutcomeUnknown
+	}
+	writeFailure(resp, f, outcome)
+	if c.id != "" {
+		resp.Header.Set(header.RequestID, c.id)
+	}
+	switch {
+	case outcome == header.OutcomeUnknown:
+		s.record(timeline.RequestUnknown, c, "", f.reason)
+	case outcome == header.OutcomeNotRun && s.recorder != nil && s.refusals.Allow():
+		s.record(timeline.RequestRefused, c, "", f.reason)
+	}
+}
+
+func writeFailure(resp *fasthttp.Response, f *failure, outcome string) {
+	head := resp.SkipBody
+	resp.Reset()
+	resp.SkipBody = head
+	resp.SetStatusCode(f.status)
+	resp.Header.Set(header.Outcome, outcome)
+	resp.Header.Set(header.Reason, f.reason)
+	resp.Header.SetContentType("text/plain; charset=utf-8")
+	if f.overload {
+		resp.Header.Set(fasthttp.HeaderRetryAfter, retryAfter)
+	}
+	if f.hangUp {
+		resp.SetConnectionClose()
+	}
+	resp.SetBodyString(f.reason + "\n")
+}
+
+func (s *Server) record(kind timeline.Kind, c *call, target, detail string) {
+	if s.recorder == nil {
+		return
+	}
+	event := timeline.Event{Kind: kind, Request: c.id, Target: target, Detail: detail}
+	if c.service != nil {
+		event.Service = c.service.Name
+	}
+	s.recorder.Record(event)
+}
+
+// handleError answers a request that fasthttp could not read.
+func (s *Server) handleError(ctx *fasthttp.RequestCtx, err error) {
+	var c call
+	// The repeat of a request that ran may be malformed or cut as well.
+	c.mayHaveRun = len(ctx.Request.Header.Peek(header.IdempotencyKey)) > 0
+	f := failureOfRead(err)
+	f.hangUp = true
+	s.fail(&ctx.Response, &c, f)
+}
+
+func failureOfRead(err error) *failure {
+	var small *fasthttp.ErrSmallBuffer
+	var network net.Error
+	switch {
+	case errors.As(err, &small):
+		return notRun(fasthttp.StatusRequestHeaderFieldsTooLarge, "request header is too large")
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return notRun(fasthttp.StatusRequestEntityTooLarge, "request body is too large")
+	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &network) && network.Timeout():
+		return notRun(fasthttp.StatusRequestTimeout, "request did not arrive in time")
+	}
+	return notRun(fasthttp.StatusBadRequest, "request is malformed")
+}
+
+// failureOfAcquire maps the refusals of a dispatcher.
+func failureOfAcquire(err error) *failure {
+	switch {
+	case errors.Is(err, routing.ErrQueueFull), errors.Is(err, routing.ErrTooLate), errors.Is(err, routing.ErrNoTarget),
+		errors.Is(err, errNotFresh):
+		return overloaded(err.Error())
+	}
+	return notRun(fasthttp.StatusServiceUnavailable, err.Error())
+}
+
+// failureOfExchange maps the errors of an exchange. The reason names no address
+// of a target.
+func failureOfExchange(err error, deadline time.Time) *failure {
+	switch {
+	case errors.Is(err, upstream.ErrNoConnection):
+		return overloaded("no connection to the target is free")
+	case errors.Is(err, upstream.ErrNotRun):
+		return overloaded("target did not run the request")
+	case errors.Is(err, upstream.ErrNotSent) && !time.Now().Before(deadline):
+		return notRun(fasthttp.StatusGatewayTimeout, "deadline passed before the request was sent")
+	case errors.Is(err, upstream.ErrNotSent):
+		return notRun(fasthttp.StatusBadGateway, "target cannot be reached")
+	case !time.Now().Before(deadline):
+		return unknown(fasthttp.StatusGatewayTimeout, "no answer before the deadline")
+	}
+	return unknown(fasthttp.StatusBadGateway, "exchange with the target broke")
+}
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -23,23 +23,25 @@
 	KeyPrefix string `json:"key_prefix"`
 }
 
-func (s *Server) handleReserved(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != header.EntryPath || !ctx.IsGet() {
-		refuse(ctx, fasthttp.StatusNotFound, "no such path")
+func (s *Server) handleReserved(req *fasthttp.Request, resp *fasthttp.Response, c *call) {
+	uri := req.URI()
+	if string(uri.Path()) != header.EntryPath || !req.Header.IsGet() {
+		s.fail(resp, c, notRun(fasthttp.StatusNotFound, "no such path"))
 		return
 	}
-	service, ok := s.fleet.Fleet().Services[string(ctx.QueryArgs().Peek("service"))]
+	service, ok := s.fleet.Fleet().Services[string(uri.QueryArgs().Peek("service"))]
 	if !ok {
-		refuse(ctx, fasthttp.StatusNotFound, "unknown service")
+		s.fail(resp, c, notRun(fasthttp.StatusNotFound, "unknown service"))
 		return
 	}
-	body, err := encodeEntry(s.planner.Plan(service, string(ctx.QueryArgs().Peek("zone"))))
+	body, err := encodeEntry(s.planner.Plan(service, string(uri.QueryArgs().Peek("zone"))))
 	if err != nil {
-		refuse(ctx, fasthttp.StatusInternalServerError, err.Error())
+		s.fail(resp, c, notRun(fasthttp.StatusInternalServerError, err.Error()))
 		return
 	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
+	resp.Header.SetContentType("application/json")
+	resp.Header.Set(header.RequestID, c.id)
+	resp.SetBody(body)
 }
 
 func encodeEntry(answer entry.Answer) ([]byte, error) {
--- a/relay/request.go
+++ b/relay/request.go
@@ -1,140 +1,223 @@
 package relay
 
 import (
-	"context"
-	"errors"
+	"bytes"
+	"encoding/hex"
+	"math/rand/v2"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
 
 	"rhubarbrelay/config"
 	"rhubarbrelay/header"
+	"rhubarbrelay/idempotency"
 	"rhubarbrelay/routing"
-	"rhubarbrelay/upstream"
 
 	"github.com/valyala/fasthttp"
 )
 
+// maxRequestID bounds the request id that a caller may choose, in bytes.
+const maxRequestID = 128
+
 // call is a request on its way through the relay.
 type call struct {
+	id         string
 	service    *config.Service
+	dispatcher *routing.Dispatcher
+	arrival    time.Time
 	deadline   time.Time
 	idempotent bool
 	long       bool
+	// key is set for non-idempotent requests that carry one.
+	key   idempotency.Key
+	keyed bool
+	// forwarded marks a request that another instance passed on.
+	forwarded bool
+	// mayHaveRun is set while an attempt, or a request with the same key, may
+	// have run.
+	mayHaveRun bool
+	attempt    int
+	tried      []netip.AddrPort
+	found      inspection
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	if strings.HasPrefix(string(ctx.Path()), header.ReservedPrefix) {
-		s.handleReserved(ctx)
-		return
+	s.serve(&ctx.Request, &ctx.Response, &call{})
+	if s.closing.Load() {
+		ctx.Response.SetConnectionClose()
+	}
+}
+
+// handleExpect decides whether a caller that waits for 100 Continue should send
+// its body.
+func (s *Server) handleExpect(ctx *fasthttp.RequestCtx) int {
+	var c call
+	f := s.admit(&ctx.Request, &c)
+	if f == nil && ctx.Request.Header.ContentLength() > s.http.MaxRequestBodySize {
+		f = notRun(fasthttp.StatusRequestEntityTooLarge, "request body is too large")
 	}
-	c, ok := s.newCall(ctx)
-	if !ok {
-		return
+	if f == nil {
+		return fasthttp.StatusContinue
 	}
-	s.relay(ctx, c)
+	s.fail(&ctx.Response, &c, f)
+	return f.status
 }
 
-func (s *Server) newCall(ctx *fasthttp.RequestCtx) (call, bool) {
-	service, ok := s.fleet.Fleet().Services[string(ctx.Request.Header.Peek(header.Service))]
-	if !ok {
-		refuse(ctx, fasthttp.StatusNotFound, "unknown service")
-		return call{}, false
-	}
-	route := service.Match(string(ctx.Method()), string(ctx.Path()))
-	timeout := service.Deadline
-	if route.Deadline > 0 {
-		timeout = route.Deadline
+func (s *Server) serve(req *fasthttp.Request, resp *fasthttp.Response, c *call) {
+	resp.SkipBody = req.Header.IsHead()
+	f := s.admit(req, c)
+	switch {
+	case f != nil:
+		s.fail(resp, c, f)
+	case c.service == nil:
+		s.handleReserved(req, resp, c)
+	case c.keyed:
+		s.serveKeyed(req, resp, c)
+	default:
+		s.dispatch(req, resp, c)
 	}
-	if text := string(ctx.Request.Header.Peek(header.Deadline)); text != "" {
-		own, err := time.ParseDuration(text)
-		if err != nil || own <= 0 {
-			refuse(ctx, fasthttp.StatusBadRequest, "deadline is not a positive duration")
-			return call{}, false
-		}
-		timeout = min(timeout, own)
+}
+
+// admit checks a request and fills in the call. The call's service stays nil
+// for a reserved path.
+func (s *Server) admit(req *fasthttp.Request, c *call) *failure {
+	c.arrival = time.Now()
+	if err := c.found.inspect(req.Header.RawHeaders()); err != nil {
+		f := notRun(fasthttp.StatusBadRequest, err.Error())
+		f.hangUp = true
+		return f
+	}
+	if f := c.identify(req); f != nil {
+		return f
+	}
+	if expect := req.Header.Peek(fasthttp.HeaderExpect); len(expect) > 0 && !bytes.EqualFold(expect, []byte("100-continue")) {
+		return notRun(fasthttp.StatusExpectationFailed, "expectation is not 100-continue")
 	}
-	return call{
-		service:    service,
-		deadline:   time.Now().Add(timeout),
-		idempotent: isIdempotent(ctx, route),
-		long:       route.Long,
-	}, true
+	if req.Header.IsConnect() {
+		return notRun(fasthttp.StatusMethodNotAllowed, "method CONNECT is not relayed")
+	}
+	if bytes.HasPrefix(req.URI().Path(), []byte(header.ReservedPrefix)) {
+		return nil
+	}
+	if f := c.readKey(req); f != nil {
+		return f
+	}
+	service := s.serviceOf(req)
+	if service == nil {
+		return notRun(fasthttp.StatusNotFound, "unknown service")
+	}
+	c.dispatcher = s.dispatchers.Dispatcher(service.Name)
+	if c.dispatcher == nil {
+		return notRun(fasthttp.StatusNotFound, "unknown service")
+	}
+	c.service = service
+	return c.setTerms(req)
 }
 
-// isIdempotent returns whether a request may be sent more than once. The
-// operator's mark on the route wins, then the caller's, then the method.
-func isIdempotent(ctx *fasthttp.RequestCtx, route config.Route) bool {
-	if route.Idempotency != config.Unmarked {
-		return route.Idempotency == config.Idempotent
+// identify takes the caller's request id or makes one.
+func (c *call) identify(req *fasthttp.Request) *failure {
+	given := req.Header.Peek(header.RequestID)
+	if len(given) > maxRequestID {
+		return notRun(fasthttp.StatusBadRequest, "request id is longer than "+strconv.Itoa(maxRequestID)+" bytes")
 	}
-	switch string(ctx.Request.Header.Peek(header.Idempotent)) {
-	case "true":
-		return true
-	case "false":
-		return false
+	if len(given) > 0 {
+		c.id = string(given)
+		return nil
 	}
-	return ctx.IsGet() || ctx.IsHead() || ctx.IsOptions()
+	var random [16]byte
+	high, low := rand.Uint64(), rand.Uint64()
+	for i := range 8 {
+		random[i], random[8+i] = byte(high>>(8*i)), byte(low>>(8*i))
+	}
+	c.id = hex.EncodeToString(random[:])
+	return nil
 }
 
-func (s *Server) relay(ctx *fasthttp.RequestCtx, c call) {
-	dispatcher := s.dispatchers.Dispatcher(c.service.Name)
-	if dispatcher == nil {
-		refuse(ctx, fasthttp.StatusNotFound, "unknown service")
-		return
-	}
-	slot, err := dispatcher.Acquire(context.Background(), routing.Call{Arrival: time.Now(), Deadline: c.deadline, Long: c.long})
-	if err != nil {
-		refuse(ctx, fasthttp.StatusServiceUnavailable, err.Error())
-		return
-	}
-	target := slot.Target()
-	pool := s.pools.Pool(target.Address)
-	if pool == nil {
-		slot.Release(routing.Result{Status: routing.Unused, Reported: routing.NoReport})
-		refuse(ctx, fasthttp.StatusServiceUnavailable, "target left the fleet")
-		return
-	}
-	start := time.Now()
-	err = pool.Exchange(&ctx.Request, &ctx.Response, upstream.Terms{Deadline: c.deadline, Proven: !c.idempotent})
-	s.finish(ctx, slot, time.Since(start), err)
+// readKey parses the idempotency key. From here until the deduplication table
+// decides, a request with the same key may have run. A malformed key counts
+// only for non-idempotent requests.
+func (c *call) readKey(req *fasthttp.Request) *failure {
+	text := req.Header.Peek(header.IdempotencyKey)
+	if len(text) == 0 {
+		return nil
+	}
+	key, err := idempotency.Parse(string(text))
+	if err == nil {
+		c.key, c.keyed, c.mayHaveRun = key, true, true
+	}
+	return nil
 }
 
-func (s *Server) finish(ctx *fasthttp.RequestCtx, slot *routing.Slot, latency time.Duration, err error) {
-	result := routing.Result{Latency: latency, Reported: routing.NoReport}
-	switch {
-	case errors.Is(err, upstream.ErrNotSent):
-		result.Status = routing.Unreachable
-		refuse(ctx, fasthttp.StatusBadGateway, err.Error())
-	case err != nil:
-		result.Status = routing.Failed
-		fail(ctx, fasthttp.StatusBadGateway, header.OutcomeUnknown, err.Error())
-	default:
-		result.Reported = reported(&ctx.Response)
-		draining := string(ctx.Response.Header.Peek(header.State)) == header.StateDraining
-		s.targets.AnnounceTarget(slot.Target(), draining)
-		ctx.Response.Header.Set(header.Outcome, header.OutcomeRun)
+// serviceOf finds the service by its header, else by the host.
+func (s *Server) serviceOf(req *fasthttp.Request) *config.Service {
+	services := s.fleet.Fleet().Services
+	if name := req.Header.Peek(header.Service); len(name) > 0 {
+		return services[string(name)]
+	}
+	host := req.Host()
+	if colon := bytes.LastIndexByte(host, ':'); colon >= 0 {
+		host = host[:colon]
+	}
+	if service, ok := services[string(host)]; ok {
+		return service
 	}
-	slot.Release(result)
+	return services[strings.ToLower(string(host))]
 }
 
-func reported(resp *fasthttp.Response) int {
-	n, err := strconv.Atoi(string(resp.Header.Peek(header.InFlight)))
-	if err != nil {
-		return routing.NoReport
+// setTerms sets the deadline and the marks of the call.
+func (c *call) setTerms(req *fasthttp.Request) *failure {
+	var route config.Route
+	if len(c.service.Routes) > 0 {
+		route = c.service.Match(string(req.Header.Method()), string(req.URI().Path()))
 	}
-	return n
+	c.long = route.Long
+	c.idempotent = !c.forwarded && isIdempotent(req, route)
+	if f := c.checkKey(req); f != nil {
+		return f
+	}
+	timeout := c.service.Deadline
+	if route.Deadline > 0 {
+		timeout = route.Deadline
+	}
+	if text := req.Header.Peek(header.Deadline); len(text) > 0 {
+		own, err := time.ParseDuration(string(text))
+		if err != nil {
+			return notRun(fasthttp.StatusBadRequest, "deadline is not a duration such as 250ms")
+		}
+		if own <= 0 {
+			return notRun(fasthttp.StatusGatewayTimeout, "deadline has passed")
+		}
+		timeout = min(timeout, own)
+	}
+	c.deadline = c.arrival.Add(timeout)
+	return nil
 }
 
-func refuse(ctx *fasthttp.RequestCtx, status int, reason string) {
-	fail(ctx, status, header.OutcomeNotRun, reason)
+// checkKey drops the key of an idempotent request, which needs none, and
+// refuses a malformed key on any other.
+func (c *call) checkKey(req *fasthttp.Request) *failure {
+	if c.idempotent {
+		c.keyed, c.mayHaveRun = false, false
+		return nil
+	}
+	if !c.keyed && len(req.Header.Peek(header.IdempotencyKey)) > 0 {
+		return notRun(fasthttp.StatusBadRequest, "idempotency key is not <prefix>~<issue time in Unix ms>~<random>")
+	}
+	return nil
 }
 
-func fail(ctx *fasthttp.RequestCtx, status int, outcome, reason string) {
-	ctx.Response.Reset()
-	ctx.SetStatusCode(status)
-	ctx.Response.Header.Set(header.Outcome, outcome)
-	ctx.Response.Header.Set(header.Reason, reason)
-	ctx.SetContentType("text/plain; charset=utf-8")
-	ctx.SetBodyString(reason + "\n")
+// isIdempotent returns whether a request may be sent more than once. The
+// operator's mark on the route wins, then the caller's, then the method.
+func isIdempotent(req *fasthttp.Request, route config.Route) bool {
+	if route.Idempotency != config.Unmarked {
+		return route.Idempotency == config.Idempotent
+	}
+	switch string(req.Header.Peek(header.Idempotent)) {
+	case "true":
+		return true
+	case "false":
+		return false
+	}
+	return req.Header.IsGet() || req.Header.IsHead() || req.Header.IsOptions()
 }
