Reuse the state of a call

Cause: each relayed request allocated its call and the scratch space for header names.

Change: calls come from a pool, and both directions share one scratch space.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -209,7 +209,7 @@
 
 // finishAnswer makes a target's answer ready for the caller.
 func finishAnswer(resp *fasthttp.Response, c *call, outcome string) {
-	stripResponse(&resp.Header)
+	c.found.stripResponse(&resp.Header)
 	resp.Header.SetProtocol([]byte("HTTP/1.1"))
 	resp.Header.SetNoDefaultContentType(true)
 	resp.Header.Set(header.Outcome, outcome)
--- a/relay/header.go
+++ b/relay/header.go
@@ -38,6 +38,7 @@
 	encoding  bool
 	controls  uint // bits of the control headers seen
 	trailered bool
+	fields    [usualFields]field
 }
 
 // inspect checks the raw header of a request and finds what must not reach a
@@ -179,7 +180,7 @@
 		return
 	}
 	// fasthttp may have reordered the headers already while it read the body.
-	repeats := repeatsOf(fieldsOf(h.RawHeaders()))
+	repeats := repeatsOf(in.fieldsOf(h.RawHeaders()))
 	if in.trailered {
 		names := h.PeekTrailerKeys()
 		h.Del(fasthttp.HeaderTrailer)
@@ -200,14 +201,12 @@
 }
 
 // stripResponse removes hop-by-hop headers and the target's internal headers.
-func stripResponse(h *fasthttp.ResponseHeader) {
+func (in *inspection) stripResponse(h *fasthttp.ResponseHeader) {
 	for _, name := range h.PeekTrailerKeys() {
 		h.DelBytes(name)
 	}
-	var in inspection
 	in.strip = in.scratch[:0]
-	var buf [usualFields]field
-	fields := buf[:0]
+	fields := in.fields[:0]
 	for name, value := range h.All() {
 		switch string(name) {
 		case fasthttp.HeaderConnection:
@@ -278,8 +277,8 @@
 }
 
 // fieldsOf returns the fields of a raw header that inspect accepted.
-func fieldsOf(raw []byte) []field {
-	fields := make([]field, 0, usualFields)
+func (in *inspection) fieldsOf(raw []byte) []field {
+	fields := in.fields[:0]
 	for line := range bytes.SplitSeq(raw, []byte("\r\n")) {
 		if name, value, ok := bytes.Cut(line, []byte(":")); ok {
 			fields = append(fields, field{name, bytes.TrimSpace(value)})
--- a/relay/request.go
+++ b/relay/request.go
@@ -43,7 +43,10 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	s.serve(&ctx.Request, &ctx.Response, &call{})
+	c := s.calls.Get().(*call)
+	s.serve(&ctx.Request, &ctx.Response, c)
+	*c = call{}
+	s.calls.Put(c)
 	if s.closing.Load() {
 		ctx.Response.SetConnectionClose()
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -90,6 +91,7 @@
 	allowRetry  func(*routing.Dispatcher) bool
 	refusals    *rate.Limiter
 	closing     atomic.Bool
+	calls       sync.Pool // of *call
 	http        *fasthttp.Server
 }
 
@@ -136,6 +138,7 @@
 		fleet: fleet, dispatchers: dispatchers, pools: pools, planner: planner, targets: targets,
 		allowRetry: (*routing.Dispatcher).AllowRetry,
 		refusals:   rate.NewLimiter(refusalEvents, refusalEvents),
+		calls:      sync.Pool{New: func() any { return &call{} }},
 	}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
