Keep request targets byte for byte and release large bodies

Cause: a request in absolute form was normalised on its way, so that its repeat in origin form had another fingerprint and was refused as a different request. Idle callers kept the buffer of their largest body.

Change: the origin form is cut out of the target as it is, before the key is decided or the request forwarded. Buffers above 64 KiB are released after each request. Tests check the socket options and the released buffers.

TestBadInputKeepsMemory failed once in four runs: one collection left the buffer pools' victims in the heap, and how many there are varies.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -35,8 +36,6 @@
 // dispatch sends the request to a target, and to another one as long as that
 // is safe and allowed.
 func (s *Server) dispatch(req *fasthttp.Request, resp *fasthttp.Response, c *call) {
-	c.found.stripRequest(&req.Header)
-	prepare(req, c)
 	var last error // of the attempt before
 	for c.attempt = 1; ; c.attempt++ {
 		slot, err := s.acquire(c)
@@ -115,14 +114,16 @@
 	return false
 }
 
-// prepare sets what all attempts have in common.
+// prepare removes what must not leave the relay and sets what all attempts and
+// the owner of a key get to see.
 func prepare(req *fasthttp.Request, c *call) {
 	h := &req.Header
+	c.found.stripRequest(h)
 	h.SetProtocol("HTTP/1.1")
 	h.SetNoDefaultContentType(true)
 	h.Set(header.RequestID, c.id)
 	if uri := h.RequestURI(); len(uri) == 0 || uri[0] != '/' && uri[0] != '*' {
-		h.SetRequestURIBytes(req.URI().RequestURI())
+		h.SetRequestURIBytes(originForm(uri))
 	}
 	if len(h.Host()) == 0 {
 		h.SetHost(c.service.Name)
@@ -132,6 +133,20 @@
 	}
 }
 
+// originForm returns the path and query of a request target in absolute form as
+// they are, which fasthttp's URI would normalise.
+func originForm(uri []byte) []byte {
+	_, rest, _ := bytes.Cut(uri, []byte("://"))
+	start := bytes.IndexAny(rest, "/?")
+	if start < 0 {
+		return []byte("/")
+	}
+	if rest[start] == '/' {
+		return rest[start:]
+	}
+	return append([]byte("/"), rest[start:]...)
+}
+
 // try makes one attempt and releases its slot.
 func (s *Server) try(req *fasthttp.Request, resp *fasthttp.Response, c *call, slot *routing.Slot) error {
 	result := routing.Result{Status: routing.Unused, Reported: routing.NoReport, Long: c.long}
--- a/relay/attempt_test.go
+++ b/relay/attempt_test.go
@@ -206,6 +206,12 @@
 	assert.Assert(t, strings.HasSuffix(got, "\r\n\r\nthree"))
 	h.raw(t, "GET http://spoolkeep/absolute?x=1 HTTP/1.1\r\nHost: other\r\n\r\n")
 	assert.Assert(t, strings.HasPrefix(got, "GET /absolute?x=1 HTTP/1.1\r\nHost: spoolkeep\r\n"), got)
+	h.raw(t, "GET http://spoolkeep?x=1 HTTP/1.1\r\nHost: other\r\n\r\n")
+	assert.Assert(t, strings.HasPrefix(got, "GET /?x=1 HTTP/1.1\r\n"), got)
+	h.raw(t, "GET http://spoolkeep HTTP/1.1\r\nHost: other\r\n\r\n")
+	assert.Assert(t, strings.HasPrefix(got, "GET / HTTP/1.1\r\n"), got)
+	h.raw(t, "OPTIONS * HTTP/1.1\r\nHost: spoolkeep\r\n\r\n")
+	assert.Assert(t, strings.HasPrefix(got, "OPTIONS * HTTP/1.1\r\n"), got)
 }
 
 // Guards against the target's internal and hop-by-hop headers in an answer, and
--- a/relay/badinput_test.go
+++ b/relay/badinput_test.go
@@ -166,15 +166,19 @@
 	}
 }
 
+// heapInUse returns the size of the live objects. The second collection empties
+// the pools of buffers.
+func heapInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 // Guards against memory that grows with bad requests.
 func TestBadInputKeepsMemory(t *testing.T) {
 	h := newHarness(t, nil)
-	heap := func() int64 {
-		runtime.GC()
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		return int64(m.HeapAlloc)
-	}
 	round := func() {
 		for range 200 {
 			c := h.connect(t)
@@ -184,10 +188,25 @@
 		waitFor(t, "connections close", func() bool { return h.relay.http.GetOpenConnectionsCount() == 0 })
 	}
 	round()
-	before := heap()
+	before := heapInUse()
 	round()
 	const allowed = 8 << 20 // far below the 800 MB that the callers announced
-	assert.Assert(t, heap()-before < allowed)
+	assert.Assert(t, heapInUse()-before < allowed)
+}
+
+// Guards against idle callers that hold the memory of their largest bodies.
+func TestLargeBodiesAreReleased(t *testing.T) {
+	const size, callers = 2 << 20, 16
+	h := newHarness(t, []config.Target{newTarget(t, "sk-01", func(*fasthttp.RequestCtx) {})})
+	raw := message("POST", "/", strings.Repeat("x", size))
+	before := heapInUse()
+	for range callers {
+		c := h.connect(t)
+		c.send(raw)
+		assert.Equal(t, c.mustReceive().outcome, "run")
+	}
+	// The target's server keeps one buffer per connection, of which there are few.
+	assert.Assert(t, heapInUse()-before < size*callers/2)
 }
 
 // Guards against a cut request that reaches a target.
--- a/relay/keyed.go
+++ b/relay/keyed.go
@@ -126,8 +126,6 @@
 
 // forward passes the request to the owner of its key.
 func (s *Server) forward(req *fasthttp.Request, resp *fasthttp.Response, c *call) {
-	c.found.stripRequest(&req.Header)
-	prepare(req, c)
 	req.Header.Set(header.Service, c.service.Name)
 	req.Header.Set(header.IdempotencyKey, c.key.String())
 	req.Header.SetBytesV(header.Deadline, appendDuration(nil, time.Until(c.deadline)))
--- a/relay/request.go
+++ b/relay/request.go
@@ -17,8 +17,14 @@
 	"github.com/valyala/fasthttp"
 )
 
-// maxRequestID bounds the request id that a caller may choose, in bytes.
-const maxRequestID = 128
+const (
+	// maxRequestID bounds the request id that a caller may choose, in bytes.
+	maxRequestID = 128
+	// maxKeptBody bounds the buffers, in bytes, that fasthttp keeps for the next
+	// bodies of a connection: idle callers must not hold the memory of their
+	// largest bodies.
+	maxKeptBody = 64 << 10
+)
 
 // call is a request on its way through the relay.
 type call struct {
@@ -43,6 +49,8 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	ctx.Response.ReleaseBody(maxKeptBody)
+	defer ctx.Request.ReleaseBody(maxKeptBody)
 	c := s.calls.Get().(*call)
 	s.serve(&ctx.Request, &ctx.Response, c)
 	*c = call{}
@@ -69,17 +77,20 @@
 
 func (s *Server) serve(req *fasthttp.Request, resp *fasthttp.Response, c *call) {
 	resp.SkipBody = req.Header.IsHead()
-	f := s.admit(req, c)
-	switch {
-	case f != nil:
+	if f := s.admit(req, c); f != nil {
 		s.fail(resp, c, f)
-	case c.service == nil:
+		return
+	}
+	if c.service == nil {
 		s.handleReserved(req, resp, c)
-	case c.keyed:
+		return
+	}
+	prepare(req, c)
+	if c.keyed {
 		s.serveKeyed(req, resp, c)
-	default:
-		s.dispatch(req, resp, c)
+		return
 	}
+	s.dispatch(req, resp, c)
 }
 
 // admit checks a request and fills in the call. The call's service stays nil
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -16,6 +16,7 @@
 	"rhubarbrelay/header"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
@@ -417,6 +418,30 @@
 		"Content-Type: application/octet-stream\r\nContent-Length: 13\r\n"+header.RequestID+": id-1\r\n\r\nbody of a get")
 }
 
+// Guards against a connection whose path lost its state and that the kernel
+// never reports as broken.
+func TestPoolSetsSocketOptions(t *testing.T) {
+	p := newFakeTarget(t, echo).start(t, 1)
+	_, err := post(p, "")
+	assert.NilError(t, err)
+	options := []struct{ level, option, want int }{
+		{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds())},
+		{unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, int(keepAliveIdle.Seconds())},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, int(keepAliveInterval.Seconds())},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPCNT, keepAliveCount},
+	}
+	for _, o := range options {
+		var got int
+		var failed error
+		assert.NilError(t, p.idle[0].raw.Control(func(fd uintptr) {
+			got, failed = unix.GetsockoptInt(int(fd), o.level, o.option)
+		}))
+		assert.NilError(t, failed)
+		assert.Equal(t, got, o.want, "option %d", o.option)
+	}
+}
+
 // Guards against a change of the connection limit that forgets open
 // connections, and against a departed target that keeps a pool.
 func TestPoolsUpdate(t *testing.T) {
