--- /dev/null
+++ b/peer/exchange.go
@@ -0,0 +1,115 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"rhubarbrelay/peer/peerpb"
+	"rhubarbrelay/platform"
+)
+
+// snapshotTimeout bounds the transfer of a snapshot.
+const snapshotTimeout = 5 * time.Second
+
+// noVersion is the version of an instance that has no configuration yet.
+const noVersion platform.Offset = -1
+
+// behind holds what is known of versions higher than the own one.
+type behind struct {
+	since    time.Time
+	required platform.Offset
+	fetching bool
+}
+
+// noteVersion starts to fetch the configuration when a peer has had a higher
+// version for some time. An instance without any configuration fetches at once.
+func (m *Mesh) noteVersion(s *session, version platform.Offset) {
+	own := m.config.Version()
+	if version <= own {
+		m.mu.Lock()
+		if m.behind.required <= own {
+			m.behind.since = time.Time{}
+		}
+		m.mu.Unlock()
+		return
+	}
+	m.config.RequireAtLeast(version)
+	m.mu.Lock()
+	now := time.Now()
+	if m.behind.since.IsZero() {
+		m.behind.since = now
+	}
+	m.behind.required = max(m.behind.required, version)
+	due := own <= noVersion || now.Sub(m.behind.since) >= m.timings.ConfigDelay
+	if !due || m.behind.fetching {
+		m.mu.Unlock()
+		return
+	}
+	m.behind.fetching = true
+	m.mu.Unlock()
+	started := m.start(func(ctx context.Context) {
+		err := m.fetchConfig(ctx, s)
+		m.mu.Lock()
+		m.behind.fetching = false
+		m.behind.since = time.Time{}
+		m.mu.Unlock()
+		if err != nil {
+			m.logger.WithField("peer", s.peer.ID).WithError(err).Warn("configuration not fetched")
+		}
+	})
+	if !started {
+		m.mu.Lock()
+		m.behind.fetching = false
+		m.mu.Unlock()
+	}
+}
+
+// fetchConfig asks the peer for its snapshot on a stream of its own, so that
+// heartbeats do not wait behind it.
+func (m *Mesh) fetchConfig(ctx context.Context, s *session) error {
+	stream, done, err := s.openStream(ctx)
+	if err != nil {
+		return err
+	}
+	defer done()
+	if err := stream.SetDeadline(time.Now().Add(snapshotTimeout)); err != nil {
+		return err
+	}
+	request, err := encodeFrame(&peerpb.Frame{Message: &peerpb.Frame_ConfigRequest{
+		ConfigRequest: &peerpb.ConfigRequest{HaveVersion: int64(m.config.Version())},
+	}}, controlFrameLimit)
+	if err != nil {
+		return err
+	}
+	if _, err := stream.Write(request); err != nil {
+		return err
+	}
+	f, err := readFrame(stream, configFrameLimit)
+	if err != nil {
+		return err
+	}
+	state := f.GetConfigState()
+	if state == nil {
+		return fmt.Errorf("%w: %T instead of a configuration", ErrForeign, f.GetMessage())
+	}
+	if len(state.GetSnapshot()) == 0 {
+		return errors.New("peer has no newer configuration")
+	}
+	m.counters.snapshots.Add(1)
+	return m.config.Offer(state.GetSnapshot())
+}
+
+// answerConfig returns the snapshot when it is newer than what the peer has.
+func (m *Mesh) answerConfig(r *peerpb.ConfigRequest) (*peerpb.Frame, error) {
+	state := &peerpb.ConfigState{}
+	if m.config.Version() > platform.Offset(r.GetHaveVersion()) {
+		snapshot, err := m.config.Snapshot()
+		if err != nil {
+			return nil, err
+		}
+		state.Snapshot = snapshot
+	}
+	return &peerpb.Frame{Message: &peerpb.Frame_ConfigState{ConfigState: state}}, nil
+}
