Keep entry answers non-empty, stable and cached

Cause: an answer was empty when no instance was live and undrained, and each call sorted all instances again.

Change: the planner uses the first group that is not empty of live, drained, suspect, and leaving or starting instances. Answers are cached per service and zone for one revision of the membership and one configuration; unknown zones share one answer, so callers cannot fill the cache. Callers whose zone has no instance get twice as many from the first other zone. WithSinglePrimary puts one instance first for all zones; zone-first order stays the default.

--- a/entry/planner.go
+++ b/entry/planner.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"rhubarbrelay/config"
@@ -29,6 +30,7 @@
 }
 
 // Answer lists the instances for a service, those of the caller's zone first.
+// Callers of Plan share its addresses and must not change them.
 type Answer struct {
 	Addresses []Address
 	TTL       time.Duration
@@ -39,16 +41,26 @@
 	Instances() []membership.Instance
 }
 
+// Revisioned is a Directory whose revision grows with every change. Answers
+// over any other Directory are not cached.
+type Revisioned interface {
+	Revision() uint64
+}
+
 // Fleet gives the configuration in force.
 type Fleet interface {
 	Fleet() *config.Fleet
 }
 
-// Planner makes entry answers.
+// Planner makes entry answers. It is safe for concurrent use.
 type Planner struct {
-	directory Directory
-	fleet     Fleet
-	ttl       time.Duration
+	directory     Directory
+	fleet         Fleet
+	ttl           time.Duration
+	singlePrimary bool
+
+	mu   sync.RWMutex
+	view *view
 }
 
 // Option changes a Planner under construction.
@@ -59,6 +71,15 @@
 	return func(p *Planner) { p.ttl = ttl }
 }
 
+// WithSinglePrimary puts the same instance first for callers of all zones, and
+// the instances by zone after it. With an entry per zone, a service is served
+// by as many instances as there are zones, each of which learns of the others'
+// load from the targets' reports only. One primary sees all of it, at the
+// price of a hop between zones and of one instance that carries the service.
+func WithSinglePrimary() Option {
+	return func(p *Planner) { p.singlePrimary = true }
+}
+
 // NewPlanner returns a planner over the directory and the configuration.
 func NewPlanner(directory Directory, fleet Fleet, opts ...Option) *Planner {
 	p := &Planner{directory: directory, fleet: fleet, ttl: DefaultTTL}
@@ -72,47 +93,87 @@
 // service. Instances of one zone are ranked by rendezvous hash, so that all
 // instances give nearly the same answer without agreeing on it first.
 func (p *Planner) Plan(service *config.Service, zone string) Answer {
-	drained := p.fleet.Fleet().DrainedInstances
-	byZone := map[string][]membership.Instance{}
-	for _, in := range p.directory.Instances() {
-		if in.State == membership.Live && !drained[in.ID] && in.CallerAddress.IsValid() {
-			byZone[in.Zone] = append(byZone[in.Zone], in)
-		}
+	v := p.currentView()
+	if !slices.Contains(v.zones, zone) {
+		// Callers choose the zone freely, so unknown ones share one answer.
+		zone = ""
 	}
-	answer := Answer{TTL: p.ttl}
-	for _, z := range zonesFrom(byZone, service.Name, zone) {
-		chosen := rank(byZone[z], service.Name)
-		chosen = chosen[:min(len(chosen), service.EntryPerZone)]
-		for _, in := range chosen {
-			answer.Addresses = append(answer.Addresses, addressOf(in))
-		}
+	key := planKey{service, zone}
+	v.mu.RLock()
+	answer, ok := v.answers[key]
+	v.mu.RUnlock()
+	if ok {
+		return answer
+	}
+	answer = Answer{Addresses: p.plan(v, service, zone), TTL: p.ttl}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.answers) < maxAnswers {
+		v.answers[key] = answer
 	}
 	return answer
 }
 
-// zonesFrom returns the zones in the order in which a caller should use them.
-func zonesFrom(byZone map[string][]membership.Instance, service, own string) []string {
-	zones := make([]string, 0, len(byZone))
-	for z := range byZone {
-		zones = append(zones, z)
+// currentView returns the view of the present revision and configuration.
+func (p *Planner) currentView() *view {
+	fleet := p.fleet.Fleet()
+	revisioned, ok := p.directory.(Revisioned)
+	if !ok {
+		return newView(0, fleet, p.directory.Instances())
+	}
+	// The revision is read before the instances, so that a change in between
+	// leads to a view that is replaced at the next call.
+	revision := revisioned.Revision()
+	p.mu.RLock()
+	v := p.view
+	p.mu.RUnlock()
+	if v != nil && v.revision == revision && v.fleet == fleet {
+		return v
 	}
-	slices.SortFunc(zones, func(a, b string) int {
-		if (a == own) != (b == own) {
-			if a == own {
-				return -1
-			}
-			return 1
+	v = newView(revision, fleet, p.directory.Instances())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view = v
+	return v
+}
+
+// plan ranks the instances of the view for the service.
+func (p *Planner) plan(v *view, service *config.Service, own string) []Address {
+	zones := v.zonesFrom(service.Name, own)
+	var chosen []membership.Instance
+	for i, zone := range zones {
+		count := max(1, service.EntryPerZone)
+		if i == 0 && own == "" && len(v.zones) > 1 {
+			// The first zone stands in for the caller's, which has none.
+			count *= 2
 		}
-		return cmp.Compare(score(service, a), score(service, b))
-	})
-	return zones
+		ranked := rank(v.byZone[zone], service.Name)
+		chosen = append(chosen, ranked[:min(len(ranked), count)]...)
+	}
+	if p.singlePrimary {
+		chosen = withPrimary(chosen, v.usable, service.Name)
+	}
+	addresses := make([]Address, 0, len(chosen))
+	for _, in := range chosen {
+		addresses = append(addresses, addressOf(in))
+	}
+	return addresses
+}
+
+// withPrimary puts the instance that ranks first over all zones in front.
+func withPrimary(chosen, usable []membership.Instance, service string) []membership.Instance {
+	if len(usable) == 0 {
+		return chosen
+	}
+	primary := rank(usable, service)[0]
+	rest := slices.DeleteFunc(chosen, func(in membership.Instance) bool { return in.ID == primary.ID })
+	return append([]membership.Instance{primary}, rest...)
 }
 
 func rank(instances []membership.Instance, service string) []membership.Instance {
-	slices.SortFunc(instances, func(a, b membership.Instance) int {
+	return slices.SortedFunc(slices.Values(instances), func(a, b membership.Instance) int {
 		return cmp.Or(cmp.Compare(score(service, a.ID), score(service, b.ID)), cmp.Compare(a.ID, b.ID))
 	})
-	return instances
 }
 
 func score(service, id string) uint64 {
