Test paused peers, flapping paths and the bound of sessions

Cause: the mesh tests covered cuts and silent sessions, but not a process that is stopped while its connections still open, nor paths that fail repeatedly, nor more clients than accepted sessions.

Change: the test network can pause an instance; three tests. The test of a forwarded request on a silent session no longer depends on the moment of a re-dial or heartbeat.

--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -130,7 +130,11 @@
 // must be unknown, never "not delivered", and come within the deadline.
 func TestForwardOnSilentSession(t *testing.T) {
 	n := newNetwork()
-	nodes := startMesh(t, n, 2, WithHandler(echo))
+	timings := testTimings()
+	// Neither a re-dial nor a late heartbeat may replace the session.
+	timings.Silence = time.Minute
+	timings.Heartbeat = 10 * time.Second
+	nodes := startMesh(t, n, 2, WithHandler(echo), WithTimings(timings))
 	n.silence(nodes[0].id, nodes[1].id)
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -53,12 +53,13 @@
 type network struct {
 	mu     sync.Mutex
 	cut    map[[2]string]bool
+	paused map[string]bool
 	owners map[netip.AddrPort]string
 	conns  []*pathConn
 }
 
 func newNetwork() *network {
-	return &network{cut: map[[2]string]bool{}, owners: map[netip.AddrPort]string{}}
+	return &network{cut: map[[2]string]bool{}, paused: map[string]bool{}, owners: map[netip.AddrPort]string{}}
 }
 
 func (n *network) set(a, b string, cut bool) {
@@ -74,6 +75,20 @@
 	return n.cut[[2]string{a, b}]
 }
 
+// pause makes an instance look like a stopped process: connections to it open,
+// but no bytes pass.
+func (n *network) pause(id string, paused bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.paused[id] = paused
+}
+
+func (n *network) drops(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[[2]string{a, b}] || n.paused[a] || n.paused[b]
+}
+
 // silence makes the present connections between the two drop all bytes in one
 // direction, while new connections work.
 func (n *network) silence(from, to string) {
@@ -117,7 +132,7 @@
 }
 
 func (c *pathConn) Write(b []byte) (int, error) {
-	if c.dropOut.Load() || c.network.isCut(c.from, c.to) {
+	if c.dropOut.Load() || c.network.drops(c.from, c.to) {
 		return len(b), nil
 	}
 	return c.Conn.Write(b)
@@ -126,7 +141,7 @@
 func (c *pathConn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
-		if err != nil || !c.dropIn.Load() && !c.network.isCut(c.from, c.to) {
+		if err != nil || !c.dropIn.Load() && !c.network.drops(c.from, c.to) {
 			return n, err
 		}
 	}
@@ -333,6 +348,73 @@
 	}
 }
 
+// Guards against a paused process that counts as live because connections to
+// it still open, and against one that stays dead after its resume.
+func TestPausedPeer(t *testing.T) {
+	n := newNetwork()
+	timings := testTimings()
+	timings.Hello = 200 * time.Millisecond
+	nodes := startMesh(t, n, 4, WithTimings(timings))
+	n.pause(nodes[3].id, true)
+	awaitState(t, nodes[0], nodes[3].id, membership.Dead)
+	awaitState(t, nodes[2], nodes[3].id, membership.Dead)
+	_, err := nodes[0].mesh.Forward(context.Background(), nodes[3].id, 1003, []byte("x"))
+	assert.ErrorIs(t, err, ErrOwnerUnreachable)
+	n.pause(nodes[3].id, false)
+	await(t, func() error { return allLive(nodes) })
+}
+
+// Guards against a path that fails and returns again and again and leaves
+// sessions, contacts or suspicions behind.
+func TestFlappingPath(t *testing.T) {
+	n := newNetwork()
+	nodes := startMesh(t, n, 4)
+	for round := range 10 {
+		n.set(nodes[0].id, nodes[1].id, round%2 == 0)
+		n.set(nodes[2].id, nodes[3].id, round%2 == 1)
+		sequence := nodes[3].mesh.Stats().FramesIn
+		await(t, func() error {
+			if nodes[3].mesh.Stats().FramesIn < sequence+20 {
+				return errors.New("too few frames")
+			}
+			return nil
+		})
+	}
+	n.set(nodes[0].id, nodes[1].id, false)
+	n.set(nodes[2].id, nodes[3].id, false)
+	await(t, func() error { return allLive(nodes) })
+	await(t, func() error {
+		for _, node := range nodes {
+			if sessions := node.mesh.Stats().Sessions; sessions != 3 {
+				return fmt.Errorf("%s has %d sessions", node.id, sessions)
+			}
+		}
+		return nil
+	})
+}
+
+// Guards against more accepted sessions than the bound.
+func TestIncomingSessionsAreBounded(t *testing.T) {
+	n := newNetwork()
+	first := startNode(t, n, "first", 1)
+	for i := range maxIncoming + 5 {
+		conn, err := net.Dial("tcp", first.address.String())
+		assert.NilError(t, err)
+		d := membership.NewDirectory(membership.Instance{ID: fmt.Sprint("client-", i), Incarnation: 1})
+		client := NewMesh(d, &fakeConfig{}, WithLogger(quiet()))
+		s, err := client.establish(context.Background(), conn, false)
+		assert.NilError(t, err)
+		defer s.close()
+	}
+	await(t, func() error {
+		if first.mesh.Stats().Drops == 0 {
+			return errors.New("nothing dropped")
+		}
+		return nil
+	})
+	assert.Assert(t, first.mesh.countIncoming() <= maxIncoming)
+}
+
 // Guards against a stop that is announced during a partition and forgotten
 // when the partition heals.
 func TestLeavingAnnouncedDuringPartition(t *testing.T) {
