Finish forwarded requests before a session or the mesh ends

Cause: a stop, a second session with the same peer or a session that was no longer needed closed the connection under forwarded requests in progress, whose callers then got delivery unknown. A peer that closed each session at once was dialled again without pause.

Change: a goodbye ends the use of a session for new requests and closes it when no stream of either side is in use. At a stop the mesh refuses new requests as not executed and waits for the others, at most Timings.Drain. The pause between dials is kept until a session has lasted. Connections above the bound are closed before the hello, so that nothing can have been delivered on them.

Ruled out: an immediate close on receipt of a goodbye.

--- a/peer/forward.go
+++ b/peer/forward.go
@@ -165,19 +165,23 @@
 			s.close()
 			return
 		}
+		s.active.Add(1)
 		if !m.forwards.TryAcquire(1) {
 			m.counters.drops.Add(1)
 			m.answer(stream, forwardStatus(peerpb.ForwardStatus_FORWARD_STATUS_OVERLOADED), controlFrameLimit)
 			_ = stream.Close()
+			s.active.Add(-1)
 			continue
 		}
 		started := m.start(func(ctx context.Context) {
 			defer m.forwards.Release(1)
+			defer s.active.Add(-1)
 			defer func() { _ = stream.Close() }()
 			m.serveStream(ctx, s, stream)
 		})
 		if !started {
 			m.forwards.Release(1)
+			s.active.Add(-1)
 			_ = stream.Close()
 		}
 	}
--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -141,3 +141,69 @@
 	_, err := nodes[0].mesh.Forward(ctx, nodes[1].id, 1001, []byte("x"))
 	assert.ErrorIs(t, err, ErrDeliveryUnknown)
 }
+
+// Guards against a stop of the owner that interrupts a forwarded request in
+// progress, or that executes one that arrives later.
+func TestStopFinishesForwardedRequests(t *testing.T) {
+	n := newNetwork()
+	begun, finish := make(chan struct{}), make(chan struct{})
+	nodes := startMesh(t, n, 2, WithHandler(func(_ context.Context, request []byte, _ time.Duration) ([]byte, error) {
+		close(begun)
+		<-finish
+		return request, nil
+	}))
+	forward := func() error {
+		_, err := nodes[0].mesh.Forward(context.Background(), nodes[1].id, 1001, []byte("x"))
+		return err
+	}
+	first := make(chan error)
+	go func() { first <- forward() }()
+	<-begun
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		nodes[1].stop()
+	}()
+	await(t, func() error {
+		if nodes[1].mesh.forwards.TryAcquire(1) {
+			nodes[1].mesh.forwards.Release(1)
+			return errors.New("not stopping yet")
+		}
+		return nil
+	})
+	assert.ErrorIs(t, forward(), ErrOverloaded)
+	close(finish)
+	assert.NilError(t, <-first)
+	<-stopped
+	assert.ErrorIs(t, forward(), ErrNotDelivered)
+}
+
+// Guards against a session that is closed as not needed, or replaced, while it
+// carries a request.
+func TestGoodbyeWaitsForRequests(t *testing.T) {
+	n := newNetwork()
+	begun, finish := make(chan struct{}), make(chan struct{})
+	nodes := startMesh(t, n, 2, WithHandler(func(_ context.Context, request []byte, _ time.Duration) ([]byte, error) {
+		close(begun)
+		<-finish
+		return request, nil
+	}))
+	first := make(chan error)
+	go func() {
+		_, err := nodes[0].mesh.Forward(context.Background(), nodes[1].id, 1001, []byte("x"))
+		first <- err
+	}()
+	<-begun
+	s := nodes[1].mesh.sessionWith(nodes[0].id)
+	s.goodbye("test", false)
+	await(t, func() error {
+		if other := nodes[0].mesh.sessionWith(nodes[1].id); other == nil {
+			return errors.New("no new session")
+		}
+		return nil
+	})
+	close(finish)
+	assert.NilError(t, <-first)
+	<-s.ended
+	await(t, func() error { return allLive(nodes) })
+}
--- a/peer/keeper.go
+++ b/peer/keeper.go
@@ -106,7 +106,7 @@
 		m.mu.Lock()
 		m.contact(s.peer.ID).lost = true
 		m.mu.Unlock()
-	case s.incoming:
+	case s.incoming || s.active.Load() > 0:
 	case !wanted && s.idle() > m.timings.Idle:
 		s.goodbye("not needed", false)
 	case m.directory.Self().ID > s.peer.ID && m.hasIncoming(s.peer.ID):
@@ -129,7 +129,11 @@
 func (m *Mesh) dialIfNeeded(in membership.Instance, wanted bool) {
 	if s := m.sessionWith(in.ID); s != nil && s.silence() <= m.timings.Silence {
 		m.mu.Lock()
-		delete(m.contacts, in.ID)
+		if time.Since(s.createdAt) > m.timings.Silence {
+			delete(m.contacts, in.ID)
+		} else {
+			m.contact(in.ID).lost = false
+		}
 		m.mu.Unlock()
 		return
 	}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -48,6 +48,9 @@
 	ConfigDelay time.Duration
 	// Forward bounds a forwarded request whose context has no deadline.
 	Forward time.Duration
+	// Drain bounds the wait for forwarded requests in progress when a session
+	// or the mesh ends on purpose. It is longer than any deadline.
+	Drain time.Duration
 }
 
 // DefaultTimings returns the timings of production.
@@ -65,6 +68,7 @@
 		Batch:       50 * time.Millisecond,
 		ConfigDelay: time.Second,
 		Forward:     10 * time.Second,
+		Drain:       time.Minute,
 	}
 }
 
@@ -185,7 +189,8 @@
 	return (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
 }
 
-// Run accepts and keeps sessions until the context ends. It closes the
+// Run accepts and keeps sessions until the context ends. Then it refuses new
+// forwarded requests as not executed, finishes those in progress, closes the
 // listener, says goodbye to the peers and returns when all its goroutines have
 // ended.
 func (m *Mesh) Run(ctx context.Context, listener net.Listener) error {
@@ -197,7 +202,9 @@
 	m.mu.Unlock()
 	m.start(func(ctx context.Context) { m.accept(ctx, listener) })
 	m.start(m.flood)
-	m.check(ctx)
+	m.start(m.check)
+	<-ctx.Done()
+	m.drain(inner)
 	_ = listener.Close()
 	m.sendPending()
 	m.closeAll("instance stops")
@@ -209,6 +216,19 @@
 	return nil
 }
 
+// drain waits for the forwarded requests in progress. While it waits for the
+// whole semaphore, no new request obtains a part of it. Sessions go on, since
+// the answers need them.
+func (m *Mesh) drain(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, m.timings.Drain)
+	defer cancel()
+	if err := m.forwards.Acquire(ctx, maxForwards); err != nil {
+		m.logger.Warn("forwarded requests in progress at the stop")
+		return
+	}
+	m.forwards.Release(maxForwards)
+}
+
 // start runs the function in a goroutine that Run waits for. It returns false
 // when the mesh does not run.
 func (m *Mesh) start(fn func(context.Context)) bool {
@@ -251,6 +271,12 @@
 
 // welcome exchanges hellos on an accepted connection.
 func (m *Mesh) welcome(ctx context.Context, conn net.Conn) {
+	if m.countIncoming() >= maxIncoming {
+		// Without a hello the peer knows that nothing was delivered.
+		m.counters.drops.Add(1)
+		_ = conn.Close()
+		return
+	}
 	s, err := m.establish(ctx, conn, true)
 	if err != nil {
 		m.logger.WithField("remote", conn.RemoteAddr().String()).WithError(err).Warn("peer connection closed")
@@ -286,7 +312,13 @@
 		}
 	}
 	m.sessions[s] = true
-	delete(m.contacts, s.peer.ID)
+	// The pause stays until the session has lasted, so that a peer that closes
+	// each session at once is not dialled without pause.
+	c := m.contact(s.peer.ID)
+	c.dialing = false
+	c.lost = false
+	c.failed++
+	c.next = time.Now().Add(m.backoff(c.failed))
 	m.mu.Unlock()
 	for _, other := range replaced {
 		other.goodbye("replaced by a new session", false)
@@ -328,13 +360,15 @@
 	}
 }
 
-// list returns the sessions in service.
+// list returns the sessions in service, without those that end on purpose.
 func (m *Mesh) list() []*session {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	all := make([]*session, 0, len(m.sessions))
 	for s := range m.sessions {
-		all = append(all, s)
+		if !s.farewell.Load() {
+			all = append(all, s)
+		}
 	}
 	return all
 }
@@ -346,7 +380,7 @@
 	defer m.mu.Unlock()
 	var best *session
 	for s := range m.sessions {
-		if s.peer.ID == id && (best == nil || s.fresherThan(best)) {
+		if s.peer.ID == id && !s.farewell.Load() && (best == nil || s.fresherThan(best)) {
 			best = s
 		}
 	}
--- a/peer/session.go
+++ b/peer/session.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -30,7 +29,8 @@
 	readBufferBytes = 512
 	// writeTimeout bounds the write of one frame to a peer.
 	writeTimeout = 3 * time.Second
-	// goodbyeTimeout bounds the wait for an intended close to be sent.
+	// goodbyeTimeout is the time for a goodbye to arrive and for streams that
+	// were opened before to be noticed.
 	goodbyeTimeout = 200 * time.Millisecond
 	// muxBacklog bounds the streams that wait to be accepted.
 	muxBacklog = 128
@@ -68,7 +68,11 @@
 	// when the peer said that it ends.
 	farewell atomic.Bool
 	stopping atomic.Bool
-	delays   delays
+	// active counts the streams in use, of both sides.
+	active atomic.Int64
+	// createdAt is the time of the hello.
+	createdAt time.Time
+	delays    delays
 	// streams bounds the streams that this side opens, so that opening one
 	// never waits for the peer to accept another.
 	streams *semaphore.Weighted
@@ -161,7 +165,8 @@
 	s.helloVersion = platform.Offset(h.GetConfigVersion())
 	s.version.Store(h.GetConfigVersion())
 	s.mesh.observeClock(h.GetClock())
-	s.delays.add(h.GetWallMs(), time.Now())
+	s.createdAt = time.Now()
+	s.delays.add(h.GetWallMs(), s.createdAt)
 	s.heard()
 	s.used()
 	return nil
@@ -224,8 +229,22 @@
 	s.enqueue(&peerpb.Frame{Message: &peerpb.Frame_Goodbye{
 		Goodbye: &peerpb.Goodbye{Reason: reason, Stopping: stopping},
 	}})
-	// The peer closes when it has read the goodbye. A silent one does not.
-	time.AfterFunc(goodbyeTimeout, s.close)
+	s.closeWhenIdle()
+}
+
+// closeWhenIdle closes the session when no stream has been in use for a while.
+// The while covers streams that the peer opened before it read the goodbye.
+func (s *session) closeWhenIdle() {
+	giveUp := time.Now().Add(s.mesh.timings.Drain)
+	var check func()
+	check = func() {
+		if s.active.Load() > 0 && time.Now().Before(giveUp) {
+			time.AfterFunc(goodbyeTimeout, check)
+			return
+		}
+		s.close()
+	}
+	time.AfterFunc(goodbyeTimeout, check)
 }
 
 // openStream opens a stream for one request. The function that it returns
@@ -239,10 +258,12 @@
 		s.streams.Release(1)
 		return nil, nil, err
 	}
+	s.active.Add(1)
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
 	return stream, func() {
 		stop()
 		_ = stream.Close()
+		s.active.Add(-1)
 		s.streams.Release(1)
 	}, nil
 }
@@ -286,9 +307,11 @@
 	case *peerpb.Frame_Sync:
 		return m.handleSync(s, message.Sync)
 	case *peerpb.Frame_Goodbye:
-		s.farewell.Store(true)
 		s.stopping.Store(message.Goodbye.GetStopping())
-		return io.EOF
+		if !s.farewell.Swap(true) {
+			s.closeWhenIdle()
+		}
+		return nil
 	default:
 		return fmt.Errorf("%w: unexpected %T on the control stream", ErrForeign, message)
 	}
