settings: check every key and report all errors at once

Cause: unknown and duplicate keys, zero ports, unspecified addresses, conflicting listeners and values out of range were accepted; a duplicate key silently replaced the first one.

Change: the reader registers each key that it reads and reports what the file has beyond them. Duplicates are kept as shadow values and reported. Each error names file, section, key and value; the value of the token is hidden. New optional keys: callers max_request_body and max_connections, admin token.

Ruled out: reading lines without "=" as boolean keys. A lone "id" would then be taken as the name "true". Such a line ends the parse with its own error, so it is the one problem that is reported alone.

--- /dev/null
+++ b/settings/reader.go
@@ -0,0 +1,299 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Units of a size.
+const (
+	kibibyte = 1 << 10
+	mebibyte = 1 << 20
+	gibibyte = 1 << 30
+)
+
+// noChildDelimiter keeps the ini library from treating a dot in a section name
+// as inheritance between sections.
+const noChildDelimiter = "\x00"
+
+// hidden replaces the value of a secret in errors.
+const hidden = "(hidden)"
+
+// setting identifies one key of the file.
+type setting struct {
+	section, key string
+}
+
+// reader reads typed values and collects what is wrong with them.
+type reader struct {
+	path     string
+	file     *ini.File
+	values   map[setting][]string
+	known    map[setting]bool
+	listens  map[netip.AddrPort]setting
+	problems []error
+}
+
+func newReader(path string, text []byte) (*reader, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{
+		AllowNonUniqueSections:     true,
+		AllowShadows:               true,
+		AllowDuplicateShadowValues: true,
+		ChildSectionDelimiter:      noChildDelimiter,
+		IgnoreContinuation:         true,
+		KeyValueDelimiters:         "=",
+	}, text)
+	if err != nil {
+		return nil, err
+	}
+	r := &reader{
+		path:    path,
+		file:    file,
+		values:  map[setting][]string{},
+		known:   map[setting]bool{},
+		listens: map[netip.AddrPort]setting{},
+	}
+	for _, section := range file.Sections() {
+		for _, key := range section.Keys() {
+			k := setting{section.Name(), key.Name()}
+			r.values[k] = append(r.values[k], valuesOf(key)...)
+		}
+	}
+	return r, nil
+}
+
+// valuesOf returns every value that a section gives to a key. The ini library
+// lists no value at all for an empty one.
+func valuesOf(key *ini.Key) []string {
+	if values := key.ValueWithShadows(); len(values) > 0 {
+		return values
+	}
+	return []string{""}
+}
+
+// optional returns the value of a key and whether the file has it.
+func (r *reader) optional(section, key string) (string, bool) {
+	k := setting{section, key}
+	r.known[k] = true
+	values := r.values[k]
+	if len(values) == 0 {
+		return "", false
+	}
+	for _, repeated := range values[1:] {
+		r.problem(k, repeated, "key given more than once")
+	}
+	if values[0] == "" {
+		r.problem(k, "", "value is empty; leave the key out for its default")
+		return "", false
+	}
+	return values[0], true
+}
+
+// required returns the value of a key that has no default.
+func (r *reader) required(section, key string) (string, bool) {
+	text, ok := r.optional(section, key)
+	if !ok && len(r.values[setting{section, key}]) == 0 {
+		r.problem(setting{section, key}, "", "required key is missing")
+	}
+	return text, ok
+}
+
+// namePattern leaves out "~", which separates the parts of idempotency keys.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+func (r *reader) name(section, key string) string {
+	text, ok := r.required(section, key)
+	if ok && !namePattern.MatchString(text) {
+		r.problem(setting{section, key}, text, "not a name of 1 to 63 letters, digits, dots, underscores and hyphens")
+	}
+	return text
+}
+
+func (r *reader) choice(section, key, fallback string, choices ...string) string {
+	text, ok := r.optional(section, key)
+	if !ok {
+		return fallback
+	}
+	if !slices.Contains(choices, text) {
+		r.problem(setting{section, key}, text, "not one of "+strings.Join(choices, ", "))
+	}
+	return text
+}
+
+func (r *reader) token(section, key string) string {
+	text, ok := r.optional(section, key)
+	if ok && (len(text) < minTokenLength || strings.ContainsFunc(text, func(c rune) bool { return c <= ' ' || c > '~' })) {
+		r.problem(setting{section, key}, hidden,
+			fmt.Sprintf("not a token of at least %d printable ASCII characters without spaces", minTokenLength))
+	}
+	return text
+}
+
+func (r *reader) duration(section, key string, fallback, least, most time.Duration) time.Duration {
+	text, ok := r.optional(section, key)
+	if !ok {
+		return fallback
+	}
+	d, err := time.ParseDuration(text)
+	switch {
+	case err != nil:
+		r.problem(setting{section, key}, text, "not a duration with its unit, such as 250ms")
+	case d < least || d > most:
+		r.problem(setting{section, key}, text, fmt.Sprintf("outside of %s to %s", least, most))
+	}
+	return d
+}
+
+func (r *reader) integer(section, key string, fallback, least, most int) int {
+	text, ok := r.optional(section, key)
+	if !ok {
+		return fallback
+	}
+	n, err := strconv.Atoi(text)
+	switch {
+	case err != nil:
+		r.problem(setting{section, key}, text, "not a whole number")
+	case n < least || n > most:
+		r.problem(setting{section, key}, text, fmt.Sprintf("outside of %d to %d", least, most))
+	}
+	return n
+}
+
+func (r *reader) size(section, key string, fallback, least, most int) int {
+	text, ok := r.optional(section, key)
+	if !ok {
+		return fallback
+	}
+	n, err := parseSize(text)
+	switch {
+	case err != nil:
+		r.problem(setting{section, key}, text, err.Error())
+	case n < least || n > most:
+		r.problem(setting{section, key}, text, fmt.Sprintf("outside of %s to %s", formatSize(least), formatSize(most)))
+	}
+	return n
+}
+
+func (r *reader) address(section, key string) netip.AddrPort {
+	text, ok := r.required(section, key)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	k := setting{section, key}
+	a, ok := r.parseAddress(k, text)
+	if ok && key == "listen" {
+		r.noteListener(k, text, a)
+	}
+	return a
+}
+
+func (r *reader) addresses(section, key string) []netip.AddrPort {
+	text, ok := r.optional(section, key)
+	if !ok {
+		return nil
+	}
+	var all []netip.AddrPort
+	for part := range strings.SplitSeq(text, ",") {
+		if a, ok := r.parseAddress(setting{section, key}, strings.TrimSpace(part)); ok {
+			all = append(all, a)
+		}
+	}
+	return all
+}
+
+func (r *reader) parseAddress(k setting, text string) (netip.AddrPort, bool) {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil {
+		r.problem(k, text, "not an IP address with a port, such as 127.0.0.1:8080")
+		return netip.AddrPort{}, false
+	}
+	a = netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+	switch {
+	case a.Addr().IsUnspecified():
+		r.problem(k, text, "unspecified address; other processes need one that they can connect to")
+	case a.Addr().IsMulticast():
+		r.problem(k, text, "multicast address")
+	case a.Port() == 0:
+		r.problem(k, text, "port is 0")
+	default:
+		return a, true
+	}
+	return netip.AddrPort{}, false
+}
+
+// noteListener reports a second listener on an address.
+func (r *reader) noteListener(k setting, text string, a netip.AddrPort) {
+	if other, ok := r.listens[a]; ok {
+		r.problem(k, text, fmt.Sprintf("address already used by section %q, key %q", other.section, other.key))
+		return
+	}
+	r.listens[a] = k
+}
+
+// checkUnknown reports sections and keys that no setting reads.
+func (r *reader) checkUnknown() {
+	sections := map[string]bool{}
+	for k := range r.known {
+		sections[k.section] = true
+	}
+	reported := map[setting]bool{}
+	for _, section := range r.file.Sections() {
+		name := section.Name()
+		if !sections[name] && name != ini.DefaultSection {
+			r.problem(setting{section: name}, "", "unknown section")
+			continue
+		}
+		for _, key := range section.Keys() {
+			k := setting{name, key.Name()}
+			if r.known[k] || reported[k] {
+				continue
+			}
+			reported[k] = true
+			r.problem(k, key.Value(), "unknown key")
+		}
+	}
+}
+
+func (r *reader) problem(k setting, value, text string) {
+	r.problems = append(r.problems, fmt.Errorf("%s: section %q, key %q, value %q: %s", r.path, k.section, k.key, value, text))
+}
+
+var errSize = errors.New("not a size with its unit, such as 512KiB or 8MiB")
+
+func parseSize(text string) (int, error) {
+	units := []struct {
+		suffix string
+		bytes  int
+	}{{"KiB", kibibyte}, {"MiB", mebibyte}, {"GiB", gibibyte}}
+	for _, u := range units {
+		digits, ok := strings.CutSuffix(text, u.suffix)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseUint(digits, 10, 31)
+		if err != nil {
+			return 0, errSize
+		}
+		return int(n) * u.bytes, nil
+	}
+	return 0, errSize
+}
+
+func formatSize(bytes int) string {
+	switch {
+	case bytes%gibibyte == 0:
+		return fmt.Sprintf("%dGiB", bytes/gibibyte)
+	case bytes%mebibyte == 0:
+		return fmt.Sprintf("%dMiB", bytes/mebibyte)
+	default:
+		return fmt.Sprintf("%dKiB", bytes/kibibyte)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,13 +1,13 @@
-// Package settings reads the daemon's INI settings.
+// Package settings reads the daemon's INI settings and reports everything that
+// is wrong with them at once.
 package settings
 
 import (
 	"errors"
 	"fmt"
 	"net/netip"
+	"os"
 	"time"
-
-	"gopkg.in/ini.v1"
 )
 
 // ErrInvalid reports settings that the daemon cannot start with. The wrapped
@@ -16,9 +16,32 @@
 
 // Defaults of the settings.
 const (
-	DefaultMaxInstances = 20
-	DefaultEntryTTL     = 5 * time.Second
-	DefaultStopMargin   = 2 * time.Second
+	DefaultMaxInstances   = 20
+	DefaultEntryTTL       = 5 * time.Second
+	DefaultStopMargin     = 2 * time.Second
+	DefaultMaxRequestBody = 8 * mebibyte
+	DefaultMaxConnections = 10_000
+	DefaultLogLevel       = "info"
+	DefaultLogFormat      = FormatText
+)
+
+// Bounds of the settings.
+const (
+	minEntryTTL       = 10 * time.Millisecond
+	maxEntryTTL       = 5 * time.Minute
+	maxStopMargin     = 10 * time.Minute
+	maxMaxInstances   = 1000
+	minMaxRequestBody = kibibyte
+	maxMaxRequestBody = gibibyte
+	maxMaxConnections = 1_000_000
+	// minTokenLength keeps tokens out of reach of guessing over the network.
+	minTokenLength = 16
+)
+
+// The formats of the log output.
+const (
+	FormatText = "text"
+	FormatJSON = "json"
 )
 
 // Settings configures one daemon.
@@ -43,6 +66,10 @@
 	Listen netip.AddrPort
 	// EntryTTL is how long callers may keep an entry answer.
 	EntryTTL time.Duration
+	// MaxRequestBody bounds the body of a request, in bytes.
+	MaxRequestBody int
+	// MaxConnections bounds the open connections of callers.
+	MaxConnections int
 }
 
 // Peers configures the sessions with other instances.
@@ -58,6 +85,9 @@
 // Admin configures the administration API.
 type Admin struct {
 	Listen netip.AddrPort
+	// Token is what operators must present as a bearer token. Empty means
+	// that none is needed.
+	Token string
 }
 
 // Platform configures the platform's client.
@@ -77,84 +107,46 @@
 	Format string
 }
 
-// Load reads the settings from a file.
+// Load reads the settings from a file. The error wraps ErrInvalid.
 func Load(path string) (*Settings, error) {
-	file, err := ini.Load(path)
+	text, err := os.ReadFile(path) //nolint:gosec // The operator names the file.
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	r := &reader{file: file, path: path}
+	return Parse(path, text)
+}
+
+// Parse reads the settings from the text of a file. The path is used only in
+// errors, which wrap ErrInvalid.
+func Parse(path string, text []byte) (*Settings, error) {
+	r, err := newReader(path, text)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s: %w", ErrInvalid, path, err)
+	}
 	s := &Settings{
-		Instance: Instance{ID: r.text("instance", "id", ""), Zone: r.text("instance", "zone", "")},
+		Instance: Instance{ID: r.name("instance", "id"), Zone: r.name("instance", "zone")},
 		Callers: Callers{
-			Listen:   r.address("callers", "listen"),
-			EntryTTL: r.duration("callers", "entry_ttl", DefaultEntryTTL),
+			Listen:         r.address("callers", "listen"),
+			EntryTTL:       r.duration("callers", "entry_ttl", DefaultEntryTTL, minEntryTTL, maxEntryTTL),
+			MaxRequestBody: r.size("callers", "max_request_body", DefaultMaxRequestBody, minMaxRequestBody, maxMaxRequestBody),
+			MaxConnections: r.integer("callers", "max_connections", DefaultMaxConnections, 1, maxMaxConnections),
 		},
 		Peers: Peers{
 			Listen:       r.address("peers", "listen"),
-			MaxInstances: r.integer("peers", "max_instances", DefaultMaxInstances),
+			MaxInstances: r.integer("peers", "max_instances", DefaultMaxInstances, 1, maxMaxInstances),
 			Seeds:        r.addresses("peers", "seeds"),
 		},
-		Admin:    Admin{Listen: r.address("admin", "listen")},
+		Admin:    Admin{Listen: r.address("admin", "listen"), Token: r.token("admin", "token")},
 		Platform: Platform{Address: r.address("platform", "address")},
-		Stop:     Stop{Margin: r.duration("stop", "margin", DefaultStopMargin)},
-		Log:      Log{Level: r.text("log", "level", "info"), Format: r.text("log", "format", "text")},
+		Stop:     Stop{Margin: r.duration("stop", "margin", DefaultStopMargin, 0, maxStopMargin)},
+		Log: Log{
+			Level:  r.choice("log", "level", DefaultLogLevel, "debug", "info", "warn", "error"),
+			Format: r.choice("log", "format", DefaultLogFormat, FormatText, FormatJSON),
+		},
 	}
+	r.checkUnknown()
 	if len(r.problems) > 0 {
 		return nil, fmt.Errorf("%w: %w", ErrInvalid, errors.Join(r.problems...))
 	}
 	return s, nil
 }
-
-// reader reads typed values and collects what is wrong with them.
-type reader struct {
-	file     *ini.File
-	path     string
-	problems []error
-}
-
-func (r *reader) text(section, key, fallback string) string {
-	return r.file.Section(section).Key(key).MustString(fallback)
-}
-
-func (r *reader) duration(section, key string, fallback time.Duration) time.Duration {
-	text := r.text(section, key, "")
-	if text == "" {
-		return fallback
-	}
-	d, err := time.ParseDuration(text)
-	if err != nil {
-		r.problem(section, key, text, "not a duration such as 250ms")
-	}
-	return d
-}
-
-func (r *reader) integer(section, key string, fallback int) int {
-	return r.file.Section(section).Key(key).MustInt(fallback)
-}
-
-func (r *reader) address(section, key string) netip.AddrPort {
-	text := r.text(section, key, "")
-	a, err := netip.ParseAddrPort(text)
-	if err != nil {
-		r.problem(section, key, text, "not an address such as 127.0.0.1:8080")
-	}
-	return a
-}
-
-func (r *reader) addresses(section, key string) []netip.AddrPort {
-	var all []netip.AddrPort
-	for _, text := range r.file.Section(section).Key(key).Strings(",") {
-		a, err := netip.ParseAddrPort(text)
-		if err != nil {
-			r.problem(section, key, text, "not an address such as 127.0.0.1:8080")
-			continue
-		}
-		all = append(all, a)
-	}
-	return all
-}
-
-func (r *reader) problem(section, key, value, text string) {
-	r.problems = append(r.problems, fmt.Errorf("%s: section %q, key %q, value %q: %s", r.path, section, key, value, text))
-}
