timeline: shard the recorder, add filters, merge and text

Cause: every event of a process took one lock for the clock and one for the ring, and events of several processes could not be merged or filtered.

The recorder has 16 shards, chosen by the stamp times the golden ratio; the counter alone would put the first event of every millisecond into the same shard. Filter, Merge (by stamp, then instance, duplicates once) and Format serve the CLI. CompleteSince tells from where on no event was dropped.

Ruled out: choosing the shard by request id; events without one would share a shard.

--- a/timeline/recorder.go
+++ b/timeline/recorder.go
@@ -1,129 +1,123 @@
-// Package timeline records what a process decided, as events that can be
-// ordered over all processes.
 package timeline
 
 import (
+	"slices"
 	"sync"
-	"time"
 )
 
-// Kind names what happened, in snake case.
-type Kind string
+// DefaultCapacity bounds the events that a process keeps. At about 200 bytes
+// an event they take some 2 MB.
+const DefaultCapacity = 8192
 
-// The kinds of event.
+// shardBits gives 16 shards, more than the cores of an entry instance.
 const (
-	InstanceStarted     Kind = "instance_started"
-	InstanceLeaving     Kind = "instance_leaving"
-	InstanceStopped     Kind = "instance_stopped"
-	InstanceStale       Kind = "instance_stale"
-	InstanceFresh       Kind = "instance_fresh"
-	PeerState           Kind = "peer_state"
-	ConfigInForce       Kind = "config_in_force"
-	ConfigRejected      Kind = "config_rejected"
-	ConfigPublished     Kind = "config_published"
-	TargetLeaving       Kind = "target_leaving"
-	TargetReady         Kind = "target_ready"
-	TargetEjected       Kind = "target_ejected"
-	TargetReturned      Kind = "target_returned"
-	RequestRefused      Kind = "request_refused"
-	RequestRetried      Kind = "request_retried"
-	RequestUnknown      Kind = "request_unknown"
-	RequestForwarded    Kind = "request_forwarded"
-	PlatformUnavailable Kind = "platform_unavailable"
-	PlatformAvailable   Kind = "platform_available"
+	shardBits  = 4
+	shardCount = 1 << shardBits
 )
 
-// Event is one thing that a process decided or saw.
-type Event struct {
-	Time     Stamp
-	Instance string
-	Kind     Kind
-	Service  string
-	Target   string
-	Request  string
-	// Peer is the other instance that the event is about.
-	Peer string
-	// Version is the configuration version that the event is about, 0 if none.
-	Version int64
-	Detail  string
-}
-
-// Stamp is a time of a hybrid logical clock: Unix milliseconds in the upper 48
-// bits, a counter in the lower 16.
-type Stamp uint64
-
-const counterBits = 16
-
-// Time returns the wall time of the stamp.
-func (s Stamp) Time() time.Time { return time.UnixMilli(int64(s >> counterBits)) }
+// spread is 2^64 divided by the golden ratio. The upper bits of a stamp times
+// spread are evenly distributed, also when every stamp has the counter 0.
+const spread = 0x9E3779B97F4A7C15
 
-// Clock is a hybrid logical clock. It never goes back, and it passes every
-// stamp that it observes.
-type Clock struct {
-	mu   sync.Mutex
-	last Stamp
-	now  func() time.Time
-}
-
-// NewClock returns a clock over the wall time that the function gives.
-func NewClock(now func() time.Time) *Clock { return &Clock{now: now} }
-
-// Now returns a stamp later than every stamp returned or observed before.
-func (c *Clock) Now() Stamp {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.last = max(c.last+1, Stamp(c.now().UnixMilli())<<counterBits)
-	return c.last
+// Recorder keeps the newest events of a process. It is safe for concurrent use.
+type Recorder struct {
+	instance string
+	clock    *Clock
+	shards   [shardCount]shard
 }
 
-// Observe moves the clock past a stamp from another process.
-func (c *Clock) Observe(s Stamp) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.last = max(c.last, s)
+// shard is a ring buffer under its own lock.
+type shard struct {
+	mu       sync.Mutex
+	capacity int
+	events   []Event
+	next     int
+	// dropped is the latest stamp that the ring no longer holds.
+	dropped Stamp
+	// The padding keeps two locks out of one cache line.
+	_ [64]byte
 }
 
-// defaultCapacity bounds the events that a process keeps.
-const defaultCapacity = 8192
-
-// Recorder keeps the newest events of a process in a ring buffer.
-type Recorder struct {
-	instance string
-	clock    *Clock
+// RecorderOption changes a recorder.
+type RecorderOption func(*Recorder)
 
-	mu     sync.Mutex
-	events []Event
-	next   int
+// WithCapacity sets the number of events that the recorder keeps, at least one
+// per shard.
+func WithCapacity(events int) RecorderOption {
+	return func(r *Recorder) {
+		for i := range r.shards {
+			r.shards[i].capacity = max(1, events/shardCount)
+		}
+	}
 }
 
 // NewRecorder returns a recorder for the instance.
-func NewRecorder(instance string, clock *Clock) *Recorder {
-	return &Recorder{instance: instance, clock: clock}
+func NewRecorder(instance string, clock *Clock, opts ...RecorderOption) *Recorder {
+	r := &Recorder{instance: instance, clock: clock}
+	WithCapacity(DefaultCapacity)(r)
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
 }
 
+// Clock returns the clock that stamps the events. Sessions with other
+// processes send its stamps and let it observe theirs.
+func (r *Recorder) Clock() *Clock { return r.clock }
+
 // Record stamps the event and keeps it.
 func (r *Recorder) Record(e Event) {
 	e.Time = r.clock.Now()
 	e.Instance = r.instance
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.events) < defaultCapacity {
-		r.events = append(r.events, e)
-		return
-	}
-	r.events[r.next] = e
-	r.next = (r.next + 1) % defaultCapacity
+	r.shards[uint64(e.Time)*spread>>(64-shardBits)].keep(e)
 }
 
 // Since returns the kept events after the stamp, oldest first.
 func (r *Recorder) Since(after Stamp) []Event {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	return r.Events(Filter{After: after})
+}
+
+// Events returns the kept events that the filter selects, oldest first.
+func (r *Recorder) Events(f Filter) []Event {
 	var found []Event
-	for i := range r.events {
-		e := r.events[(r.next+i)%len(r.events)]
-		if e.Time > after {
-			found = append(found, e)
+	for i := range r.shards {
+		found = r.shards[i].appendTo(found, f)
+	}
+	slices.SortFunc(found, compare)
+	return f.newest(found)
+}
+
+// CompleteSince returns the latest stamp of an event that was dropped to make
+// room. The recorder holds every event after it.
+func (r *Recorder) CompleteSince() Stamp {
+	var latest Stamp
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		latest = max(latest, s.dropped)
+		s.mu.Unlock()
+	}
+	return latest
+}
+
+func (s *shard) keep(e Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.events) < s.capacity {
+		s.events = append(s.events, e)
+		return
+	}
+	s.dropped = max(s.dropped, s.events[s.next].Time)
+	s.events[s.next] = e
+	s.next = (s.next + 1) % s.capacity
+}
+
+func (s *shard) appendTo(found []Event, f Filter) []Event {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.events {
+		if f.Match(&s.events[i]) {
+			found = append(found, s.events[i])
 		}
 	}
 	return found
--- /dev/null
+++ b/timeline/recorder_test.go
@@ -0,0 +1,197 @@
+package timeline
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func fixed(t time.Time) func() time.Time { return func() time.Time { return t } }
+
+// Guards against a clock that repeats or reverses stamps when the wall clock
+// stands still or goes back.
+func TestClockNeverGoesBack(t *testing.T) {
+	wall := time.UnixMilli(10_000)
+	c := NewClock(func() time.Time { return wall })
+	first := c.Now()
+	second := c.Now()
+	assert.Assert(t, second > first)
+	wall = wall.Add(-time.Second)
+	assert.Assert(t, c.Now() > second)
+}
+
+// Guards against an effect that is stamped before its cause on another process.
+func TestClockPassesObservedStamps(t *testing.T) {
+	ahead := NewClock(fixed(time.UnixMilli(60_000)))
+	behind := NewClock(fixed(time.UnixMilli(10_000)))
+	cause := ahead.Now()
+	assert.Assert(t, behind.Observe(cause))
+	assert.Assert(t, behind.Now() > cause)
+}
+
+// Guards against one wrong clock moving the clocks of all processes.
+func TestClockIgnoresFarStamps(t *testing.T) {
+	c := NewClock(fixed(time.UnixMilli(10_000)))
+	assert.Assert(t, !c.Observe(StampAt(time.UnixMilli(10_000).Add(2*MaxDrift))))
+	assert.Equal(t, c.Now().Time(), time.UnixMilli(10_000))
+}
+
+// Guards against equal stamps from concurrent callers.
+func TestClockConcurrentStampsDiffer(t *testing.T) {
+	c := NewClock(fixed(time.UnixMilli(1)))
+	const callers, each = 8, 500
+	stamps := make([][]Stamp, callers)
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			for range each {
+				stamps[i] = append(stamps[i], c.Now())
+			}
+		})
+	}
+	wg.Wait()
+	all := slices.Concat(stamps...)
+	slices.Sort(all)
+	assert.Equal(t, len(slices.Compact(all)), callers*each)
+}
+
+// Guards against unbounded memory, and against dropping new events before old
+// ones or without saying so.
+func TestRecorderIsBounded(t *testing.T) {
+	const capacity = 64
+	wall := time.UnixMilli(1)
+	r := NewRecorder("a", NewClock(func() time.Time { return wall }), WithCapacity(capacity))
+	for i := range 10 * capacity {
+		wall = wall.Add(time.Millisecond)
+		r.Record(Event{Kind: TargetReady, Version: int64(i)})
+	}
+	events := r.Since(0)
+	assert.Equal(t, len(events), capacity)
+	assert.Equal(t, events[len(events)-1].Version, int64(10*capacity-1))
+	complete := r.Since(r.CompleteSince())
+	assert.Assert(t, len(complete) > 0)
+	for i, e := range complete {
+		assert.Equal(t, e.Version, int64(10*capacity-len(complete)+i))
+	}
+}
+
+// Guards against events out of order, lost or stamped twice under concurrent
+// recording.
+func TestRecorderConcurrent(t *testing.T) {
+	r := NewRecorder("a", NewClock(time.Now))
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 100 {
+				r.Record(Event{Kind: RequestRetried})
+				r.Since(0)
+			}
+		})
+	}
+	wg.Wait()
+	events := r.Since(0)
+	assert.Equal(t, len(events), 800)
+	for i := range events[1:] {
+		assert.Assert(t, events[i].Time < events[i+1].Time)
+	}
+}
+
+// Guards against filters that select too much or too little.
+func TestEventsFilter(t *testing.T) {
+	r := NewRecorder("a", NewClock(fixed(time.UnixMilli(1))))
+	r.Record(Event{Kind: RequestRefused, Service: "spoolkeep", Request: "r1"})
+	r.Record(Event{Kind: RequestRetried, Service: "spoolkeep", Request: "r2", Target: "sk-01"})
+	r.Record(Event{Kind: TargetEjected, Service: "ordering", Target: "o-01"})
+	all := r.Events(Filter{})
+	tests := []struct {
+		name   string
+		filter Filter
+		want   []Kind
+	}{
+		{"everything", Filter{}, []Kind{RequestRefused, RequestRetried, TargetEjected}},
+		{"after a stamp", Filter{After: all[0].Time}, []Kind{RequestRetried, TargetEjected}},
+		{"before a stamp", Filter{Before: all[2].Time}, []Kind{RequestRefused, RequestRetried}},
+		{"request", Filter{Request: "r2"}, []Kind{RequestRetried}},
+		{"target", Filter{Target: "o-01"}, []Kind{TargetEjected}},
+		{"service", Filter{Service: "spoolkeep"}, []Kind{RequestRefused, RequestRetried}},
+		{"service and target", Filter{Service: "spoolkeep", Target: "o-01"}, nil},
+		{"limit keeps the newest", Filter{Limit: 1}, []Kind{TargetEjected}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var got []Kind
+			for _, e := range r.Events(tt.filter) {
+				got = append(got, e.Kind)
+			}
+			assert.DeepEqual(t, got, tt.want)
+		})
+	}
+}
+
+// Guards against a merged order that contradicts cause and effect when wall
+// clocks differ, and against events listed twice when a process is asked twice.
+func TestMergeWithSkewedClocks(t *testing.T) {
+	fast := NewRecorder("b", NewClock(fixed(time.UnixMilli(900_000))))
+	slow := NewRecorder("a", NewClock(fixed(time.UnixMilli(1_000))))
+	fast.Record(Event{Kind: ConfigPublished})
+	slow.Clock().Observe(fast.Since(0)[0].Time)
+	slow.Record(Event{Kind: ConfigInForce})
+	fast.Clock().Observe(slow.Since(0)[0].Time)
+	fast.Record(Event{Kind: TargetLeaving})
+
+	merged := Merge(Filter{}, slow.Since(0), fast.Since(0), slow.Since(0))
+	got := make([]string, 0, len(merged))
+	for _, e := range merged {
+		got = append(got, fmt.Sprintf("%s %s", e.Instance, e.Kind))
+	}
+	assert.DeepEqual(t, got, []string{"b config_published", "a config_in_force", "b target_leaving"})
+}
+
+// Guards against an order of equal stamps that depends on which process
+// answered first.
+func TestMergeOrdersEqualStampsByInstance(t *testing.T) {
+	a, b := []Event{{Time: 5, Instance: "a"}}, []Event{{Time: 5, Instance: "b"}}
+	assert.DeepEqual(t, Merge(Filter{}, b, a), Merge(Filter{}, a, b))
+	assert.Equal(t, Merge(Filter{}, b, a)[0].Instance, "a")
+}
+
+// Guards against a request id that forges fields or lines of the output.
+func TestFormat(t *testing.T) {
+	tests := []struct {
+		name  string
+		event Event
+		want  string
+	}{
+		{
+			"plain",
+			Event{Time: StampAt(time.UnixMilli(1_500)) + 3, Instance: "a", Kind: ConfigInForce, Version: 7},
+			"1970-01-01T00:00:01.500Z/3 a config_in_force version=7",
+		},
+		{
+			"forged",
+			Event{Instance: "a", Kind: RequestRefused, Request: "r1 detail=x\nfake", Detail: "queue full"},
+			`1970-01-01T00:00:00.000Z/0 a request_refused request="r1 detail=x\nfake" detail="queue full"`,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { assert.Equal(t, Format(tt.event), tt.want) })
+	}
+}
+
+func BenchmarkRecord(b *testing.B) {
+	r := NewRecorder("a", NewClock(time.Now))
+	e := Event{Kind: RequestRetried, Service: "spoolkeep", Target: "sk-01", Request: "r1"}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r.Record(e)
+		}
+	})
+}
