cli: add delete, drain, check, diff, show, status and timeline

Cause: the CLI could only publish, through one instance, without a view of conflicts, a wait, JSON or exit codes that scripts can tell apart.

Change: commands (publish, delete, drain, undrain) and queries (check, diff, show, status, timeline) return reports that are written as tables or JSON. publish skips unchanged services, stops at the first failure, shows a conflict as a diff of both versions and repeats a lost answer with the same id through the other instances. drain repeats after a conflict only if the target still has its address; the repeat has an id of its own, because the first record is in the log as a conflict. Exit codes 0 to 5 are in the help.

Ruled out: the stamp as a JSON number. It exceeds 53 bits, which jq and others round; it is a string.

--- a/admin/codec.go
+++ b/admin/codec.go
@@ -140,12 +140,14 @@
 
 type timelineMessage struct {
 	Events        []EventMessage `json:"events"`
-	CompleteSince uint64         `json:"complete_since"`
+	CompleteSince uint64         `json:"complete_since,string"`
 }
 
-// EventMessage is an event in JSON. The CLI prints events in the same form.
+// EventMessage is an event in JSON. The CLI prints events in the same form. The
+// stamp is a string, since it exceeds the 53 bits that many JSON readers keep
+// of a number.
 type EventMessage struct {
-	Stamp    uint64 `json:"stamp"`
+	Stamp    uint64 `json:"stamp,string"`
 	Time     string `json:"time"`
 	Instance string `json:"instance"`
 	Kind     string `json:"kind"`
--- a/admin/status.go
+++ b/admin/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"rhubarbrelay/config"
@@ -106,12 +107,17 @@
 
 // Drained returns whether an operator drains the target.
 func (d Document) Drained(target string) bool {
-	for _, name := range d.DrainedTargets {
-		if name == target {
-			return true
-		}
+	return slices.Contains(d.DrainedTargets, target)
+}
+
+// Normalized returns the text in the form in which the CLI publishes it, or the
+// text itself when it cannot be read. Texts that mean the same are equal then.
+func (d Document) Normalized() string {
+	services, err := config.ParseDocument([]byte(d.Text))
+	if err != nil || len(services) != 1 {
+		return d.Text
 	}
-	return false
+	return string(config.FormatService(services[0]))
 }
 
 // Timeline is the timeline of one process.
