rhubarbrelayd: receive the second signal reliably, log with time and instance

Cause: after the first signal a goroutine gave the signals their default action back. A second signal that came before it had run was swallowed, and the process stayed for the whole graceful stop. The text log carried no time of day, and no line named its instance.

Change: one goroutine receives both signals and exits with 3 at the second. The text format is logfmt (github.com/go-logfmt/logfmt, through apex/log); every line has the field "instance".

Ruled out: calling signal.Stop before the stop begins. The second signal can still arrive between its delivery to the channel and signal.Stop.

--- /dev/null
+++ b/cmd/rhubarbrelayd/logger.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"io"
+
+	"rhubarbrelay/settings"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/apex/log/handlers/logfmt"
+)
+
+// newLogger returns a logger whose lines carry time and instance. The text
+// format is logfmt: apex's own text handler writes no time of day.
+func newLogger(s *settings.Settings, w io.Writer) log.Interface {
+	logger := &log.Logger{Handler: logfmt.New(w), Level: log.MustParseLevel(s.Log.Level)}
+	if s.Log.Format == settings.FormatJSON {
+		logger.Handler = json.New(w)
+	}
+	return logger.WithField("instance", s.Instance.ID)
+}
--- a/cmd/rhubarbrelayd/main.go
+++ b/cmd/rhubarbrelayd/main.go
@@ -12,22 +12,28 @@
 	"rhubarbrelay/settings"
 
 	"github.com/alexflint/go-arg"
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/json"
-	"github.com/apex/log/handlers/text"
 )
 
 // The exit codes of the daemon.
 const (
 	exitFailed   = 1
 	exitSettings = 2
+	// exitInterrupted means that a second signal cut the graceful stop short.
+	exitInterrupted = 3
 )
 
+// args are the arguments of the daemon.
 type args struct {
 	Settings string `arg:"--settings,required" help:"file with the settings"`
 	Check    bool   `arg:"--check" help:"check the settings and exit"`
 }
 
+// Epilogue ends the help.
+func (args) Epilogue() string {
+	return "Example:\n  rhubarbrelayd --check --settings /etc/rhubarbrelayd.ini\n\n" +
+		"Exit codes:\n  0  stopped gracefully, or the settings are valid\n  1  failed\n  2  usage or invalid settings\n  3  ended by a second signal"
+}
+
 func main() {
 	var a args
 	arg.MustParse(&a)
@@ -47,18 +53,20 @@
 }
 
 func run(s *settings.Settings) error {
-	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	stop, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	// After the first signal the default action returns, so that a second one
-	// ends the process at once.
-	context.AfterFunc(stop, cancel)
-	return daemon.New(s, newLogger(s.Log)).Run(stop)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go watchSignals(signals, cancel)
+	return daemon.New(s, newLogger(s, os.Stderr)).Run(stop)
 }
 
-func newLogger(l settings.Log) log.Interface {
-	logger := &log.Logger{Handler: text.New(os.Stderr), Level: log.MustParseLevel(l.Level)}
-	if l.Format == "json" {
-		logger.Handler = json.New(os.Stderr)
-	}
-	return logger
+// watchSignals starts the graceful stop at the first signal and ends the
+// process at the second. It receives both itself: if it gave the signal its
+// default action back in between, a second signal that came sooner was lost.
+func watchSignals(signals <-chan os.Signal, stop func()) {
+	<-signals
+	stop()
+	<-signals
+	os.Exit(exitInterrupted)
 }
