--- a/cmd/rhubarbrelay/load.go
+++ b/cmd/rhubarbrelay/load.go
@@ -60,11 +60,11 @@
 	if err != nil {
 		return err
 	}
-	entries, err := parseAddresses(a.Entries)
+	entries, err := parseAddresses([]string{a.Entries})
 	if err != nil {
 		return err
 	}
-	targets, err := parseAddresses(a.Targets)
+	targets, err := targetAddresses(a.Targets)
 	if err != nil {
 		return err
 	}
@@ -114,17 +114,11 @@
 	return profile, err
 }
 
-func parseAddresses(text string) ([]netip.AddrPort, error) {
-	var all []netip.AddrPort
-	for part := range strings.SplitSeq(text, ",") {
-		if part == "" {
-			continue
-		}
-		address, err := netip.ParseAddrPort(part)
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, address)
+// targetAddresses reads the addresses of the targets, of which there may be
+// none.
+func targetAddresses(text string) ([]netip.AddrPort, error) {
+	if text == "" {
+		return nil, nil
 	}
-	return all, nil
+	return parseAddresses([]string{text})
 }
