Add the waiting queue, limits and baseline policies to routing

Cause: the dispatcher gave every request to the least loaded target by own count, without queue, limits or knowledge of slow targets.

Change: package limits (adaptive concurrency, ejection, retry budget, probe budget, fairness) and, in routing, an earliest-deadline-first queue, the bounded share of long work, the choice among free targets and the four baselines. The policy benchmark runs all of them on synctest time over one trace: 20 targets with 4 slots, exponential work of 5 ms, 1 % of requests 50 times longer, each target slowed 5 times for a fifth of the time in periods of about 100 ms, at 80 % of the capacity that this leaves.

--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -1,59 +1,120 @@
 package routing
 
 import (
-	"context"
+	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
+	"time"
 
 	"rhubarbrelay/config"
+	"rhubarbrelay/limits"
 )
 
+// reviewInterval is the time between two looks at a queue that no release
+// serves: estimates that keep a target from being chosen age with time.
+const reviewInterval = time.Millisecond
+
 // Dispatcher gives a service's requests to its targets. It is safe for
-// concurrent use.
+// concurrent use; each dispatcher has a lock of its own and holds it only for
+// a decision, never while a request waits.
 type Dispatcher struct {
-	mu      sync.Mutex
-	service *config.Service
-	targets []*target
-	leaving map[netip.AddrPort]bool
-}
+	clock    func() time.Time
+	recorder Recorder
+	share    *limits.Share
+	retries  *limits.RetryBudget
 
-// target is the state of one target on this instance.
-type target struct {
-	config   config.Target
-	inFlight int
-}
-
-// Slot is the right to send one request to one target. It must be released
-// exactly once.
-type Slot struct {
-	dispatcher *Dispatcher
-	target     *target
+	mu         sync.Mutex
+	random     *rand.Rand
+	service    *config.Service
+	baseline   chooser
+	targets    []*target
+	byAddress  map[netip.AddrPort]*target // removed ones too, while in use
+	leaving    map[netip.AddrPort]bool
+	available  []*target
+	free       []*target // available, with room below the limit
+	ejected    []*target
+	slots      int // of available targets
+	inFlight   int
+	longHeld   int
+	queue      queue
+	generation uint64 // of the configured targets
+	durations  durations
+	reviewing  bool
+	stats      Stats
 }
 
 // NewDispatcher returns the dispatcher of a service.
-func NewDispatcher(service *config.Service) *Dispatcher {
-	d := &Dispatcher{leaving: map[netip.AddrPort]bool{}}
-	d.Update(service)
+func NewDispatcher(service *config.Service, opts ...Option) *Dispatcher {
+	d := &Dispatcher{
+		clock:     time.Now,
+		retries:   limits.NewRetryBudget(service.RetryPercent),
+		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		service:   service,
+		byAddress: map[netip.AddrPort]*target{},
+		leaving:   map[netip.AddrPort]bool{},
+		durations: newDurations(),
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	d.update(service, false)
 	return d
 }
 
 // Update puts a new version of the service into force. Slots already given
-// stay valid.
-func (d *Dispatcher) Update(service *config.Service) {
+// stay valid, and waiting requests wait for the new targets.
+func (d *Dispatcher) Update(service *config.Service) { d.update(service, true) }
+
+func (d *Dispatcher) update(service *config.Service, running bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	old := d.targets
+	if !running || service.Policy != d.service.Policy {
+		d.baseline = newChooser(service.Policy)
+	}
 	d.service = service
-	d.targets = nil
+	d.retries.SetPercent(service.RetryPercent)
+	previous := d.targets
+	d.generation++
+	d.targets = make([]*target, 0, len(service.Targets))
 	for _, c := range service.Targets {
-		i := slices.IndexFunc(old, func(t *target) bool { return t.config.Address == c.Address })
-		if i < 0 {
-			d.targets = append(d.targets, &target{config: c})
-			continue
+		d.put(c, running)
+	}
+	for _, t := range previous {
+		if t.generation != d.generation {
+			d.retire(t)
 		}
-		old[i].config = c
-		d.targets = append(d.targets, old[i])
+	}
+	d.rebuild()
+}
+
+// put adds a configured target, with the state that it already has.
+func (d *Dispatcher) put(c config.Target, running bool) {
+	t, known := d.byAddress[c.Address]
+	if !known {
+		t = newTarget(c)
+		d.byAddress[c.Address] = t
+	}
+	if t.generation == d.generation {
+		return
+	}
+	returned := !known || t.removed || t.config.Drained && !c.Drained
+	t.generation = d.generation
+	t.removed = false
+	t.leaving = d.leaving[c.Address]
+	t.config = c
+	t.concurrency.SetSlots(max(1, c.Slots))
+	if running && returned {
+		t.concurrency.Restart(d.clock())
+	}
+	d.targets = append(d.targets, t)
+}
+
+// retire takes a target out of the service. Its state stays while requests are
+// in flight, so that they count when the target comes back.
+func (d *Dispatcher) retire(t *target) {
+	t.removed = true
+	if len(t.slots) == 0 {
+		delete(d.byAddress, t.address())
 	}
 }
 
@@ -62,57 +123,78 @@
 func (d *Dispatcher) SetLeaving(address netip.AddrPort, leaving bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.leaving[address] == leaving {
+		return
+	}
 	if leaving {
 		d.leaving[address] = true
+	} else {
+		delete(d.leaving, address)
+	}
+	t, ok := d.byAddress[address]
+	if !ok || t.removed {
 		return
 	}
-	delete(d.leaving, address)
+	t.leaving = leaving
+	if !leaving {
+		t.concurrency.Restart(d.clock())
+	}
+	d.rebuild()
 }
 
-// Acquire waits until a target may run the call. The error is ErrQueueFull,
-// ErrTooLate or ErrNoTarget, or the context's error.
-func (d *Dispatcher) Acquire(_ context.Context, call Call) (*Slot, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var best *target
+// rebuild lists the targets that may get work, after a change of them.
+func (d *Dispatcher) rebuild() {
+	for _, t := range d.free {
+		t.index = -1
+	}
+	d.free = d.free[:0]
+	d.available = d.available[:0]
+	d.ejected = d.ejected[:0]
+	d.slots = 0
 	for _, t := range d.targets {
-		if t.config.Drained || d.leaving[t.config.Address] || slices.Contains(call.Exclude, t.config.Address) {
+		if !t.available() {
 			continue
 		}
-		if best == nil || t.inFlight < best.inFlight {
-			best = t
+		d.available = append(d.available, t)
+		d.slots += t.config.Slots
+		if t.ejection.State() != limits.In {
+			d.ejected = append(d.ejected, t)
 		}
+		d.refresh(t)
 	}
-	if best == nil {
-		return nil, ErrNoTarget
+	if len(d.available) == 0 {
+		d.refuseWaiting(ErrNoTarget)
 	}
-	best.inFlight++
-	return &Slot{dispatcher: d, target: best}, nil
+	d.pump(d.clock())
 }
 
-// Views returns the state of every target.
-func (d *Dispatcher) Views() []TargetView {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	views := make([]TargetView, 0, len(d.targets))
-	for _, t := range d.targets {
-		views = append(views, TargetView{
-			Target: t.config, InFlight: t.inFlight, Limit: t.config.Slots, Leaving: d.leaving[t.config.Address],
-		})
+// refresh puts the target into the list of free targets or takes it out.
+func (d *Dispatcher) refresh(t *target) {
+	free := t.available() && len(t.slots) < t.limit()
+	switch {
+	case free && t.index < 0:
+		t.index = len(d.free)
+		d.free = append(d.free, t)
+	case !free && t.index >= 0:
+		last := len(d.free) - 1
+		d.free[t.index] = d.free[last]
+		d.free[t.index].index = t.index
+		d.free[last] = nil
+		d.free = d.free[:last]
+		t.index = -1
 	}
-	return views
-}
-
-// Target returns the target that the slot belongs to.
-func (s *Slot) Target() config.Target { return s.target.config }
-
-// Release gives the slot back with the result of the attempt.
-func (s *Slot) Release(Result) {
-	s.dispatcher.mu.Lock()
-	defer s.dispatcher.mu.Unlock()
-	s.target.inFlight--
 }
 
 // AllowRetry returns whether the retry budget of the service allows one more
 // attempt, and takes it from the budget if so.
-func (d *Dispatcher) AllowRetry() bool { return true }
+func (d *Dispatcher) AllowRetry() bool {
+	allowed := d.retries.Allow()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if allowed {
+		d.stats.RetriesAllowed++
+	} else {
+		d.stats.RetriesDenied++
+	}
+	return allowed
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -24,7 +24,11 @@
 	Deadline time.Time
 	// Long marks requests that run many times longer than the others.
 	Long bool
-	// Exclude lists targets that an earlier attempt of the request tried.
+	// Class names the route of the request. Durations are learned per class;
+	// without a class, only Long marks long work.
+	Class string
+	// Exclude lists targets that an earlier attempt of the request tried. A
+	// call without any is a first attempt and adds to the retry budget.
 	Exclude []netip.AddrPort
 }
 
@@ -66,9 +70,49 @@
 type TargetView struct {
 	Target   config.Target
 	InFlight int
-	Limit    int
-	Leaving  bool
-	Ejected  bool
+	// Others is the estimate of the requests in flight from other instances.
+	Others  int
+	Limit   int
+	Leaving bool
+	Ejected bool
+	// Latency is the recent latency of short requests.
+	Latency time.Duration
 	// Reason says why the target gets less than its slots; empty if it does not.
 	Reason string
 }
+
+// The reasons of a TargetView, in the order in which it names the first that
+// applies.
+const (
+	ReasonDrained   = "drained"
+	ReasonLeaving   = "leaving"
+	ReasonEjected   = "ejected"
+	ReasonTrial     = "trial"
+	ReasonSlowStart = "slow_start"
+	ReasonLimited   = "limited"
+	ReasonSlow      = "slow"
+	ReasonBusy      = "busy"
+)
+
+// Stats counts what a dispatcher did. The first group only grows; the second
+// is the present state.
+type Stats struct {
+	Acquired       uint64
+	Queued         uint64
+	RefusedFull    uint64
+	RefusedUnfair  uint64
+	RefusedEarly   uint64 // the expected wait was too long
+	RefusedWaited  uint64 // the longest wait was over
+	RefusedNone    uint64 // no target was available
+	Canceled       uint64
+	RetriesAllowed uint64
+	RetriesDenied  uint64
+	Ejections      uint64
+	Returns        uint64
+	Failures       uint64
+	Sheds          uint64
+
+	Waiting  int
+	InFlight int
+	LongHeld int
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -10,12 +10,17 @@
 type Table struct {
 	mu          sync.RWMutex
 	dispatchers map[string]*Dispatcher
+	options     []Option
 }
 
-// NewTable returns a table without services.
-func NewTable() *Table { return &Table{dispatchers: map[string]*Dispatcher{}} }
+// NewTable returns a table without services. The options apply to each of its
+// dispatchers.
+func NewTable(opts ...Option) *Table {
+	return &Table{dispatchers: map[string]*Dispatcher{}, options: opts}
+}
 
-// Update makes the table match the fleet.
+// Update makes the table match the fleet. Requests that wait for a service
+// that is gone are refused with ErrNoTarget.
 func (t *Table) Update(fleet *config.Fleet) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -25,10 +30,15 @@
 		if ok {
 			d.Update(service)
 		} else {
-			d = NewDispatcher(service)
+			d = NewDispatcher(service, t.options...)
 		}
 		next[name] = d
 	}
+	for name, d := range t.dispatchers {
+		if _, ok := next[name]; !ok {
+			d.Update(config.NewService(name))
+		}
+	}
 	t.dispatchers = next
 }
 
