Estimate target speed from time in flight over finished requests

Cause: adding the ages of requests in flight to the durations of finished ones counts more time than the finished requests took, so most busy targets passed for slow and 92 % of requests waited.

Change: a target's speed is the time that short requests spent in flight, over the number that finished, both decayed with the same time constant. A target whose requests do not come back still shows before its first answer. The update is O(1) per event. A target that has just rejected is the last choice for one second, and small differences in speed do not decide.

--- a/limits/ejection.go
+++ b/limits/ejection.go
@@ -21,6 +21,10 @@
 	// firstEjection doubles with each ejection up to maxEjection.
 	firstEjection = time.Second
 	maxEjection   = 30 * time.Second
+	// rejectingMemory is the time after which a target that rejected is tried
+	// like the others. Without an end, one failure would keep it out for as long
+	// as the others have free slots.
+	rejectingMemory = time.Second
 	// forgiveAfter is the time without ejection that halves the next one.
 	forgiveAfter = time.Minute
 )
@@ -46,6 +50,7 @@
 	ended    time.Time
 	times    int
 	row      int
+	rejected time.Time
 	failures float64
 	attempts float64
 	updated  time.Time
@@ -83,6 +88,7 @@
 func (e *Ejection) Fail(now time.Time) bool {
 	e.count(1, now)
 	e.row += failureWeight
+	e.rejected = now
 	return e.due()
 }
 
@@ -91,6 +97,7 @@
 func (e *Ejection) Shed(now time.Time) bool {
 	e.count(0, now)
 	e.row += shedWeight
+	e.rejected = now
 	return e.due()
 }
 
@@ -105,9 +112,11 @@
 	e.row = 0
 }
 
-// Rejecting returns whether the target's latest answers, a few in a row, were
-// all refusals or failures.
-func (e *Ejection) Rejecting() bool { return e.row >= failureWeight }
+// Rejecting returns whether the target failed or shed a moment ago and has not
+// succeeded since.
+func (e *Ejection) Rejecting(now time.Time) bool {
+	return e.row >= failureWeight && now.Sub(e.rejected) < rejectingMemory
+}
 
 func (e *Ejection) due() bool {
 	switch e.state {
--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -202,6 +202,7 @@
 // give hands a slot of the target to the call.
 func (d *Dispatcher) give(t *target, call Call, long bool, now time.Time) *Slot {
 	s := &Slot{dispatcher: d, target: t, config: t.config, class: call.Class, start: now, long: long}
+	t.advance(d.durations.typical, now)
 	t.hold(s)
 	d.inFlight++
 	if long {
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -11,9 +11,13 @@
 	sampleSize = 32
 	// slownessWeight is the weight of a target's speed against its occupancy.
 	slownessWeight = 0.5
+	// equalRatio is the speed up to which targets count as equally fast. A
+	// smaller one would let traces of an old measurement decide between idle
+	// targets, and so never try the slower one again.
+	equalRatio = 1.1
 	// rejectingPenalty makes a target that has just rejected the last choice
 	// among the free ones: its quick answers would make it the emptiest one.
-	rejectingPenalty = 10
+	rejectingPenalty = 10.0
 )
 
 // pick returns the best target with a free slot for the call, nil when it must
@@ -49,16 +53,16 @@
 func (d *Dispatcher) score(t *target, now time.Time) (float64, bool) {
 	typical := d.durations.typical
 	limit := float64(t.limit())
-	used := float64(len(t.slots)) + t.othersNow(now, typical)
-	if used > limit-0.5 {
+	if float64(len(t.slots))+t.othersNow(now, gateMemory*typical) > limit-0.5 {
 		return 0, false
 	}
 	ratio := t.ratio(typical, now)
 	if ratio >= slowRatio && !d.worthSlow(t, ratio) && !t.trialDue(now) {
 		return 0, false
 	}
-	score := used/limit + slownessWeight*max(0, ratio-1)
-	if t.ejection.Rejecting() {
+	used := float64(len(t.slots)) + t.othersNow(now, reportMemory*typical)
+	score := used/limit + slownessWeight*max(0, ratio-equalRatio)
+	if t.ejection.Rejecting(now) {
 		score += rejectingPenalty
 	}
 	return score, true
--- a/routing/release.go
+++ b/routing/release.go
@@ -20,6 +20,7 @@
 	}
 	s.released = true
 	t := s.target
+	t.advance(d.durations.typical, now)
 	t.drop(s)
 	d.inFlight--
 	if s.long {
@@ -70,7 +71,7 @@
 		t.concurrency.Pass(now)
 	} else {
 		typical := d.durations.typical
-		t.observe(result.Latency.Seconds(), typical, now)
+		t.observe(typical, now)
 		t.concurrency.Succeed(result.Latency, time.Duration(typical*float64(time.Second)), now)
 	}
 	d.durations.observe(s.class, long, result.Latency)
--- a/routing/target.go
+++ b/routing/target.go
@@ -11,25 +11,27 @@
 
 const (
 	// evidenceWindow is the time constant, in typical durations, after which
-	// finished requests no longer count for a target's speed.
-	evidenceWindow = 2
+	// finished requests no longer count for a target's speed. 1 sees false
+	// slowness, 4 detects late.
+	evidenceWindow = 2.0
 	// priorRequests is the weight of the expected speed, in finished requests.
-	priorRequests = 2
-	// ageCap bounds, in typical durations, what one unfinished request adds, so
-	// that a single long one does not make its target look slow.
-	ageCap = 6
+	priorRequests = 0.5
 	// slowRatio is the speed, relative to the service's typical duration, from
 	// which a target counts as slow.
 	slowRatio = 2.0
 	// slowMemory is the time constant with which a slow target is expected to
-	// be normal again. Neighbours disturb a target for some 100 ms.
+	// be normal again.
 	slowMemory = 50 * time.Millisecond
 	// slowTrialInterval spaces the single requests that show whether a slow
 	// target has recovered.
 	slowTrialInterval = 20 * time.Millisecond
-	// othersMemory is the time constant with which a load report ages, in
-	// typical durations: the requests it counted finish at that pace.
-	othersMemory = 2
+	// reportMemory is the time constant, in typical durations, with which a load
+	// report ages when targets are compared.
+	reportMemory = 2.0
+	// gateMemory is the same for the decision whether a slot is free at all. It
+	// is short, because the requests that a report counted soon finish, and
+	// waiting for a slot that is free already costs more than a wrong try.
+	gateMemory = 2.0
 )
 
 // target is the state of one target on this instance.
@@ -49,10 +51,11 @@
 	others   float64 // at othersAt
 	othersAt time.Time
 
-	// finished and exposure estimate the speed: finished requests and the time
-	// they took together, decayed since evidenceAt.
+	// finished and exposure estimate the speed: the number of short requests
+	// that finished, and the time that short requests spent in flight, both
+	// decayed up to evidenceAt.
 	finished   float64
-	exposure   float64 // seconds
+	exposure   float64 // typical durations
 	evidenceAt time.Time
 
 	slowness    float64 // ratio - 1 when last seen slow, at slowAt
@@ -85,52 +88,52 @@
 // longLimit returns the number of long requests that the target may run.
 func (t *target) longLimit() int { return max(1, t.config.Slots/2) }
 
-// othersNow returns the aged estimate of the requests from other instances.
-func (t *target) othersNow(now time.Time, typical float64) float64 {
+// othersNow returns the estimate of the requests from other instances, aged
+// with the time constant in seconds.
+func (t *target) othersNow(now time.Time, memory float64) float64 {
 	if t.others == 0 {
 		return 0
 	}
-	return t.others * math.Exp(-now.Sub(t.othersAt).Seconds()/(othersMemory*typical))
+	return t.others * math.Exp(-now.Sub(t.othersAt).Seconds()/memory)
 }
 
 // observe counts a finished short request.
-func (t *target) observe(latency, typical float64, now time.Time) {
-	t.decay(typical, now)
+func (t *target) observe(typical float64, now time.Time) {
+	t.advance(typical, now)
 	t.finished++
-	t.exposure += min(latency, 2*ageCap*typical)
 }
 
-func (t *target) decay(typical float64, now time.Time) {
-	factor := math.Exp(-now.Sub(t.evidenceAt).Seconds() / (evidenceWindow * typical))
+// advance moves the evidence to the time. It must run before the number of
+// short requests in flight changes.
+func (t *target) advance(typical float64, now time.Time) {
+	elapsed := now.Sub(t.evidenceAt).Seconds() / typical
+	if elapsed <= 0 {
+		return
+	}
+	factor := math.Exp(-elapsed / evidenceWindow)
 	t.finished *= factor
-	t.exposure *= factor
+	t.exposure = t.exposure*factor + float64(len(t.slots)-t.long)*evidenceWindow*(1-factor)
 	t.evidenceAt = now
 }
 
 // ratio returns the estimated duration of a short request on this target over
 // the typical one of the service.
 //
-// It is the mean of finished requests and the age of unfinished ones, as for
-// durations that are observed only in part, so that a target whose requests do
-// not come back counts as slow before the first answer.
+// It divides the time that short requests spent in flight by the number that
+// finished. Requests that have not come back count from their first moment, so
+// that a target that has become slow shows before its answers do.
 func (t *target) ratio(typical float64, now time.Time) float64 {
-	t.decay(typical, now)
-	exposure := t.exposure
-	for _, s := range t.slots {
-		if !s.long {
-			exposure += min(now.Sub(s.start).Seconds(), ageCap*typical)
-		}
-	}
+	t.advance(typical, now)
 	expected := 1.0
 	if t.slowness > 0 {
 		expected += t.slowness * math.Exp(-now.Sub(t.slowAt).Seconds()/slowMemory.Seconds())
 	}
-	r := (priorRequests*expected + exposure/typical) / (priorRequests + t.finished)
-	if r >= slowRatio && exposure > 0 && t.finished < exposure/typical/slowRatio {
-		t.slowness = r - 1
+	observed := (priorRequests + t.exposure) / (priorRequests + t.finished)
+	if observed >= slowRatio {
+		t.slowness = observed - 1
 		t.slowAt = now
 	}
-	return r
+	return (priorRequests*expected + t.exposure) / (priorRequests + t.finished)
 }
 
 // hold counts a slot that is given out.
