--- a/limits/probe_budget.go
+++ b/limits/probe_budget.go
@@ -66,12 +66,12 @@
 	return true
 }
 
-// Retain forgets every target that keep does not hold.
-func (b *ProbeBudget) Retain(keep map[netip.AddrPort]bool) {
+// Retain forgets every target without an interval.
+func (b *ProbeBudget) Retain(intervals map[netip.AddrPort]time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for address := range b.targets {
-		if !keep[address] {
+		if _, ok := intervals[address]; !ok {
 			delete(b.targets, address)
 		}
 	}
