--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,77 +4,153 @@
 
 import (
 	"context"
-	"errors"
-	"net"
+	"fmt"
+	"math/rand/v2"
 	"time"
 
+	"github.com/apex/log"
+
 	"rhubarbrelay/admin"
 	"rhubarbrelay/config"
 	"rhubarbrelay/configlog"
 	"rhubarbrelay/entry"
+	"rhubarbrelay/health"
+	"rhubarbrelay/idempotency"
+	"rhubarbrelay/limits"
 	"rhubarbrelay/membership"
+	"rhubarbrelay/peer"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/relay"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/settings"
 	"rhubarbrelay/timeline"
 	"rhubarbrelay/upstream"
-
-	"github.com/apex/log"
-	"github.com/gravitational/trace"
-	"golang.org/x/sync/errgroup"
 )
 
-const (
-	// listInterval is the time between two reads of the instance list.
-	listInterval = 2 * time.Second
-	// finishTimeout bounds the wait for requests in progress at a stop. It is
-	// longer than any deadline of a request.
-	finishTimeout = time.Minute
-)
+// maxRequests bounds the requests that wait or run on the instance, over all
+// services. Above it a service keeps to its fair share.
+const maxRequests = 8192
+
+// forwardHeader is the room for the header of a forwarded request, in bytes.
+const forwardHeader = 64 << 10
 
 // Daemon is one instance of the system.
 type Daemon struct {
 	settings  *settings.Settings
 	logger    log.Interface
+	clock     *timeline.Clock
+	recorder  *timeline.Recorder
 	platform  *platform.Client
 	follower  *configlog.Follower
 	directory *membership.Directory
+	guard     *membership.Guard
+	mesh      *peer.Mesh
+	fairness  *limits.Fairness
 	table     *routing.Table
 	pools     *upstream.Pools
-	recorder  *timeline.Recorder
+	prober    *health.Prober
+	memory    *idempotency.Memory
 	relay     *relay.Server
 	admin     *admin.Server
+	// stale receives a value when the guard notices that the process was paused.
+	stale chan struct{}
 }
 
 // New returns an instance that is not yet running.
 func New(s *settings.Settings, logger log.Interface) *Daemon {
-	d := &Daemon{settings: s, logger: logger, platform: platform.NewClient(s.Platform.Address)}
-	d.recorder = timeline.NewRecorder(s.Instance.ID, timeline.NewClock(time.Now))
+	started := time.Now()
+	d := &Daemon{
+		settings: s,
+		logger:   logger,
+		clock:    timeline.NewClock(time.Now),
+		platform: platform.NewClient(s.Platform.Address),
+		stale:    make(chan struct{}, 1),
+	}
+	d.recorder = timeline.NewRecorder(s.Instance.ID, d.clock)
 	d.follower = configlog.NewFollower(d.platform, configlog.WithFollowerLogger(logger))
-	d.directory = membership.NewDirectory(membership.Instance{
-		ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: time.Now().UnixMilli(),
-		CallerAddress: s.Callers.Listen, PeerAddress: s.Peers.Listen, AdminAddress: s.Admin.Listen,
-		State: membership.Live,
-	})
-	d.table = routing.NewTable()
-	d.pools = upstream.NewPools(s.Peers.MaxInstances)
-	planner := entry.NewPlanner(d.directory, d.follower, entry.WithTTL(s.Callers.EntryTTL))
-	d.relay = relay.NewServer(d.follower, d.table, d.pools, planner, d)
-	d.admin = admin.NewServer(configlog.NewPublisher(d.platform), d.follower)
+	d.buildMembership(started)
+	d.buildRouting()
+	d.buildServers(started)
 	d.follower.Subscribe(d.applyFleet)
 	d.directory.Subscribe(d.applyLeaving)
 	return d
 }
 
-// AnnounceTarget notes what a target said of itself.
+func (d *Daemon) buildMembership(started time.Time) {
+	s := d.settings
+	d.directory = membership.NewDirectory(membership.Instance{
+		ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: started.UnixMilli(),
+		CallerAddress: s.Callers.Listen, PeerAddress: s.Peers.Listen, AdminAddress: s.Admin.Listen,
+		State: membership.Starting,
+	}, membership.WithClock(d.clock))
+	d.guard = membership.NewGuard(
+		membership.WithVersion(d.follower.Version),
+		membership.WithAlone(d.directory.Alone),
+		membership.WithOnChange(d.noteFreshness),
+	)
+	d.mesh = peer.NewMesh(d.directory, d.follower,
+		peer.WithLogger(d.logger),
+		peer.WithClock(d.clock),
+		peer.WithSeeds(s.Peers.Seeds),
+		peer.WithHandler(d.serveForwarded),
+		peer.WithHeartbeatObserver(d.guard.HeardPeer),
+		peer.WithForwardLimit(max(s.Callers.MaxRequestBody, upstream.DefaultMaxAnswer)+forwardHeader),
+	)
+}
+
+func (d *Daemon) buildRouting() {
+	d.fairness = limits.NewFairness(maxRequests)
+	d.table = routing.NewTable(routing.WithFairness(d.fairness), routing.WithRecorder(d.recorder))
+	d.pools = upstream.NewPools(d.settings.Peers.MaxInstances)
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	budget := limits.NewProbeBudget(d.settings.Peers.MaxInstances, random)
+	d.prober = health.NewProber(d.follower, d.table, d.pools, d, budget)
+}
+
+func (d *Daemon) buildServers(started time.Time) {
+	s := d.settings
+	planner := entry.NewPlanner(d.directory, d.follower, entry.WithTTL(s.Callers.EntryTTL))
+	d.memory = idempotency.NewMemory(s.Instance.ID, started.UnixMilli(), started)
+	d.relay = relay.NewServer(d.follower, d.table, d.pools, planner, d,
+		relay.WithRecorder(d.recorder),
+		relay.WithFreshness(d.guard),
+		relay.WithMemory(d.memory),
+		relay.WithForwarder(forwarder{d.mesh}),
+		relay.WithMaxRequestBody(s.Callers.MaxRequestBody),
+		relay.WithMaxConnections(s.Callers.MaxConnections),
+	)
+	d.admin = admin.NewServer(
+		configlog.NewPublisher(d.platform, configlog.WithFollower(d.follower)), d.follower,
+		admin.WithInstance(d),
+		admin.WithDocuments(d),
+		admin.WithEvents(d.recorder),
+		admin.WithLogger(d.logger),
+		admin.WithToken(s.Admin.Token),
+	)
+}
+
+// AnnounceTarget notes what a target said of itself. The directory passes news
+// on to the peers.
 func (d *Daemon) AnnounceTarget(t config.Target, draining bool) {
-	d.directory.AnnounceTarget(t.Address, draining)
+	if !d.directory.AnnounceTarget(t.Address, draining) {
+		return
+	}
+	kind := timeline.TargetReady
+	if draining {
+		kind = timeline.TargetLeaving
+	}
+	d.recorder.Record(timeline.Event{Kind: kind, Target: t.Name, Detail: "its own signal"})
+	d.logger.WithField("target", t.Name).WithField("draining", draining).Info("target changed its state")
+}
+
+func (d *Daemon) serveForwarded(ctx context.Context, request []byte, timeout time.Duration) ([]byte, error) {
+	return d.relay.ServeForwarded(ctx, request, timeout)
 }
 
 func (d *Daemon) applyFleet(fleet *config.Fleet) {
 	d.pools.Update(fleet)
 	d.table.Update(fleet)
+	d.directory.ApplyFleet(fleet)
 	d.applyLeaving()
 	d.recorder.Record(timeline.Event{Kind: timeline.ConfigInForce, Version: int64(fleet.Version)})
 }
@@ -92,67 +168,32 @@
 	}
 }
 
-// Run serves until the stop context ends, then stops gracefully.
-func (d *Daemon) Run(stop context.Context) error {
-	callers, err := listen(d.settings.Callers.Listen.String())
-	if err != nil {
-		return err
-	}
-	adminListener, err := listen(d.settings.Admin.Listen.String())
-	if err != nil {
-		return errors.Join(err, callers.Close())
+// noteFreshness records that the process was paused, or that its view is
+// valid again.
+func (d *Daemon) noteFreshness(fresh bool) {
+	if fresh {
+		d.recorder.Record(timeline.Event{Kind: timeline.InstanceFresh})
+		d.logger.Info("view of the system is valid again")
+		return
 	}
-	background, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	group, background := errgroup.WithContext(background)
-	group.Go(func() error { return d.follower.Run(background) })
-	group.Go(func() error { return d.watchList(background) })
-	group.Go(func() error { return d.relay.Serve(callers) })
-	group.Go(func() error { return d.admin.Serve(adminListener) })
-	d.recorder.Record(timeline.Event{Kind: timeline.InstanceStarted})
-	d.logger.WithField("callers", d.settings.Callers.Listen.String()).Info("instance started")
+	d.recorder.Record(timeline.Event{Kind: timeline.InstanceStale})
+	d.logger.Warn("process was paused; nothing is sent to targets until the view is validated")
 	select {
-	case <-stop.Done():
-	case <-background.Done():
+	case d.stale <- struct{}{}:
+	default:
 	}
-	err = d.stop()
-	cancel()
-	return errors.Join(err, group.Wait())
-}
-
-func listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address) //nolint:noctx // The listener lives as long as the daemon.
-	return l, trace.Wrap(err, "listen on %s", address)
 }
 
-// stop leaves the entry answers, serves on while callers may hold an old one,
-// then finishes the requests in progress.
-func (d *Daemon) stop() error {
-	d.directory.SetSelf(membership.Leaving)
-	d.recorder.Record(timeline.Event{Kind: timeline.InstanceLeaving})
-	d.logger.Info("instance leaving")
-	time.Sleep(d.settings.Callers.EntryTTL + d.settings.Stop.Margin)
-	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
-	defer cancel()
-	err := errors.Join(d.relay.Shutdown(ctx), d.admin.Shutdown(ctx))
-	d.logger.Info("instance stopped")
-	return err
+// forwarder passes requests to the owners of their idempotency keys.
+type forwarder struct {
+	mesh *peer.Mesh
 }
 
-func (d *Daemon) watchList(ctx context.Context) error {
-	ticker := time.NewTicker(listInterval)
-	defer ticker.Stop()
-	for {
-		list, err := d.platform.Instances(ctx)
-		if err != nil {
-			d.logger.WithError(err).Debug("instance list not readable")
-		} else {
-			d.directory.ApplyList(list)
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+// Forward returns the owner's answer.
+func (f forwarder) Forward(ctx context.Context, instance string, incarnation int64, request []byte) ([]byte, error) {
+	answer, err := f.mesh.Forward(ctx, instance, incarnation, request)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", forwardError(err), err)
 	}
+	return answer, nil
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -125,6 +125,11 @@
 	return func(s *Server) { s.http.MaxRequestBodySize = size }
 }
 
+// WithMaxConnections bounds the connections of callers.
+func WithMaxConnections(n int) Option {
+	return func(s *Server) { s.http.Concurrency = n }
+}
+
 // WithReadTimeout bounds the time that a caller may take to send a request.
 func WithReadTimeout(timeout time.Duration) Option {
 	return func(s *Server) { s.http.ReadTimeout = timeout }
