Name the owner as the peer of a forward event

The event had the owner in its detail, where the timeline cannot filter it.

TestAnswersWithoutBody failed once in eight runs: its target closed the connection after a whole answer, and the close crossed the second request, whose outcome is then rightly unknown. The target now keeps the connection open after a whole answer.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -80,10 +80,15 @@
 }
 
 func (s *Server) record(kind timeline.Kind, c *call, target, detail string) {
+	s.recordEvent(c, timeline.Event{Kind: kind, Target: target, Detail: detail})
+}
+
+// recordEvent adds what is known of the call to the event and records it.
+func (s *Server) recordEvent(c *call, event timeline.Event) {
 	if s.recorder == nil {
 		return
 	}
-	event := timeline.Event{Kind: kind, Request: c.id, Target: target, Detail: detail}
+	event.Request = c.id
 	if c.service != nil {
 		event.Service = c.service.Name
 	}
--- a/relay/attempt_test.go
+++ b/relay/attempt_test.go
@@ -23,8 +23,10 @@
 
 const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
-// scripted answers each request with the raw bytes, counts the requests, and
-// closes the connection when the bytes are no whole answer.
+// scripted answers each request with the raw bytes and counts the requests. It
+// closes the connection after an answer that is cut in its body or ended by the
+// close; after a whole one the connection stays open, since a close could cross
+// the next request.
 func scripted(raw string, count *atomic.Int64) func(net.Conn) {
 	return func(c net.Conn) {
 		r := bufio.NewReader(c)
@@ -41,7 +43,7 @@
 				return
 			}
 			_, _ = io.WriteString(c, raw)
-			if !strings.HasSuffix(raw, "ok") {
+			if !strings.HasSuffix(raw, "ok") && !strings.HasSuffix(raw, "\r\n\r\n") {
 				return
 			}
 		}
--- a/relay/keyed.go
+++ b/relay/keyed.go
@@ -131,7 +131,7 @@
 	req.Header.SetBytesV(header.Deadline, appendDuration(nil, time.Until(c.deadline)))
 	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
 	defer cancel()
-	s.record(timeline.RequestForwarded, c, "", c.key.Instance)
+	s.recordEvent(c, timeline.Event{Kind: timeline.RequestForwarded, Peer: c.key.Instance})
 	answer, err := s.forwarder.Forward(ctx, c.key.Instance, c.key.Incarnation, encodeRequest(req))
 	if err == nil {
 		err = decodeAnswer(resp, answer)
--- a/relay/keyed_test.go
+++ b/relay/keyed_test.go
@@ -203,6 +203,9 @@
 	}
 	assert.Equal(t, runs.Load(), int64(1))
 	assert.Equal(t, h.events.count(timeline.RequestForwarded), 2)
+	assert.DeepEqual(t, h.events.events[0], timeline.Event{
+		Kind: timeline.RequestForwarded, Service: "spoolkeep", Request: "id", Peer: "kt-a-1",
+	})
 	for _, through := range []*harness{h, owner} {
 		a := through.raw(t, fmt.Sprintf("POST http://spoolkeep/orders//x/../y?a=b HTTP/1.1\r\nHost: x\r\n%s\r\nContent-Length: %d\r\n\r\n%s", line, len(body), body))
 		assert.Assert(t, a.body == body, "the absolute form is the same request: %s", a.reason)
