cli: show version 0, and notes only for what happened

Cause: a run over two real instances showed config_in_force of the first change without its version, since 0 meant none; an empty line after status without unready targets; and the code put "target sk-01 drained" behind a conflict.

Change: events about the configuration always have a version. A table below another one is written only with rows. Notes on drains and deletions appear only when the change was published; the drain test now checks that. admin.SortedServices and admin.ServiceStatusOf are exported for the daemon.

Ruled out: config.NoVersion as "no version" of an event. Every other event would have to set it.

The expected texts of TestTimelineOrder gained "version=0", which is the change.

--- a/admin/codec.go
+++ b/admin/codec.go
@@ -155,24 +155,32 @@
 	Target   string `json:"target,omitempty"`
 	Request  string `json:"request,omitempty"`
 	Peer     string `json:"peer,omitempty"`
-	Version  int64  `json:"version,omitempty"`
+	Version  *int64 `json:"version,omitempty"`
 	Detail   string `json:"detail,omitempty"`
 }
 
 // EventToMessage returns the event in its JSON form.
 func EventToMessage(e timeline.Event) EventMessage {
-	return EventMessage{
+	m := EventMessage{
 		Stamp: uint64(e.Time), Time: e.Time.Time().UTC().Format(time.RFC3339Nano), Instance: e.Instance,
 		Kind: string(e.Kind), Service: e.Service, Target: e.Target, Request: e.Request, Peer: e.Peer,
-		Version: e.Version, Detail: e.Detail,
+		Detail: e.Detail,
 	}
+	if e.HasVersion() {
+		m.Version = &e.Version
+	}
+	return m
 }
 
 func eventFromMessage(m EventMessage) timeline.Event {
-	return timeline.Event{
+	e := timeline.Event{
 		Time: timeline.Stamp(m.Stamp), Instance: m.Instance, Kind: timeline.Kind(m.Kind), Service: m.Service,
-		Target: m.Target, Request: m.Request, Peer: m.Peer, Version: m.Version, Detail: m.Detail,
+		Target: m.Target, Request: m.Request, Peer: m.Peer, Detail: m.Detail,
+	}
+	if m.Version != nil {
+		e.Version = *m.Version
 	}
+	return e
 }
 
 // changeKind ties the kind of a change to its name on the wire.
@@ -459,7 +467,8 @@
 	return config.NoVersion
 }
 
-func sortedServices(fleet *config.Fleet) []*config.Service {
+// SortedServices returns the services of a fleet by name.
+func SortedServices(fleet *config.Fleet) []*config.Service {
 	all := make([]*config.Service, 0, len(fleet.Services))
 	for _, s := range fleet.Services {
 		all = append(all, s)
--- a/admin/server.go
+++ b/admin/server.go
@@ -203,7 +203,7 @@
 func (s *Server) handleServices(ctx *fasthttp.RequestCtx) {
 	fleet := s.fleet.Fleet()
 	m := servicesMessage{Version: int64(fleet.Version), Services: []serviceSummaryMessage{}}
-	for _, service := range sortedServices(fleet) {
+	for _, service := range SortedServices(fleet) {
 		m.Services = append(m.Services, serviceSummaryMessage{
 			Name:    service.Name,
 			Version: int64(versionOf(fleet, config.ServiceScope(service.Name))),
--- a/admin/status.go
+++ b/admin/status.go
@@ -130,13 +130,14 @@
 // statusOfFleet returns what the configuration alone says of an instance.
 func statusOfFleet(fleet *config.Fleet) Status {
 	s := Status{Ready: true}
-	for _, service := range sortedServices(fleet) {
-		s.Services = append(s.Services, serviceOfFleet(fleet, service))
+	for _, service := range SortedServices(fleet) {
+		s.Services = append(s.Services, ServiceStatusOf(fleet, service))
 	}
 	return s
 }
 
-func serviceOfFleet(fleet *config.Fleet, service *config.Service) ServiceStatus {
+// ServiceStatusOf returns what the configuration alone says of a service.
+func ServiceStatusOf(fleet *config.Fleet, service *config.Service) ServiceStatus {
 	s := ServiceStatus{
 		Name:     service.Name,
 		Version:  versionOf(fleet, config.ServiceScope(service.Name)),
--- a/cmd/rhubarbrelay/main_test.go
+++ b/cmd/rhubarbrelay/main_test.go
@@ -327,6 +327,7 @@
 			got := cli(addresses(fleet), tt.argv...)
 			assert.Equal(t, got.code, tt.code, "%s%s", got.stdout, got.stderr)
 			assert.Assert(t, cmp.Contains(got.stdout, tt.stdout))
+			assert.Assert(t, tt.code == exitOK || !strings.Contains(got.stdout, "drained"), got.stdout)
 			assert.Equal(t, fmt.Sprint(l.documents["spoolkeep"].DrainedTargets), fmt.Sprint(tt.drained))
 		})
 	}
@@ -422,12 +423,12 @@
 	first.Clock().Observe(second.Since(0)[0].Time)
 	first.Record(timeline.Event{Kind: timeline.TargetLeaving, Service: "ordering"})
 	got := cli(fleet[1].address.String(), "timeline")
-	assert.Equal(t, got.stdout, `1970-01-01T00:16:40.000Z/0 kt-a-1 config_published service=spoolkeep
-1970-01-01T00:16:40.000Z/1 kt-b-1 config_in_force service=spoolkeep
+	assert.Equal(t, got.stdout, `1970-01-01T00:16:40.000Z/0 kt-a-1 config_published service=spoolkeep version=0
+1970-01-01T00:16:40.000Z/1 kt-b-1 config_in_force service=spoolkeep version=0
 1970-01-01T00:16:40.000Z/2 kt-a-1 target_leaving service=ordering
 `)
 	got = cli(fleet[1].address.String(), "timeline", "--service", "spoolkeep", "--limit", "1")
-	assert.Equal(t, got.stdout, "1970-01-01T00:16:40.000Z/1 kt-b-1 config_in_force service=spoolkeep\n")
+	assert.Equal(t, got.stdout, "1970-01-01T00:16:40.000Z/1 kt-b-1 config_in_force service=spoolkeep version=0\n")
 	got = cli(fleet[1].address.String(), "timeline", "--since", "1m")
 	assert.Equal(t, got.stdout, "")
 }
--- a/commands/delete.go
+++ b/commands/delete.go
@@ -42,10 +42,10 @@
 		change.Base = current.Version
 		result, err := d.Group.Publish(ctx, change)
 		report.Results = []Result{resultOf(change, result, err)}
-		report.Results[0].Note = "deletion"
 		if err != nil {
 			return report, fmt.Errorf("service %s: %w", service, err)
 		}
+		report.Results[0].Note = "deleted"
 	}
 	return report, d.Wait.wait(ctx, d.Group, report)
 }
--- a/commands/drain.go
+++ b/commands/drain.go
@@ -80,7 +80,9 @@
 		current, repeat := d.untouched(err, seen, target)
 		if !repeat || attempt == maxDrainAttempts {
 			r := resultOf(change, result, err)
-			r.Note = d.note(target, "")
+			if r.Outcome == Published {
+				r.Note = d.note(target, "")
+			}
 			return r
 		}
 		seen = current
--- a/queries/check.go
+++ b/queries/check.go
@@ -22,8 +22,7 @@
 
 // WriteText writes a table of the services.
 func (r *CheckReport) WriteText(w io.Writer) error {
-	t := newTable(w)
-	t.row("SERVICE", "TARGETS", "ROUTES", "DEADLINE")
+	t := newTable(w, "SERVICE", "TARGETS", "ROUTES", "DEADLINE")
 	for _, s := range r.Services {
 		t.row(s.Name, len(s.Targets), len(s.Routes), s.Deadline)
 	}
--- a/queries/show.go
+++ b/queries/show.go
@@ -26,8 +26,7 @@
 
 // WriteText writes a table of the services.
 func (r *ServicesReport) WriteText(w io.Writer) error {
-	t := newTable(w)
-	t.row("SERVICE", "VERSION", "TARGETS", "ROUTES")
+	t := newTable(w, "SERVICE", "VERSION", "TARGETS", "ROUTES")
 	for _, s := range r.Services {
 		t.row(s.Name, versionText(s.Version), s.Targets, s.Routes)
 	}
--- a/queries/status.go
+++ b/queries/status.go
@@ -50,8 +50,7 @@
 }
 
 func (r *StatusReport) writeInstances(w io.Writer) error {
-	t := newTable(w)
-	t.row("INSTANCE", "ZONE", "STATE", "READY", "VERSION", "IN FLIGHT", "REASON")
+	t := newTable(w, "INSTANCE", "ZONE", "STATE", "READY", "VERSION", "IN FLIGHT", "REASON")
 	for _, m := range r.Members {
 		s := m.Status
 		if m.Err != nil {
@@ -75,9 +74,7 @@
 }
 
 func (r *StatusReport) writeServices(w io.Writer) error {
-	t := newTable(w)
-	t.row("\nSERVICE", "INSTANCE", "VERSION", "IN FLIGHT", "WAITING", "MAX QUEUE", "READY TARGETS")
-	rows := 0
+	t := newTable(w, "SERVICE", "INSTANCE", "VERSION", "IN FLIGHT", "WAITING", "MAX QUEUE", "READY TARGETS")
 	for _, m := range r.Members {
 		for _, s := range m.Status.Services {
 			ready := 0
@@ -88,19 +85,13 @@
 			}
 			t.row(s.Name, statusName(m), versionText(s.Version), s.InFlight, s.Waiting, s.MaxQueue,
 				fmt.Sprintf("%d/%d", ready, len(s.Targets)))
-			rows++
 		}
 	}
-	if rows == 0 {
-		return nil
-	}
-	return t.flush()
+	return t.flushBelow(w)
 }
 
 func (r *StatusReport) writeTargets(w io.Writer) error {
-	t := newTable(w)
-	t.row("\nTARGET", "INSTANCE", "ADDRESS", "ZONE", "STATE", "IN FLIGHT", "LIMIT", "SLOTS", "REASON")
-	rows := 0
+	t := newTable(w, "TARGET", "INSTANCE", "ADDRESS", "ZONE", "STATE", "IN FLIGHT", "LIMIT", "SLOTS", "REASON")
 	for _, m := range r.Members {
 		for _, s := range m.Status.Services {
 			for _, target := range s.Targets {
@@ -109,14 +100,10 @@
 				}
 				t.row(s.Name+"/"+target.Name, statusName(m), target.Address, dash(target.Zone), target.State,
 					target.InFlight, target.Limit, target.Slots, dash(target.Reason))
-				rows++
 			}
 		}
 	}
-	if rows == 0 {
-		return nil
-	}
-	return t.flush()
+	return t.flushBelow(w)
 }
 
 type statusMessage struct {
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 )
 
 // Kind names what happened, in snake case.
@@ -45,11 +46,18 @@
 	Request  string
 	// Peer is the other instance that the event is about.
 	Peer string
-	// Version is the configuration version that the event is about, 0 if none.
+	// Version is the configuration version that the event is about; see
+	// HasVersion.
 	Version int64
 	Detail  string
 }
 
+// HasVersion returns whether Version means something. 0 is the version of the
+// first change, so that events about the configuration always have one.
+func (e Event) HasVersion() bool {
+	return e.Version != 0 || strings.HasPrefix(string(e.Kind), "config_")
+}
+
 // Filter selects events. Empty fields select everything.
 type Filter struct {
 	// After excludes events up to and including the stamp.
--- a/timeline/recorder_test.go
+++ b/timeline/recorder_test.go
@@ -174,6 +174,11 @@
 			Event{Time: StampAt(time.UnixMilli(1_500)) + 3, Instance: "a", Kind: ConfigInForce, Version: 7},
 			"1970-01-01T00:00:01.500Z/3 a config_in_force version=7",
 		},
+		{
+			"first version",
+			Event{Instance: "a", Kind: ConfigInForce},
+			"1970-01-01T00:00:00.000Z/0 a config_in_force version=0",
+		},
 		{
 			"forged",
 			Event{Instance: "a", Kind: RequestRefused, Request: "r1 detail=x\nfake", Detail: "queue full"},
--- a/timeline/text.go
+++ b/timeline/text.go
@@ -18,7 +18,7 @@
 	writeField(&b, "target", e.Target)
 	writeField(&b, "request", e.Request)
 	writeField(&b, "peer", e.Peer)
-	if e.Version != 0 {
+	if e.HasVersion() {
 		writeField(&b, "version", strconv.FormatInt(e.Version, 10))
 	}
 	writeField(&b, "detail", e.Detail)
