settings: test that every key is documented

Cause: a new key could be left out of the example file and of the operators' page without any test failing.

Change: the test compares the keys that the reader knows with both files.

Ruled out: generating the table; its texts say more than the code does.

Conclusion: go test -race ./settings/ passes.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -123,7 +123,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %s: %w", ErrInvalid, path, err)
 	}
-	s := &Settings{
+	s := r.settings()
+	r.checkUnknown()
+	if len(r.problems) > 0 {
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, errors.Join(r.problems...))
+	}
+	return s, nil
+}
+
+// settings reads every key.
+func (r *reader) settings() *Settings {
+	return &Settings{
 		Instance: Instance{ID: r.name("instance", "id"), Zone: r.name("instance", "zone")},
 		Callers: Callers{
 			Listen:         r.address("callers", "listen"),
@@ -144,9 +154,4 @@
 			Format: r.choice("log", "format", DefaultLogFormat, FormatText, FormatJSON),
 		},
 	}
-	r.checkUnknown()
-	if len(r.problems) > 0 {
-		return nil, fmt.Errorf("%w: %w", ErrInvalid, errors.Join(r.problems...))
-	}
-	return s, nil
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
 	"reflect"
@@ -66,6 +67,21 @@
 	assert.Assert(t, reflect.DeepEqual(full, s), "%+v is not %+v", full, s)
 }
 
+// Guards against keys that the example or the operators' page leaves out.
+func TestEveryKeyIsDocumented(t *testing.T) {
+	example, err := os.ReadFile("../docs/rhubarbrelayd.ini")
+	assert.NilError(t, err)
+	page, err := os.ReadFile("../docs/operators.md")
+	assert.NilError(t, err)
+	r, err := newReader("a.ini", []byte(valid))
+	assert.NilError(t, err)
+	r.settings()
+	for k := range r.known {
+		assert.Check(t, cmp.Contains(string(example), k.key+" = "))
+		assert.Check(t, cmp.Contains(string(page), fmt.Sprintf("| `%s`, `%s` |", k.section, k.key)))
+	}
+}
+
 // Guards against each kind of wrong setting being accepted, and against errors
 // that do not name the place.
 func TestParseProblems(t *testing.T) {
