admin: record the outcome of changes in the timeline

Cause: the timeline showed that a version was in force, but not who published it, nor lost races and uncertain publications.

Change: the server records config_published, config_conflict and config_uncertain with kind, scope and author; the interface EventLog, which timeline.Recorder implements, gained Record. A conflict and an uncertain change carry their base as the version.

Ruled out: recording a change that the platform refused. It left no trace, and an outage of the log would fill the ring with repeats; it is logged.

--- a/admin/changes.go
+++ b/admin/changes.go
@@ -12,6 +12,7 @@
 	"rhubarbrelay/config"
 	"rhubarbrelay/configlog"
 	"rhubarbrelay/platform"
+	"rhubarbrelay/timeline"
 
 	"github.com/valyala/fasthttp"
 )
@@ -40,23 +41,46 @@
 	publishing, cancel := context.WithTimeout(context.Background(), publishTimeout)
 	defer cancel()
 	result, err := s.publisher.Publish(publishing, change)
-	logger := s.logger.WithField("scope", change.Scope).WithField("author", change.Author).WithField("id", change.ID)
+	s.noteChange(change, result, err)
 	switch {
 	case err == nil:
-		logger.WithField("version", int64(result.Version)).Info("change published")
 		writeJSON(ctx, resultMessage{Version: int64(result.Version)})
 	case errors.Is(err, configlog.ErrConflict):
-		logger.Info("change conflicts")
 		s.writeConflict(ctx, change, err)
 	case errors.Is(err, platform.ErrUnavailable):
-		logger.WithError(err).Warn("change not published")
 		writeError(ctx, kindUnavailable, err.Error())
 	default:
-		logger.WithError(err).Warn("change uncertain")
 		writeError(ctx, kindUncertain, err.Error())
 	}
 }
 
+// noteChange logs the outcome of a change and records it in the timeline. A
+// change that the platform refused left no trace and is only logged.
+func (s *Server) noteChange(c configlog.Change, result configlog.Result, err error) {
+	logger := s.logger.WithField("scope", c.Scope).WithField("author", c.Author).WithField("id", c.ID)
+	e := timeline.Event{Version: int64(result.Version), Detail: fmt.Sprintf("%s of %s by %s", changeName(c.Kind), c.Scope, c.Author)}
+	if service, ok := strings.CutPrefix(c.Scope, config.ServiceScope("")); ok {
+		e.Service = service
+	}
+	switch {
+	case err == nil:
+		logger.WithField("version", int64(result.Version)).Info("change published")
+		e.Kind = timeline.ConfigPublished
+	case errors.Is(err, configlog.ErrConflict):
+		logger.Info("change conflicts")
+		e.Kind, e.Version = timeline.ConfigConflict, int64(c.Base)
+	case errors.Is(err, platform.ErrUnavailable):
+		logger.WithError(err).Warn("change not published")
+		return
+	default:
+		logger.WithError(err).Warn("change uncertain")
+		e.Kind, e.Version = timeline.ConfigUncertain, int64(c.Base)
+	}
+	if s.events != nil {
+		s.events.Record(e)
+	}
+}
+
 // checkChange refuses changes that the log would accept although no instance
 // can put them into force: acceptance looks only at the envelope.
 func checkChange(c configlog.Change, fleet *config.Fleet) error {
--- a/admin/client.go
+++ b/admin/client.go
@@ -109,9 +109,6 @@
 	return conn, nil
 }
 
-// Address returns the address of the instance.
-func (c *Client) Address() netip.AddrPort { return c.address }
-
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/admin/codec.go
+++ b/admin/codec.go
@@ -225,13 +225,18 @@
 
 func encodeChange(c configlog.Change) ([]byte, error) {
 	base := int64(c.Base)
-	m := changeMessage{ID: c.ID, Scope: c.Scope, Base: &base, Author: c.Author, Body: string(c.Body)}
+	return json.Marshal(changeMessage{
+		ID: c.ID, Scope: c.Scope, Base: &base, Kind: changeName(c.Kind), Author: c.Author, Body: string(c.Body),
+	})
+}
+
+func changeName(kind configlog.Kind) string {
 	for _, k := range changeKinds() {
-		if k.kind == c.Kind {
-			m.Kind = k.name
+		if k.kind == kind {
+			return k.name
 		}
 	}
-	return json.Marshal(m)
+	return ""
 }
 
 func documentToMessage(d Document) documentMessage {
--- a/admin/server.go
+++ b/admin/server.go
@@ -60,8 +60,9 @@
 	Document(service string) (Document, bool)
 }
 
-// EventSource gives the events of the process. timeline.Recorder implements it.
-type EventSource interface {
+// EventLog keeps the events of the process. timeline.Recorder implements it.
+type EventLog interface {
+	Record(e timeline.Event)
 	Events(f timeline.Filter) []timeline.Event
 	CompleteSince() timeline.Stamp
 }
@@ -72,7 +73,7 @@
 	fleet     Fleet
 	instance  Instance
 	documents Documents
-	events    EventSource
+	events    EventLog
 	logger    log.Interface
 	// tokenHash is the SHA-256 of the token; hashes of equal length compare in
 	// constant time whatever the length of the token presented.
@@ -90,8 +91,8 @@
 // WithDocuments sets the source of published texts with author and time.
 func WithDocuments(d Documents) Option { return func(s *Server) { s.documents = d } }
 
-// WithEvents sets the source of the timeline.
-func WithEvents(e EventSource) Option { return func(s *Server) { s.events = e } }
+// WithEvents sets the timeline, in which the server also records changes.
+func WithEvents(e EventLog) Option { return func(s *Server) { s.events = e } }
 
 // WithLogger sets the logger of changes and refusals.
 func WithLogger(l log.Interface) Option { return func(s *Server) { s.logger = l } }
--- a/admin/server_test.go
+++ b/admin/server_test.go
@@ -19,6 +19,8 @@
 	"rhubarbrelay/platform"
 	"rhubarbrelay/timeline"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
@@ -338,6 +340,44 @@
 	assert.DeepEqual(t, got.Events, recorder.Since(0)[:1])
 }
 
+// Guards against changes that the timeline and the log do not show, or show as
+// something else than they were.
+func TestChangesAreRecorded(t *testing.T) {
+	tests := []struct {
+		name string
+		err  error
+		kind timeline.Kind
+		log  string
+	}{
+		{"accepted", nil, timeline.ConfigPublished, "change published"},
+		{"conflict", configlog.ErrConflict, timeline.ConfigConflict, "change conflicts"},
+		{"uncertain", configlog.ErrUncertain, timeline.ConfigUncertain, "change uncertain"},
+		{"unavailable", platform.ErrUnavailable, "", "change not published"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			recorder := timeline.NewRecorder("kt-a-1", timeline.NewClock(time.Now))
+			lines := memory.New()
+			s := NewServer(refuse(tt.err), newFakeFleet(t), WithEvents(recorder), WithLogger(&log.Logger{Handler: lines}))
+			client := NewClient(serve(t, s))
+			defer client.Close()
+			_, err := client.Publish(context.Background(), configlog.Change{
+				ID: "i", Scope: "service/spoolkeep", Base: -1, Kind: configlog.DeleteService, Author: "mina",
+			})
+			assert.Equal(t, err == nil, tt.err == nil)
+			assert.Equal(t, lines.Entries[0].Message, tt.log)
+			events := recorder.Since(0)
+			if tt.kind == "" {
+				assert.Equal(t, len(events), 0)
+				return
+			}
+			assert.Equal(t, events[0].Kind, tt.kind)
+			assert.Equal(t, events[0].Service, "spoolkeep")
+			assert.Equal(t, events[0].Detail, "delete_service of service/spoolkeep by mina")
+		})
+	}
+}
+
 // Guards against a lost answer that is reported as a failure, or published
 // twice, when another instance can tell.
 func TestGroupRepeatsUncertainChange(t *testing.T) {
