admin: count live instances without a known address as not answering

Ruled out: waiting only for instances with an address; the promise is about all live ones.

Conclusion: the new case of TestPublish covers it; go test -race -count=2 ./admin ./cmd/... and ./scenario/ pass.

--- a/admin/group.go
+++ b/admin/group.go
@@ -159,7 +159,8 @@
 // Member is one instance and what it answered.
 type Member struct {
 	// ID is empty when the instance is known only by its address.
-	ID      string
+	ID string
+	// Address is invalid when the other instances do not know it.
 	Address netip.AddrPort
 	// State is what the others say of the instance.
 	State InstanceState
@@ -193,6 +194,10 @@
 	var group errgroup.Group
 	group.SetLimit(maxParallel)
 	for i := range members {
+		if !members[i].Address.IsValid() {
+			members[i].Err = fmt.Errorf("%w: its administration address is not known", ErrUnreachable)
+			continue
+		}
 		group.Go(func() error {
 			c := NewClient(members[i].Address, g.opts...)
 			defer c.Close()
@@ -216,7 +221,7 @@
 	}
 	var members []Member
 	for _, i := range known {
-		if i.AdminAddress.IsValid() && i.State != InstanceDead {
+		if i.State != InstanceDead {
 			members = append(members, Member{ID: i.ID, Address: i.AdminAddress, State: i.State})
 		}
 	}
--- a/cmd/rhubarbrelay/main_test.go
+++ b/cmd/rhubarbrelay/main_test.go
@@ -182,6 +182,15 @@
 			argv:    []string{"--wait", "--timeout", "300ms"}, code: exitUnreachable,
 			stdout: []string{"published at version 0\n"}, stderr: "kt-b-1: service spoolkeep is at version none", text: "joon",
 		},
+		{
+			name: "live instance without a known administration address",
+			prepare: func(_ *fakeLog, fleet []*fakeInstance) {
+				hidden := &fakeInstance{id: "kt-c-1", state: "live"}
+				fleet[0].peers = append([]*fakeInstance{hidden}, fleet[0].peers...)
+			},
+			argv: []string{"--wait", "--timeout", "300ms"}, code: exitUnreachable,
+			stdout: []string{"published at version 0\n"}, stderr: "kt-c-1: instance unreachable", text: "joon",
+		},
 		{
 			name: "leaving instances do not count",
 			prepare: func(_ *fakeLog, fleet []*fakeInstance) {
