cli: refuse documents without a service

Cause: publishing an empty file printed nothing and exited with 0.

Change: publish, check and diff report it as invalid input, exit code 2.

Ruled out: refusing it in config.ParseDocument, which belongs to the configuration.

--- a/cmd/rhubarbrelay/main_test.go
+++ b/cmd/rhubarbrelay/main_test.go
@@ -63,6 +63,7 @@
 	l := newFakeLog()
 	fleet := startFleet(t, l, "kt-a-1")
 	valid, invalid := file(t, spoolkeep), file(t, "[service a]\nbogus = 1\n")
+	empty := file(t, "# nothing\n")
 	tests := []struct {
 		name  string
 		admin string
@@ -78,6 +79,9 @@
 		{"missing file", addresses(fleet), []string{"publish", "absent.ini"}, "absent.ini"},
 		{"invalid document", addresses(fleet), []string{"publish", invalid}, `key "bogus"`},
 		{"invalid document in a check", "", []string{"check", invalid}, `key "bogus"`},
+		{"empty document", addresses(fleet), []string{"publish", empty}, "defines no service"},
+		{"check of an empty document", "", []string{"check", empty}, "defines no service"},
+		{"diff of an empty document", addresses(fleet), []string{"diff", empty}, "defines no service"},
 		{"bad base", addresses(fleet), []string{"publish", "--base", "spoolkeep", valid}, `base "spoolkeep"`},
 		{"base of another service", addresses(fleet), []string{"publish", "--base", "x=1", valid}, `base of service "x"`},
 		{"bad time", addresses(fleet), []string{"timeline", "--since", "noon"}, `"noon" is not a duration`},
--- a/commands/publish.go
+++ b/commands/publish.go
@@ -33,6 +33,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(services) == 0 {
+		return nil, fmt.Errorf("%w: the document defines no service", config.ErrInvalid)
+	}
 	if err := p.checkBases(services); err != nil {
 		return nil, err
 	}
--- a/queries/check.go
+++ b/queries/check.go
@@ -1,6 +1,7 @@
 package queries
 
 import (
+	"fmt"
 	"io"
 
 	"rhubarbrelay/config"
@@ -13,13 +14,23 @@
 
 // Check reads a document and reports every error in it.
 func Check(document []byte) (*CheckReport, error) {
-	services, err := config.ParseDocument(document)
+	services, err := parse(document)
 	if err != nil {
 		return nil, err
 	}
 	return &CheckReport{Services: services}, nil
 }
 
+// parse reads a document with at least one service. An empty file is most
+// likely the wrong one.
+func parse(document []byte) ([]*config.Service, error) {
+	services, err := config.ParseDocument(document)
+	if err == nil && len(services) == 0 {
+		err = fmt.Errorf("%w: the document defines no service", config.ErrInvalid)
+	}
+	return services, err
+}
+
 // WriteText writes a table of the services.
 func (r *CheckReport) WriteText(w io.Writer) error {
 	t := newTable(w, "SERVICE", "TARGETS", "ROUTES", "DEADLINE")
--- a/queries/diff.go
+++ b/queries/diff.go
@@ -28,7 +28,7 @@
 
 // Diff compares the services of a document with what is published.
 func Diff(ctx context.Context, g *admin.Group, document []byte) (*DiffReport, error) {
-	services, err := config.ParseDocument(document)
+	services, err := parse(document)
 	if err != nil {
 		return nil, err
 	}
