--- a/cmd/rhubarbrelay/main_test.go
+++ b/cmd/rhubarbrelay/main_test.go
@@ -63,6 +63,7 @@
 	l := newFakeLog()
 	fleet := startFleet(t, l, "kt-a-1")
 	valid, invalid := file(t, spoolkeep), file(t, "[service a]\nbogus = 1\n")
+	empty := file(t, "# nothing\n")
 	tests := []struct {
 		name  string
 		admin string
@@ -78,6 +79,9 @@
 		{"missing file", addresses(fleet), []string{"publish", "absent.ini"}, "absent.ini"},
 		{"invalid document", addresses(fleet), []string{"publish", invalid}, `key "bogus"`},
 		{"invalid document in a check", "", []string{"check", invalid}, `key "bogus"`},
+		{"empty document", addresses(fleet), []string{"publish", empty}, "defines no service"},
+		{"check of an empty document", "", []string{"check", empty}, "defines no service"},
+		{"diff of an empty document", addresses(fleet), []string{"diff", empty}, "defines no service"},
 		{"bad base", addresses(fleet), []string{"publish", "--base", "spoolkeep", valid}, `base "spoolkeep"`},
 		{"base of another service", addresses(fleet), []string{"publish", "--base", "x=1", valid}, `base of service "x"`},
 		{"bad time", addresses(fleet), []string{"timeline", "--since", "noon"}, `"noon" is not a duration`},
@@ -182,6 +186,15 @@
 			argv:    []string{"--wait", "--timeout", "300ms"}, code: exitUnreachable,
 			stdout: []string{"published at version 0\n"}, stderr: "kt-b-1: service spoolkeep is at version none", text: "joon",
 		},
+		{
+			name: "live instance without a known administration address",
+			prepare: func(_ *fakeLog, fleet []*fakeInstance) {
+				hidden := &fakeInstance{id: "kt-c-1", state: "live"}
+				fleet[0].peers = append([]*fakeInstance{hidden}, fleet[0].peers...)
+			},
+			argv: []string{"--wait", "--timeout", "300ms"}, code: exitUnreachable,
+			stdout: []string{"published at version 0\n"}, stderr: "kt-c-1: instance unreachable", text: "joon",
+		},
 		{
 			name: "leaving instances do not count",
 			prepare: func(_ *fakeLog, fleet []*fakeInstance) {
@@ -327,6 +340,7 @@
 			got := cli(addresses(fleet), tt.argv...)
 			assert.Equal(t, got.code, tt.code, "%s%s", got.stdout, got.stderr)
 			assert.Assert(t, cmp.Contains(got.stdout, tt.stdout))
+			assert.Assert(t, tt.code == exitOK || !strings.Contains(got.stdout, "drained"), got.stdout)
 			assert.Equal(t, fmt.Sprint(l.documents["spoolkeep"].DrainedTargets), fmt.Sprint(tt.drained))
 		})
 	}
@@ -422,12 +436,12 @@
 	first.Clock().Observe(second.Since(0)[0].Time)
 	first.Record(timeline.Event{Kind: timeline.TargetLeaving, Service: "ordering"})
 	got := cli(fleet[1].address.String(), "timeline")
-	assert.Equal(t, got.stdout, `1970-01-01T00:16:40.000Z/0 kt-a-1 config_published service=spoolkeep
-1970-01-01T00:16:40.000Z/1 kt-b-1 config_in_force service=spoolkeep
+	assert.Equal(t, got.stdout, `1970-01-01T00:16:40.000Z/0 kt-a-1 config_published service=spoolkeep version=0
+1970-01-01T00:16:40.000Z/1 kt-b-1 config_in_force service=spoolkeep version=0
 1970-01-01T00:16:40.000Z/2 kt-a-1 target_leaving service=ordering
 `)
 	got = cli(fleet[1].address.String(), "timeline", "--service", "spoolkeep", "--limit", "1")
-	assert.Equal(t, got.stdout, "1970-01-01T00:16:40.000Z/1 kt-b-1 config_in_force service=spoolkeep\n")
+	assert.Equal(t, got.stdout, "1970-01-01T00:16:40.000Z/1 kt-b-1 config_in_force service=spoolkeep version=0\n")
 	got = cli(fleet[1].address.String(), "timeline", "--since", "1m")
 	assert.Equal(t, got.stdout, "")
 }
--- a/queries/status.go
+++ b/queries/status.go
@@ -50,8 +50,7 @@
 }
 
 func (r *StatusReport) writeInstances(w io.Writer) error {
-	t := newTable(w)
-	t.row("INSTANCE", "ZONE", "STATE", "READY", "VERSION", "IN FLIGHT", "REASON")
+	t := newTable(w, "INSTANCE", "ZONE", "STATE", "READY", "VERSION", "IN FLIGHT", "REASON")
 	for _, m := range r.Members {
 		s := m.Status
 		if m.Err != nil {
@@ -75,9 +74,7 @@
 }
 
 func (r *StatusReport) writeServices(w io.Writer) error {
-	t := newTable(w)
-	t.row("\nSERVICE", "INSTANCE", "VERSION", "IN FLIGHT", "WAITING", "MAX QUEUE", "READY TARGETS")
-	rows := 0
+	t := newTable(w, "SERVICE", "INSTANCE", "VERSION", "IN FLIGHT", "WAITING", "MAX QUEUE", "READY TARGETS")
 	for _, m := range r.Members {
 		for _, s := range m.Status.Services {
 			ready := 0
@@ -88,35 +85,25 @@
 			}
 			t.row(s.Name, statusName(m), versionText(s.Version), s.InFlight, s.Waiting, s.MaxQueue,
 				fmt.Sprintf("%d/%d", ready, len(s.Targets)))
-			rows++
 		}
 	}
-	if rows == 0 {
-		return nil
-	}
-	return t.flush()
+	return t.flushBelow(w)
 }
 
 func (r *StatusReport) writeTargets(w io.Writer) error {
-	t := newTable(w)
-	t.row("\nTARGET", "INSTANCE", "ADDRESS", "ZONE", "STATE", "IN FLIGHT", "LIMIT", "SLOTS", "REASON")
-	rows := 0
+	t := newTable(w, "TARGET", "INSTANCE", "ADDRESS", "ZONE", "STATE", "IN FLIGHT", "LIMIT", "SLOTS", "REASON")
 	for _, m := range r.Members {
 		for _, s := range m.Status.Services {
 			for _, target := range s.Targets {
 				if target.State == admin.TargetReady && !r.Targets {
 					continue
 				}
-				t.row(s.Name+"/"+target.Name, statusName(m), target.Address, dash(target.Zone), target.State,
+				t.row(s.Name+"/"+target.Name, statusName(m), dash(addressText(target.Address)), dash(target.Zone), target.State,
 					target.InFlight, target.Limit, target.Slots, dash(target.Reason))
-				rows++
 			}
 		}
 	}
-	if rows == 0 {
-		return nil
-	}
-	return t.flush()
+	return t.flushBelow(w)
 }
 
 type statusMessage struct {
@@ -177,7 +164,7 @@
 func instanceOf(member admin.Member) instanceMessage {
 	s := member.Status
 	m := instanceMessage{
-		ID: statusName(member), Address: member.Address.String(), Zone: s.Zone, State: string(s.State),
+		ID: statusName(member), Address: addressText(member.Address), Zone: s.Zone, State: string(s.State),
 		Incarnation: s.Incarnation, Ready: s.Ready, Reason: s.Reason, Version: int64(s.Version), Scopes: scopesOf(s.Scopes),
 		DrainedInstances: append([]string{}, s.DrainedInstances...), InFlight: s.InFlight, Services: []loadMessage{},
 	}
@@ -188,7 +175,7 @@
 		}
 		for _, t := range service.Targets {
 			load.Targets = append(load.Targets, targetMessage{
-				Name: t.Name, Address: t.Address.String(), Zone: t.Zone, State: string(t.State), Reason: t.Reason,
+				Name: t.Name, Address: addressText(t.Address), Zone: t.Zone, State: string(t.State), Reason: t.Reason,
 				InFlight: t.InFlight, Limit: t.Limit, Slots: t.Slots,
 			})
 		}
