Count requests that stay out long as long work while they run

Cause: a long request that neither its route nor its class announces made its target look slow.

Change: a request in flight for 10 medians of the service counts as long, if its target finishes other requests meanwhile. The table gets a row for an ideal queue that knows only the present noise.

--- a/routing/durations.go
+++ b/routing/durations.go
@@ -81,3 +81,8 @@
 	c, ok := d.classes[class]
 	return ok && c.samples >= minClassSamples && c.average > longFactor*d.median
 }
+
+// longAge returns the time in flight from which a request counts as long.
+func (d *durations) longAge() time.Duration {
+	return time.Duration(longFactor * d.median * float64(time.Second))
+}
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -67,6 +67,7 @@
 		return 0, false
 	}
 	ratio := t.ratio(typical, now)
+	d.longHeld += t.markLong(d.durations.longAge(), now)
 	if ratio >= slowRatio && !d.worthSlow(t, ratio) && !t.trialDue(now) {
 		return 0, false
 	}
--- a/routing/policy_test.go
+++ b/routing/policy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -124,36 +125,41 @@
 }
 
 // idealQueue serves the trace from one queue for all slots. Each request takes
-// the slot that finishes it first, with knowledge of all running work and
-// noise.
+// the slot that finishes it first, with knowledge of all running work and of
+// the noise to come.
 func idealQueue(tr trace) *hdrhistogram.Histogram {
-	h := newHistogram()
-	free := make([]time.Duration, fleetTargets*fleetSlots)
-	for _, a := range tr.arrivals {
-		best, bestEnd := 0, time.Duration(1<<62)
-		for i, at := range free {
-			if end := finish(tr.noise[i/fleetSlots], max(at, a.at), a.work); end < bestEnd {
-				best, bestEnd = i, end
-			}
-		}
-		free[best] = bestEnd
-		if !a.long {
-			record(h, bestEnd-a.at)
+	return serveTrace(tr, func(slot int, start time.Duration, a arrival) time.Duration {
+		return finish(tr.noise[slot/fleetSlots], start, a.work)
+	})
+}
+
+// presentQueue serves the trace from one queue that knows all running work, but
+// of the noise only what is present: it expects a slow target to stay slow.
+func presentQueue(tr trace) *hdrhistogram.Histogram {
+	return serveTrace(tr, func(slot int, start time.Duration, a arrival) time.Duration {
+		if slowAt(tr.noise[slot/fleetSlots], a.at) {
+			return start + a.work*noiseFactor
 		}
-	}
-	return h
+		return start + a.work
+	})
 }
 
 // blindQueue serves the trace from one queue, without knowledge of the noise:
 // each request takes the slot that has been free for the longest time.
 func blindQueue(tr trace) *hdrhistogram.Histogram {
+	return serveTrace(tr, func(slot int, start time.Duration, _ arrival) time.Duration { return start })
+}
+
+// serveTrace serves the trace from one queue. Each request takes the slot with
+// the least cost, which may depend on the start.
+func serveTrace(tr trace, cost func(slot int, start time.Duration, a arrival) time.Duration) *hdrhistogram.Histogram {
 	h := newHistogram()
 	free := make([]time.Duration, fleetTargets*fleetSlots)
 	for _, a := range tr.arrivals {
-		best := 0
-		for i := range free {
-			if free[i] < free[best] {
-				best = i
+		best, bestCost := 0, time.Duration(math.MaxInt64)
+		for i, at := range free {
+			if c := cost(i, max(at, a.at), a); c < bestCost || c == bestCost && at < free[best] {
+				best, bestCost = i, c
 			}
 		}
 		free[best] = finish(tr.noise[best/fleetSlots], max(free[best], a.at), a.work)
@@ -164,6 +170,10 @@
 	return h
 }
 
+func slowAt(noise []period, at time.Duration) bool {
+	return slices.ContainsFunc(noise, func(p period) bool { return p.from <= at && at < p.to })
+}
+
 func newHistogram() *hdrhistogram.Histogram {
 	return hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
 }
@@ -179,14 +189,15 @@
 	noise    []period
 }
 
-// run serves one request and returns the load that the answer reports.
-func (f *fakeTarget) run(start time.Time, work time.Duration) int {
+// run serves one request and returns the load that the answer reports and when
+// the work began.
+func (f *fakeTarget) run(start time.Time, work time.Duration) (reported int, began time.Duration) {
 	f.inFlight.Add(1)
 	f.slots <- struct{}{}
-	at := time.Since(start)
-	time.Sleep(finish(f.noise, at, work) - at)
+	began = time.Since(start)
+	time.Sleep(finish(f.noise, began, work) - began)
 	<-f.slots
-	return int(f.inFlight.Add(-1))
+	return int(f.inFlight.Add(-1)), began
 }
 
 // outcome is what a policy did with a trace.
@@ -201,9 +212,11 @@
 	stats    Stats
 }
 
+// finished is a request that was answered.
 type finished struct {
-	at, latency, work time.Duration
-	long              bool
+	at, latency time.Duration
+	began, work time.Duration
+	long        bool
 }
 
 // options of a simulation.
@@ -262,10 +275,10 @@
 	sent := time.Now()
 	fake := fakes[slot.Target().Address]
 	at := sent.Sub(start)
-	slow := slices.ContainsFunc(fake.noise, func(p period) bool { return p.from <= at && at < p.to })
-	reported := fake.run(start, a.work)
+	slow := slowAt(fake.noise, at)
+	reported, began := fake.run(start, a.work)
 	slot.Release(Result{Status: Succeeded, Latency: time.Since(sent), Reported: reported, Long: call.Long})
-	o.finish(finished{at: a.at, latency: time.Since(arrived), work: a.work, long: a.long}, slow)
+	o.finish(finished{at: a.at, latency: time.Since(arrived), began: began, work: a.work, long: a.long}, slow)
 }
 
 func (o *outcome) refuse(after time.Duration) {
@@ -326,8 +339,9 @@
 		tr := newTrace(seed, 30*time.Second, constant(0.8), noisy)
 		ideal := idealQueue(tr)
 		t.Logf("noise %v, %d requests; latency of short requests in ms: p50 p99 p99.9", noisy, len(tr.arrivals))
-		t.Logf("%-24s %s", "ideal queue", quantiles(ideal))
-		t.Logf("%-24s %s", "ideal queue, blind", quantiles(blindQueue(tr)))
+		t.Logf("%-24s %s", "ideal, clairvoyant", quantiles(ideal))
+		t.Logf("%-24s %s", "ideal, present noise", quantiles(presentQueue(tr)))
+		t.Logf("%-24s %s", "ideal, blind to noise", quantiles(blindQueue(tr)))
 		for _, instances := range []int{1, 3, 15} {
 			for _, policy := range policies() {
 				synctest.Test(t, func(t *testing.T) {
--- a/routing/target.go
+++ b/routing/target.go
@@ -49,6 +49,9 @@
 
 	slots []*Slot // in flight
 	long  int     // of these, long
+	// longCheck is the time from which a short request in flight may have run
+	// so long that it counts as long.
+	longCheck time.Time
 
 	concurrency *limits.Concurrency
 	ejection    limits.Ejection
@@ -157,6 +160,29 @@
 	}
 }
 
+// markLong marks the requests that have been in flight for the age as long and
+// returns their number. It marks none while the target finishes nothing else,
+// because then the target is slow, not the request long.
+func (t *target) markLong(age time.Duration, now time.Time) int {
+	if now.Before(t.longCheck) || len(t.slots) == t.long || t.finished < 1 {
+		return 0
+	}
+	marked := 0
+	t.longCheck = now.Add(age)
+	for _, s := range t.slots {
+		switch due := s.start.Add(age); {
+		case s.long:
+		case !due.After(now):
+			s.long = true
+			marked++
+		case due.Before(t.longCheck):
+			t.longCheck = due
+		}
+	}
+	t.long += marked
+	return marked
+}
+
 // drop takes back a slot.
 func (t *target) drop(s *Slot) {
 	last := len(t.slots) - 1
