--- a/routing/pick.go
+++ b/routing/pick.go
@@ -12,8 +12,6 @@
 	sampleSize = 32
 	// slownessWeight is the weight of a target's speed against its occupancy.
 	slownessWeight = 0.5
-	// overloadWeight is the weight of the requests above a target's slots.
-	overloadWeight = 3.0
 	// equalRatio is the speed up to which targets count as equally fast. A
 	// smaller one would let traces of an old measurement decide between idle
 	// targets, and so never try the slower one again.
@@ -65,7 +63,6 @@
 		return 0, false
 	}
 	score += t.othersNow(now, reportMemory*typical) / limit
-	score += overloadWeight * max(0, score-1)
 	if score >= bound {
 		return 0, false
 	}
