Close gaps in the dispatcher's tests

Cause: changes made on purpose to the code passed the tests: no service share or no share per target for long work, no hand-over at release (a review at the same millisecond hid it), no penalty after a failure, no estimate of speed, no gate by reported load, and a retry that blocks the queue.

Change: a test for each; each of these changes now fails one.

--- a/routing/dispatcher_test.go
+++ b/routing/dispatcher_test.go
@@ -129,26 +129,52 @@
 	})
 }
 
-// Guards against long work taking all slots, and against its blocking short
-// work that waits behind it.
+// Guards against long work taking more slots than its share of the service or
+// of one target.
 func TestLongWorkHoldsBoundedShare(t *testing.T) {
+	tests := []struct {
+		percent int
+		held    int
+	}{
+		{percent: 25, held: 5}, // of 20 slots
+		{percent: 50, held: 10},
+		{percent: 100, held: 10}, // half of each target's slots
+	}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			service := fleetService(5, 4)
+			service.LongPercent = tt.percent
+			d := newTestDispatcher(service)
+			warm(t, d)
+			held := holdLong(d)
+			assert.Equal(t, len(held), tt.held)
+			perTarget := map[netip.AddrPort]int{}
+			for _, s := range held {
+				perTarget[s.Target().Address]++
+				assert.Assert(t, perTarget[s.Target().Address] <= 2)
+			}
+		})
+	}
+}
+
+// holdLong takes every slot that long work gets.
+func holdLong(d *Dispatcher) []*Slot {
+	var held []*Slot
+	for {
+		slot, err := d.Acquire(context.Background(), Call{Long: true})
+		if err != nil {
+			return held
+		}
+		held = append(held, slot)
+	}
+}
+
+// Guards against long work that waits blocking short work behind it.
+func TestWaitingLongWorkDoesNotBlockShort(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newTestDispatcher(fleetService(5, 4))
 		warm(t, d)
-		var held []*Slot
-		for {
-			slot, err := d.Acquire(context.Background(), Call{Long: true})
-			if err != nil {
-				break
-			}
-			held = append(held, slot)
-		}
-		assert.Equal(t, len(held), 10)
-		perTarget := map[netip.AddrPort]int{}
-		for _, s := range held {
-			perTarget[s.Target().Address]++
-			assert.Assert(t, perTarget[s.Target().Address] <= 2)
-		}
+		holdLong(d)
 		var group sync.WaitGroup
 		for range 5 {
 			group.Go(func() { _, _ = d.Acquire(context.Background(), Call{Long: true}) })
@@ -161,6 +187,27 @@
 	})
 }
 
+// Guards against a target that has just failed being the emptiest and so the
+// next choice, and against its staying out when the others are idle.
+func TestFailedTargetIsLastChoiceForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(fleetService(2, 4))
+		warm(t, d)
+		failed := acquire(t, d, Call{})
+		failed.Release(Result{Status: Failed, Reported: NoReport})
+		busy := acquire(t, d, Call{})
+		for range 50 {
+			slot := acquire(t, d, Call{})
+			assert.Assert(t, slot.Target().Address != failed.Target().Address)
+			time.Sleep(time.Millisecond)
+			slot.Release(success(time.Millisecond))
+		}
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, acquire(t, d, Call{}).Target().Address, failed.Target().Address)
+		busy.Release(success(time.Second))
+	})
+}
+
 // Guards against the starvation of long work by a steady queue of short work.
 func TestLongWorkIsNotStarved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -239,9 +286,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := newTestDispatcher(fleetService(1, 1))
 		held := acquire(t, d, Call{})
-		released := time.Now().Add(7 * time.Millisecond)
+		const hold = 7*time.Millisecond + reviewInterval/2 // between two reviews of the queue
+		released := time.Now().Add(hold)
 		go func() {
-			time.Sleep(7 * time.Millisecond)
+			time.Sleep(hold)
 			held.Release(success(7 * time.Millisecond))
 		}()
 		acquire(t, d, Call{})
@@ -467,6 +515,65 @@
 	})
 }
 
+// Guards against a target that has become slow looking like the others until
+// its answers come.
+func TestTargetIsSlowBeforeItsAnswersCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(fleetService(4, 4))
+		warm(t, d)
+		slots := fill(t, d, 8)
+		for range 10 {
+			time.Sleep(time.Millisecond)
+			for i, s := range slots {
+				if s.Target().Address != address(0) {
+					s.Release(success(time.Millisecond))
+					slots[i] = acquire(t, d, Call{Exclude: []netip.AddrPort{address(0)}})
+				}
+			}
+		}
+		assert.Equal(t, d.Views()[0].InFlight, 2)
+		assert.Equal(t, d.Views()[0].Reason, ReasonSlow)
+		for range 6 {
+			assert.Assert(t, acquire(t, d, Call{}).Target().Address != address(0))
+		}
+	})
+}
+
+// Guards against new work on a target that other instances keep full, and
+// against a load report that keeps it out for ever.
+func TestRequestWaitsWhileOthersFillTheTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(fleetService(1, 4))
+		warm(t, d)
+		acquire(t, d, Call{}).Release(Result{Status: Succeeded, Latency: time.Millisecond, Reported: 5})
+		before := time.Now()
+		acquire(t, d, Call{})
+		assert.Assert(t, time.Since(before) > 0)
+	})
+}
+
+// Guards against a retry that waits for another target blocking the queue.
+func TestWaiterWithExcludedTargetDoesNotBlock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDispatcher(fleetService(2, 1))
+		held := map[netip.AddrPort]*Slot{}
+		for _, s := range fill(t, d, 2) {
+			held[s.Target().Address] = s
+		}
+		first, second := make(chan *Slot, 1), make(chan *Slot, 1)
+		go func() {
+			first <- acquire(t, d, Call{Exclude: []netip.AddrPort{address(1)}})
+		}()
+		synctest.Wait()
+		go func() { second <- acquire(t, d, Call{}) }()
+		synctest.Wait()
+		held[address(1)].Release(success(time.Millisecond))
+		assert.Equal(t, (<-second).Target().Address, address(1))
+		held[address(0)].Release(success(time.Millisecond))
+		assert.Equal(t, (<-first).Target().Address, address(0))
+	})
+}
+
 // Guards against retries above the budget of the service.
 func TestRetriesStayWithinBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/routing/policy_test.go
+++ b/routing/policy_test.go
@@ -384,5 +384,6 @@
 	for _, policy := range policies()[1:] {
 		assert.Assert(t, p99[config.PolicySlots] < p99[policy], "%s: %d us, slots: %d us", policy, p99[policy], p99[config.PolicySlots])
 	}
-	assert.Assert(t, float64(p99[config.PolicySlots]) < 2*float64(ideal), "slots: %d us, ideal: %d us", p99[config.PolicySlots], ideal)
+	t.Logf("p99 in us: ideal %d, %v", ideal, p99)
+	assert.Assert(t, float64(p99[config.PolicySlots]) < 1.5*float64(ideal), "slots: %d us, ideal: %d us", p99[config.PolicySlots], ideal)
 }
