Give the unfair refusal a message of one line

Cause: the message joined two errors with a line break, and the relay puts it into a response header.

Change: one error that wraps ErrQueueFull; the accessor Service, which nothing used, is gone.

--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"rhubarbrelay/limits"
@@ -13,7 +14,7 @@
 const maxLongWaiting = 0.5
 
 // errUnfair is the refusal of a service above its fair share of the instance.
-var errUnfair = errors.New("the service holds its share of the instance")
+var errUnfair = fmt.Errorf("%w: the service holds its share of the instance", ErrQueueFull)
 
 // Acquire waits until a target may run the call. The error is ErrQueueFull,
 // ErrTooLate or ErrNoTarget, or the context's error; each means that the
@@ -49,7 +50,7 @@
 	call = d.complete(call, now)
 	if !d.enter() {
 		d.stats.RefusedUnfair++
-		return nil, nil, errors.Join(ErrQueueFull, errUnfair)
+		return nil, nil, errUnfair
 	}
 	slot, w, err := d.admit(call, now)
 	if err != nil {
--- a/routing/dispatcher_test.go
+++ b/routing/dispatcher_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -602,6 +603,7 @@
 		fill(t, greedy, 10)
 		_, err := greedy.Acquire(context.Background(), Call{})
 		assert.ErrorIs(t, err, ErrQueueFull)
+		assert.Assert(t, !strings.Contains(err.Error(), "\n")) // It goes into a header.
 		slots := fill(t, other, 5)
 		_, err = other.Acquire(context.Background(), Call{})
 		assert.ErrorIs(t, err, ErrQueueFull)
--- a/routing/views.go
+++ b/routing/views.go
@@ -121,10 +121,3 @@
 	d.refresh(t)
 	d.pump(now)
 }
-
-// Service returns the version of the service in force.
-func (d *Dispatcher) Service() *config.Service {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.service
-}
