Send the whole view after too many local changes at once

Cause: local changes above the bound of the pending set were dropped and reached the peers only when a session was opened again.

Ruled out: a larger bound. Any bound is exceeded when the targets of the design scale drain at once while the mesh does not run yet.

--- a/membership/directory.go
+++ b/membership/directory.go
@@ -48,6 +48,8 @@
 	listed  map[string]listing
 	targets targetStates
 	pending News
+	// overflowed is set when a change found no room in pending.
+	overflowed bool
 	// subscribers is replaced, never changed in place.
 	subscribers []func()
 }
@@ -414,6 +416,11 @@
 func (d *Directory) Report() News {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
+	return d.report()
+}
+
+// report returns all that this instance knows. The caller holds the lock.
+func (d *Directory) report() News {
 	news := News{Instances: []Instance{d.self}, Targets: d.targets.reports()}
 	for _, r := range d.records {
 		news.Instances = append(news.Instances, r.reports()...)
@@ -444,12 +451,17 @@
 func (d *Directory) Changes() <-chan struct{} { return d.changes }
 
 // TakePending returns and clears the local changes that the peers must learn:
-// this instance's own state, its claims, and the signals of targets.
+// this instance's own state, its claims, and the signals of targets. After
+// more changes than are kept, it returns all that the instance knows.
 func (d *Directory) TakePending() News {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	pending := d.pending
+	if d.overflowed {
+		pending = d.report()
+	}
 	d.pending = News{}
+	d.overflowed = false
 	return pending
 }
 
@@ -458,6 +470,8 @@
 	if len(d.pending.Instances)+len(d.pending.Targets) < maxPending {
 		d.pending.Instances = append(d.pending.Instances, news.Instances...)
 		d.pending.Targets = append(d.pending.Targets, news.Targets...)
+	} else {
+		d.overflowed = true
 	}
 	select {
 	case d.changes <- struct{}{}:
--- a/membership/directory_test.go
+++ b/membership/directory_test.go
@@ -268,3 +268,15 @@
 	assert.Equal(t, d.Self().State, Leaving)
 	assert.Equal(t, d.LiveCount(), 1)
 }
+
+// Guards against local changes that never reach the peers because too many
+// were made at once.
+func TestPendingOverflow(t *testing.T) {
+	d, _ := newTestDirectory()
+	const count = 2 * maxPending
+	for i := range count {
+		d.AnnounceTarget(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 1), true)
+	}
+	assert.Equal(t, len(d.TakePending().Targets), count)
+	assert.Assert(t, d.TakePending().Empty())
+}
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -40,7 +40,12 @@
 }
 
 func (c *fakeConfig) Offer(b []byte) error {
-	c.version.Store(max(c.version.Load(), int64(binary.BigEndian.Uint64(b[len(b)-8:]))))
+	offered := int64(binary.BigEndian.Uint64(b[len(b)-8:]))
+	for own := c.version.Load(); offered > own; own = c.version.Load() {
+		if c.version.CompareAndSwap(own, offered) {
+			break
+		}
+	}
 	return nil
 }
 
@@ -293,6 +298,26 @@
 	})
 }
 
+// Guards against a snapshot per change on each instance that reads the log a
+// little later than its peers, and against an instance whose log is down and
+// that stays behind.
+func TestConfigurationWaitsForLog(t *testing.T) {
+	n := newNetwork()
+	timings := testTimings()
+	timings.ConfigDelay = time.Hour
+	nodes := startMesh(t, n, 2, WithTimings(timings))
+	nodes[1].config.version.Store(3)
+	nodes[0].config.version.Store(4)
+	await(t, func() error {
+		if nodes[1].config.required.Load() != 4 {
+			return errors.New("higher version not seen")
+		}
+		return nil
+	})
+	assert.Equal(t, nodes[1].config.version.Load(), int64(3))
+	assert.Equal(t, nodes[1].mesh.Stats().Snapshots, uint64(0))
+}
+
 // Guards against a session that is silent in one direction: the bytes vanish
 // while the connection stays open. The instance must be reached on a new one.
 func TestSilentSession(t *testing.T) {
