State the order of calls of the guard's observer

Cause: the doc comment left open whether a pause and its end can be told in the wrong order; without a lock during the call they can.

Change: the comment says so and names Fresh as the decision. No code changed; go test -race ./... passed.

--- a/membership/guard.go
+++ b/membership/guard.go
@@ -61,7 +61,8 @@
 func WithAlone(alone func() bool) GuardOption { return func(g *Guard) { g.alone = alone } }
 
 // WithOnChange sets a function that is called after each change, without a
-// lock held. When it is told of a pause it should start a read of the log and
+// lock held. Two changes in quick succession may be told in either order; Fresh
+// decides. When it is told of a pause it should start a read of the log and
 // the list.
 func WithOnChange(fn func(fresh bool)) GuardOption { return func(g *Guard) { g.onChange = fn } }
 
