--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -73,8 +73,8 @@
 }
 
 const (
-	// maxIncoming bounds the accepted sessions, maxHandshakes the accepted
-	// connections that have not said hello.
+	// maxIncoming bounds the accepted connections, maxHandshakes those of them
+	// that have not said hello.
 	maxIncoming   = 128
 	maxHandshakes = 32
 	// maxDials bounds the connection attempts in progress.
@@ -118,6 +118,7 @@
 	sequence  atomic.Uint64
 	dials     *semaphore.Weighted
 	shakes    *semaphore.Weighted
+	incoming  *semaphore.Weighted
 	forwards  *semaphore.Weighted
 
 	mu       sync.Mutex
@@ -174,6 +175,7 @@
 		answerCap: controlFrameLimit,
 		dials:     semaphore.NewWeighted(maxDials),
 		shakes:    semaphore.NewWeighted(maxHandshakes),
+		incoming:  semaphore.NewWeighted(maxIncoming),
 		forwards:  semaphore.NewWeighted(maxForwards),
 		sessions:  map[*session]bool{},
 		contacts:  map[string]*contact{},
@@ -271,7 +273,7 @@
 
 // welcome exchanges hellos on an accepted connection.
 func (m *Mesh) welcome(ctx context.Context, conn net.Conn) {
-	if m.countIncoming() >= maxIncoming {
+	if !m.incoming.TryAcquire(1) {
 		// Without a hello the peer knows that nothing was delivered.
 		m.counters.drops.Add(1)
 		_ = conn.Close()
@@ -279,27 +281,13 @@
 	}
 	s, err := m.establish(ctx, conn, true)
 	if err != nil {
+		m.incoming.Release(1)
 		m.logger.WithField("remote", conn.RemoteAddr().String()).WithError(err).Warn("peer connection closed")
 		return
 	}
-	if m.countIncoming() >= maxIncoming {
-		m.counters.drops.Add(1)
-		s.close()
-		return
-	}
 	m.register(s)
 }
 
-func (m *Mesh) countIncoming() int {
-	n := 0
-	for _, s := range m.list() {
-		if s.incoming {
-			n++
-		}
-	}
-	return n
-}
-
 // register takes a session into service. It replaces a session in the same
 // direction with the same instance.
 func (m *Mesh) register(s *session) {
@@ -329,8 +317,20 @@
 	}
 	m.sendSync(s)
 	m.noteVersion(s, s.helloVersion)
-	if !m.start(func(ctx context.Context) { m.serve(ctx, s) }) {
+	started := m.start(func(ctx context.Context) {
+		m.serve(ctx, s)
+		m.release(s)
+	})
+	if !started {
 		s.close()
+		m.release(s)
+	}
+}
+
+// release frees the place of an accepted session.
+func (m *Mesh) release(s *session) {
+	if s.incoming {
+		m.incoming.Release(1)
 	}
 }
 
