--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -18,8 +18,9 @@
 
 // behind holds what is known of versions higher than the own one.
 type behind struct {
+	// awaited is the version that the log has had to deliver since that time.
+	awaited  platform.Offset
 	since    time.Time
-	required platform.Offset
 	fetching bool
 }
 
@@ -28,20 +29,16 @@
 func (m *Mesh) noteVersion(s *session, version platform.Offset) {
 	own := m.config.Version()
 	if version <= own {
-		m.mu.Lock()
-		if m.behind.required <= own {
-			m.behind.since = time.Time{}
-		}
-		m.mu.Unlock()
 		return
 	}
 	m.config.RequireAtLeast(version)
 	m.mu.Lock()
 	now := time.Now()
-	if m.behind.since.IsZero() {
+	if m.behind.since.IsZero() || m.behind.awaited <= own {
+		// The log delivered what was awaited; this version is a later one.
+		m.behind.awaited = version
 		m.behind.since = now
 	}
-	m.behind.required = max(m.behind.required, version)
 	due := own <= noVersion || now.Sub(m.behind.since) >= m.timings.ConfigDelay
 	if !due || m.behind.fetching {
 		m.mu.Unlock()
