--- a/admin/changes.go
+++ b/admin/changes.go
@@ -9,12 +9,12 @@
 	"time"
 	"unicode"
 
+	"github.com/valyala/fasthttp"
+
 	"rhubarbrelay/config"
 	"rhubarbrelay/configlog"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/timeline"
-
-	"github.com/valyala/fasthttp"
 )
 
 // The longest id and author of a change, in bytes. Both are kept per scope by
--- a/admin/client.go
+++ b/admin/client.go
@@ -10,12 +10,12 @@
 	"net/url"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"rhubarbrelay/config"
 	"rhubarbrelay/configlog"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/timeline"
-
-	"github.com/valyala/fasthttp"
 )
 
 const (
--- a/admin/codec.go
+++ b/admin/codec.go
@@ -12,11 +12,11 @@
 	"strings"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"rhubarbrelay/config"
 	"rhubarbrelay/configlog"
 	"rhubarbrelay/timeline"
-
-	"github.com/valyala/fasthttp"
 )
 
 // errorKind ties the kind of an error to its HTTP status.
--- a/admin/group.go
+++ b/admin/group.go
@@ -8,12 +8,12 @@
 	"net/netip"
 	"slices"
 
+	"golang.org/x/sync/errgroup"
+
 	"rhubarbrelay/config"
 	"rhubarbrelay/configlog"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/timeline"
-
-	"golang.org/x/sync/errgroup"
 )
 
 // maxParallel bounds the instances that are asked at once.
--- a/admin/server.go
+++ b/admin/server.go
@@ -10,13 +10,13 @@
 	"strings"
 	"time"
 
-	"rhubarbrelay/config"
-	"rhubarbrelay/configlog"
-	"rhubarbrelay/timeline"
-
 	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
+
+	"rhubarbrelay/config"
+	"rhubarbrelay/configlog"
+	"rhubarbrelay/timeline"
 )
 
 // Bounds of the API.
--- a/cmd/rhubarbrelay/fake_test.go
+++ b/cmd/rhubarbrelay/fake_test.go
@@ -13,12 +13,12 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"rhubarbrelay/admin"
 	"rhubarbrelay/config"
 	"rhubarbrelay/configlog"
 	"rhubarbrelay/timeline"
-
-	"gotest.tools/v3/assert"
 )
 
 // fakeLog is the configuration that all fake instances of a test share. It
--- a/cmd/rhubarbrelay/main.go
+++ b/cmd/rhubarbrelay/main.go
@@ -10,12 +10,12 @@
 	"os"
 	"time"
 
+	"github.com/alexflint/go-arg"
+
 	"rhubarbrelay/admin"
 	"rhubarbrelay/commands"
 	"rhubarbrelay/queries"
 	"rhubarbrelay/timeline"
-
-	"github.com/alexflint/go-arg"
 )
 
 func main() {
--- a/cmd/rhubarbrelayd/logger.go
+++ b/cmd/rhubarbrelayd/logger.go
@@ -3,11 +3,11 @@
 import (
 	"io"
 
-	"rhubarbrelay/settings"
-
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 	"github.com/apex/log/handlers/logfmt"
+
+	"rhubarbrelay/settings"
 )
 
 // newLogger returns a logger whose lines carry time and instance. The text
--- a/cmd/rhubarbrelayd/main.go
+++ b/cmd/rhubarbrelayd/main.go
@@ -3,15 +3,16 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/alexflint/go-arg"
+
 	"rhubarbrelay/daemon"
 	"rhubarbrelay/settings"
-
-	"github.com/alexflint/go-arg"
 )
 
 // The exit codes of the daemon.
@@ -58,7 +59,9 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go watchSignals(signals, cancel)
-	return daemon.New(s, newLogger(s, os.Stderr)).Run(stop)
+	d := daemon.New(s, newLogger(s, os.Stderr))
+	expvar.Publish(daemon.MetricsName, expvar.Func(d.Metrics))
+	return d.Run(stop)
 }
 
 // watchSignals starts the graceful stop at the first signal and ends the
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -8,10 +8,10 @@
 	"os"
 	"time"
 
-	"rhubarbrelay/standin"
-
 	"github.com/alexflint/go-arg"
 	"github.com/valyala/fasthttp"
+
+	"rhubarbrelay/standin"
 )
 
 // controlTimeout bounds a control request to a stand-in.
--- a/commands/report.go
+++ b/commands/report.go
@@ -7,11 +7,11 @@
 	"fmt"
 	"io"
 
+	"github.com/rogpeppe/go-internal/diff"
+
 	"rhubarbrelay/admin"
 	"rhubarbrelay/config"
 	"rhubarbrelay/configlog"
-
-	"github.com/rogpeppe/go-internal/diff"
 )
 
 // Outcome says what became of one change.
--- a/configlog/change.go
+++ b/configlog/change.go
@@ -7,7 +7,6 @@
 	"unicode/utf8"
 
 	"rhubarbrelay/config"
-
 	pb "rhubarbrelay/configlog/configlogpb"
 )
 
--- a/configlog/fake_test.go
+++ b/configlog/fake_test.go
@@ -8,14 +8,13 @@
 	"sync"
 	"time"
 
-	"rhubarbrelay/config"
-	"rhubarbrelay/platform"
-
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
 	"google.golang.org/protobuf/proto"
 
+	"rhubarbrelay/config"
 	pb "rhubarbrelay/configlog/configlogpb"
+	"rhubarbrelay/platform"
 )
 
 // fakeLog is a log in memory whose failures the tests set.
--- a/configlog/fleet.go
+++ b/configlog/fleet.go
@@ -8,7 +8,6 @@
 	"strings"
 
 	"rhubarbrelay/config"
-
 	pb "rhubarbrelay/configlog/configlogpb"
 )
 
--- a/configlog/follower.go
+++ b/configlog/follower.go
@@ -9,11 +9,11 @@
 	"sync/atomic"
 	"time"
 
-	"rhubarbrelay/config"
-	"rhubarbrelay/platform"
-
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
+
+	"rhubarbrelay/config"
+	"rhubarbrelay/platform"
 )
 
 const (
--- a/configlog/follower_test.go
+++ b/configlog/follower_test.go
@@ -8,12 +8,11 @@
 	"testing/synctest"
 	"time"
 
-	"rhubarbrelay/config"
-	"rhubarbrelay/platform"
-
 	"gotest.tools/v3/assert"
 
+	"rhubarbrelay/config"
 	pb "rhubarbrelay/configlog/configlogpb"
+	"rhubarbrelay/platform"
 )
 
 // run starts the follower and stops it at the end of the test. It must be
--- a/configlog/platform_test.go
+++ b/configlog/platform_test.go
@@ -6,12 +6,12 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"rhubarbrelay/config"
 	"rhubarbrelay/configlog"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/standin"
-
-	"gotest.tools/v3/assert"
 )
 
 // Guards against a client and a publisher that do not agree on what an
--- a/configlog/property_test.go
+++ b/configlog/property_test.go
@@ -6,12 +6,12 @@
 	"fmt"
 	"testing"
 
-	"rhubarbrelay/config"
-	"rhubarbrelay/platform"
-
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"rhubarbrelay/config"
+	"rhubarbrelay/platform"
 )
 
 // TestMain fixes the seed of the property tests, so that CI gives the same
--- a/configlog/publisher.go
+++ b/configlog/publisher.go
@@ -6,12 +6,12 @@
 	"fmt"
 	"time"
 
-	"rhubarbrelay/config"
-	"rhubarbrelay/platform"
-
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"google.golang.org/protobuf/proto"
+
+	"rhubarbrelay/config"
+	"rhubarbrelay/platform"
 )
 
 const (
--- a/configlog/publisher_test.go
+++ b/configlog/publisher_test.go
@@ -9,10 +9,10 @@
 	"testing/synctest"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"rhubarbrelay/config"
 	"rhubarbrelay/platform"
-
-	"gotest.tools/v3/assert"
 )
 
 // Guards against two racing operators who both believe that their change holds.
--- a/configlog/state.go
+++ b/configlog/state.go
@@ -10,12 +10,11 @@
 	"maps"
 	"slices"
 
-	"rhubarbrelay/config"
-	"rhubarbrelay/platform"
-
 	"google.golang.org/protobuf/proto"
 
+	"rhubarbrelay/config"
 	pb "rhubarbrelay/configlog/configlogpb"
+	"rhubarbrelay/platform"
 )
 
 // The streams of the platform's log that carry the configuration.
--- a/configlog/state_test.go
+++ b/configlog/state_test.go
@@ -6,14 +6,13 @@
 	"strings"
 	"testing"
 
-	"rhubarbrelay/config"
-	"rhubarbrelay/platform"
-
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"rhubarbrelay/config"
 	pb "rhubarbrelay/configlog/configlogpb"
+	"rhubarbrelay/platform"
 )
 
 // Guards against readers that disagree on which of two racing records holds,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -73,6 +73,7 @@
 	d.buildServers(started)
 	d.follower.Subscribe(d.applyFleet)
 	d.directory.Subscribe(d.applyLeaving)
+	d.directory.Subscribe(newMemberWatch(d.directory, d.recorder, logger, s.Peers.MaxInstances).update)
 	return d
 }
 
@@ -104,7 +105,7 @@
 	d.pools = upstream.NewPools(d.settings.Peers.MaxInstances)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	budget := limits.NewProbeBudget(d.settings.Peers.MaxInstances, random)
-	d.prober = health.NewProber(d.follower, d.table, d.pools, d, budget)
+	d.prober = health.NewProber(d.follower, d.table, d.pools, d, budget, health.WithFreshness(d.guard))
 }
 
 func (d *Daemon) buildServers(started time.Time) {
--- /dev/null
+++ b/daemon/metrics.go
@@ -0,0 +1,157 @@
+package daemon
+
+import (
+	"rhubarbrelay/health"
+	"rhubarbrelay/idempotency"
+	"rhubarbrelay/peer"
+	"rhubarbrelay/routing"
+	"rhubarbrelay/upstream"
+)
+
+// MetricsName is the name under which expvar shows the metrics.
+const MetricsName = "rhubarbrelay"
+
+// metricsMessage is what expvar shows of an instance.
+type metricsMessage struct {
+	ConfigVersion  int64                     `json:"config_version"`
+	Ready          bool                      `json:"ready"`
+	Fresh          bool                      `json:"fresh"`
+	ConfigProblems int                       `json:"config_problems"`
+	LiveInstances  int                       `json:"live_instances"`
+	MaxInstances   int                       `json:"max_instances"`
+	Requests       int                       `json:"requests"`
+	Services       map[string]serviceMetrics `json:"services"`
+	Upstream       upstreamMetrics           `json:"upstream"`
+	Probes         probeMetrics              `json:"probes"`
+	Peers          peerMetrics               `json:"peers"`
+	Keys           keyMetrics                `json:"keys"`
+}
+
+// serviceMetrics counts the decisions on one service.
+type serviceMetrics struct {
+	Acquired       uint64 `json:"acquired"`
+	Queued         uint64 `json:"queued"`
+	RefusedFull    uint64 `json:"refused_full"`
+	RefusedUnfair  uint64 `json:"refused_unfair"`
+	RefusedEarly   uint64 `json:"refused_early"`
+	RefusedWaited  uint64 `json:"refused_waited"`
+	RefusedNone    uint64 `json:"refused_no_target"`
+	Canceled       uint64 `json:"canceled"`
+	RetriesAllowed uint64 `json:"retries_allowed"`
+	RetriesDenied  uint64 `json:"retries_denied"`
+	Ejections      uint64 `json:"ejections"`
+	Returns        uint64 `json:"returns"`
+	Failures       uint64 `json:"failures"`
+	Sheds          uint64 `json:"sheds"`
+	Waiting        int    `json:"waiting"`
+	InFlight       int    `json:"in_flight"`
+	LongHeld       int    `json:"long_held"`
+}
+
+// upstreamMetrics sums the connections to all targets.
+type upstreamMetrics struct {
+	Open         int    `json:"open"`
+	Idle         int    `json:"idle"`
+	Waiting      int    `json:"waiting"`
+	Exchanges    uint64 `json:"exchanges"`
+	Dials        uint64 `json:"dials"`
+	DialFailures uint64 `json:"dial_failures"`
+	Stale        uint64 `json:"stale"`
+	Refused      uint64 `json:"refused"`
+	NotSent      uint64 `json:"not_sent"`
+	NotRun       uint64 `json:"not_run"`
+	Unknown      uint64 `json:"unknown"`
+	Foreign      uint64 `json:"foreign"`
+	Oversized    uint64 `json:"oversized"`
+}
+
+// probeMetrics counts the probes by what they found.
+type probeMetrics struct {
+	Ready    uint64 `json:"ready"`
+	Draining uint64 `json:"draining"`
+	Dead     uint64 `json:"dead"`
+}
+
+// peerMetrics counts the traffic with other instances, in bytes and frames.
+type peerMetrics struct {
+	Sessions     int    `json:"sessions"`
+	BytesIn      uint64 `json:"bytes_in"`
+	BytesOut     uint64 `json:"bytes_out"`
+	ControlBytes uint64 `json:"control_bytes"`
+	FramesIn     uint64 `json:"frames_in"`
+	FramesOut    uint64 `json:"frames_out"`
+	Drops        uint64 `json:"drops"`
+	Snapshots    uint64 `json:"snapshots"`
+}
+
+// keyMetrics shows what the deduplication table holds.
+type keyMetrics struct {
+	Keys        int   `json:"keys"`
+	Answers     int   `json:"answers"`
+	AnswerBytes int   `json:"answer_bytes"`
+	LowWaterMS  int64 `json:"low_water_ms"`
+}
+
+// Metrics returns the metrics of the instance for expvar.
+func (d *Daemon) Metrics() any {
+	fleet := d.follower.Fleet()
+	m := metricsMessage{
+		ConfigVersion:  int64(fleet.Version),
+		Ready:          d.follower.Ready(),
+		Fresh:          d.guard.Fresh(),
+		ConfigProblems: len(d.follower.Problems()),
+		LiveInstances:  d.directory.LiveCount(),
+		MaxInstances:   d.settings.Peers.MaxInstances,
+		Requests:       d.fairness.Total(),
+		Services:       map[string]serviceMetrics{},
+		Upstream:       sumUpstream(d.pools),
+		Probes:         probesFrom(d.prober.Counts()),
+		Peers:          peersFrom(d.mesh.Stats()),
+		Keys:           keysFrom(d.memory.Stats()),
+	}
+	for name := range fleet.Services {
+		if dispatcher := d.table.Dispatcher(name); dispatcher != nil {
+			m.Services[name] = serviceFrom(dispatcher.Stats())
+		}
+	}
+	return m
+}
+
+func serviceFrom(s routing.Stats) serviceMetrics { return serviceMetrics(s) }
+
+func probesFrom(c health.Counts) probeMetrics { return probeMetrics(c) }
+
+func sumUpstream(pools *upstream.Pools) upstreamMetrics {
+	var m upstreamMetrics
+	for _, s := range pools.Stats() {
+		m.Open += s.Open
+		m.Idle += s.Idle
+		m.Waiting += s.Waiting
+		m.Exchanges += s.Exchanges
+		m.Dials += s.Dials
+		m.DialFailures += s.DialFailures
+		m.Stale += s.Stale
+		m.Refused += s.Refused
+		m.NotSent += s.NotSent
+		m.NotRun += s.NotRun
+		m.Unknown += s.Unknown
+		m.Foreign += s.Foreign
+		m.Oversized += s.Oversized
+	}
+	return m
+}
+
+func peersFrom(s peer.Stats) peerMetrics {
+	return peerMetrics{
+		Sessions: s.Sessions, BytesIn: s.BytesIn, BytesOut: s.BytesOut, ControlBytes: s.ControlBytes(),
+		FramesIn: s.FramesIn, FramesOut: s.FramesOut, Drops: s.Drops, Snapshots: s.Snapshots,
+	}
+}
+
+func keysFrom(s idempotency.Stats) keyMetrics {
+	m := keyMetrics{Keys: s.Keys, Answers: s.Answers, AnswerBytes: s.AnswerBytes}
+	if !s.LowWater.IsZero() {
+		m.LowWaterMS = s.LowWater.UnixMilli()
+	}
+	return m
+}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -56,20 +56,6 @@
 	d.logger.WithError(err).Warn("instance list not readable")
 }
 
-// expireMembers looks for suspects that did not refute the suspicion in time.
-func (d *Daemon) expireMembers(ctx context.Context) error {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			d.directory.Expire()
-		}
-	}
-}
-
 // revalidate reads log and list each time the process was paused. A heartbeat
 // from a peer may validate the view sooner.
 func (d *Daemon) revalidate(ctx context.Context) error {
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -19,8 +19,6 @@
 	// readyPoll is the time between two looks at whether the configuration is
 	// complete.
 	readyPoll = 20 * time.Millisecond
-	// expireInterval is the time between two looks for peers that are dead.
-	expireInterval = 500 * time.Millisecond
 	// finishTimeout bounds the wait for requests in progress at a stop. It is
 	// longer than any deadline of a request.
 	finishTimeout = time.Minute
@@ -43,7 +41,6 @@
 	d.recorder.Record(timeline.Event{Kind: timeline.InstanceStarted})
 	group.Go(func() error { return d.follower.Run(running) })
 	group.Go(func() error { return d.watchList(running) })
-	group.Go(func() error { return d.expireMembers(running) })
 	group.Go(func() error { return d.revalidate(running) })
 	group.Go(func() error { return d.guard.Run(running) })
 	group.Go(func() error { return d.mesh.Run(running, peerListener) })
--- a/entry/planner.go
+++ b/entry/planner.go
@@ -10,10 +10,10 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rhubarbrelay/config"
 	"rhubarbrelay/membership"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // DefaultTTL is how long a caller may keep an entry answer.
--- a/entry/planner_test.go
+++ b/entry/planner_test.go
@@ -6,11 +6,11 @@
 	"slices"
 	"testing"
 
-	"rhubarbrelay/config"
-	"rhubarbrelay/membership"
-
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/config"
+	"rhubarbrelay/membership"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/entry/view.go
+++ b/entry/view.go
@@ -51,21 +51,27 @@
 // usable returns the best group of instances that is not empty. An instance
 // that is drained, suspect or leaving still serves requests as a rule, and an
 // empty answer would leave the caller without any address.
+//
+// An instance that only the platform's list names has no known incarnation. It
+// comes after those that were heard: the list lags, and keys with its prefix
+// would have no owner.
 func usable(instances []membership.Instance, drained map[string]bool) []membership.Instance {
-	var groups [4][]membership.Instance
+	var groups [5][]membership.Instance
 	for _, in := range instances {
 		if !in.CallerAddress.IsValid() {
 			continue
 		}
 		switch {
-		case in.State == membership.Live && !drained[in.ID]:
+		case in.State == membership.Live && !drained[in.ID] && in.Incarnation != 0:
 			groups[0] = append(groups[0], in)
-		case in.State == membership.Live:
+		case in.State == membership.Live && !drained[in.ID]:
 			groups[1] = append(groups[1], in)
-		case in.State == membership.Suspect:
+		case in.State == membership.Live:
 			groups[2] = append(groups[2], in)
-		case in.State == membership.Leaving || in.State == membership.Starting:
+		case in.State == membership.Suspect:
 			groups[3] = append(groups[3], in)
+		case in.State == membership.Leaving || in.State == membership.Starting:
+			groups[4] = append(groups[4], in)
 		}
 	}
 	for _, group := range groups {
--- a/health/prober.go
+++ b/health/prober.go
@@ -11,13 +11,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"rhubarbrelay/config"
 	"rhubarbrelay/header"
 	"rhubarbrelay/limits"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/upstream"
-
-	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -50,6 +50,12 @@
 	AnnounceTarget(target config.Target, draining bool)
 }
 
+// Freshness tells whether the instance's view is fresh. A process that was
+// paused must not send to targets before its view is validated.
+type Freshness interface {
+	Fresh() bool
+}
+
 // Prober probes targets without recent traffic, ejected ones and leaving ones.
 type Prober struct {
 	fleet       Fleet
@@ -61,6 +67,7 @@
 	tick        time.Duration
 	timeout     time.Duration
 	parallel    chan struct{}
+	freshness   Freshness
 	counts      [3]atomic.Uint64 // by State
 
 	mu      sync.Mutex
@@ -97,6 +104,11 @@
 	return func(p *Prober) { p.tick = tick }
 }
 
+// WithFreshness holds probes back while the view of the instance is not fresh.
+func WithFreshness(freshness Freshness) Option {
+	return func(p *Prober) { p.freshness = freshness }
+}
+
 // WithTimeout bounds a probe.
 func WithTimeout(timeout time.Duration) Option {
 	return func(p *Prober) { p.timeout = timeout }
@@ -151,6 +163,9 @@
 
 // probeDue starts the probes that are needed and within the budget.
 func (p *Prober) probeDue(group *sync.WaitGroup) {
+	if p.freshness != nil && !p.freshness.Fresh() {
+		return
+	}
 	now := p.clock()
 	services := p.fleet.Fleet().Services
 	intervals := longestIntervals(services)
--- a/health/prober_test.go
+++ b/health/prober_test.go
@@ -11,15 +11,15 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
 	"rhubarbrelay/config"
 	"rhubarbrelay/header"
 	"rhubarbrelay/limits"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/upstream"
-
-	"go.uber.org/goleak"
-	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 )
 
 const testInterval = 10 * time.Millisecond
--- a/membership/directory_test.go
+++ b/membership/directory_test.go
@@ -8,13 +8,13 @@
 	"testing"
 	"time"
 
-	"rhubarbrelay/config"
-	"rhubarbrelay/platform"
-	"rhubarbrelay/timeline"
-
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"rhubarbrelay/config"
+	"rhubarbrelay/platform"
+	"rhubarbrelay/timeline"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/membership/guard_test.go
+++ b/membership/guard_test.go
@@ -7,9 +7,9 @@
 	"testing/synctest"
 	"time"
 
-	"rhubarbrelay/platform"
-
 	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/platform"
 )
 
 // pausable is a time that jumps, as it does for a process that was paused.
--- a/membership/targets.go
+++ b/membership/targets.go
@@ -6,9 +6,9 @@
 	"net/netip"
 	"slices"
 
-	"rhubarbrelay/config"
-
 	"github.com/cespare/xxhash/v2"
+
+	"rhubarbrelay/config"
 )
 
 // targetStates holds the leaving signals of targets per source. A target
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"time"
 
+	"github.com/hashicorp/yamux"
+
 	"rhubarbrelay/membership"
 	"rhubarbrelay/peer/peerpb"
-
-	"github.com/hashicorp/yamux"
 )
 
 // The errors of Forward. All but ErrDeliveryUnknown and the errors that wrap
--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"rhubarbrelay/membership"
-
 	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/membership"
 )
 
 // Guards against a result that claims "not delivered" for a request that ran,
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -7,9 +7,9 @@
 	"fmt"
 	"io"
 
-	"rhubarbrelay/peer/peerpb"
-
 	"google.golang.org/protobuf/proto"
+
+	"rhubarbrelay/peer/peerpb"
 )
 
 const (
--- a/peer/frame_test.go
+++ b/peer/frame_test.go
@@ -5,11 +5,11 @@
 	"testing"
 	"time"
 
-	"rhubarbrelay/membership"
-	"rhubarbrelay/peer/peerpb"
-
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/membership"
+	"rhubarbrelay/peer/peerpb"
 )
 
 // Guards against bytes from outside that make the codec fail, take a frame
--- a/peer/keeper.go
+++ b/peer/keeper.go
@@ -10,9 +10,9 @@
 	"net/netip"
 	"time"
 
-	"rhubarbrelay/membership"
-
 	"github.com/hashicorp/yamux"
+
+	"rhubarbrelay/membership"
 )
 
 // contact holds the attempts to reach an instance without a session.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -11,13 +11,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+	"golang.org/x/sync/semaphore"
+
 	"rhubarbrelay/membership"
 	"rhubarbrelay/peer/peerpb"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/timeline"
-
-	"github.com/apex/log"
-	"golang.org/x/sync/semaphore"
 )
 
 // Timings holds the periods and time limits of a Mesh.
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -14,14 +14,14 @@
 	"testing"
 	"time"
 
-	"rhubarbrelay/membership"
-	"rhubarbrelay/platform"
-
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"rhubarbrelay/membership"
+	"rhubarbrelay/platform"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/peer/neighbours.go
+++ b/peer/neighbours.go
@@ -4,9 +4,9 @@
 	"cmp"
 	"slices"
 
-	"rhubarbrelay/membership"
-
 	"github.com/cespare/xxhash/v2"
+
+	"rhubarbrelay/membership"
 )
 
 // maxChosen is the number of peers that an instance keeps sessions to, so that
--- a/peer/session.go
+++ b/peer/session.go
@@ -10,12 +10,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/yamux"
+	"golang.org/x/sync/semaphore"
+
 	"rhubarbrelay/membership"
 	"rhubarbrelay/peer/peerpb"
 	"rhubarbrelay/platform"
-
-	"github.com/hashicorp/yamux"
-	"golang.org/x/sync/semaphore"
 )
 
 const (
--- a/queries/diff.go
+++ b/queries/diff.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"io"
 
+	"github.com/rogpeppe/go-internal/diff"
+
 	"rhubarbrelay/admin"
 	"rhubarbrelay/config"
-
-	"github.com/rogpeppe/go-internal/diff"
 )
 
 // Difference is how a service of a document differs from what is published.
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -5,12 +5,12 @@
 	"net"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"rhubarbrelay/header"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/timeline"
 	"rhubarbrelay/upstream"
-
-	"github.com/valyala/fasthttp"
 )
 
 // retryAfter is the Retry-After of overload refusals, in seconds. It is the
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -8,13 +8,13 @@
 	"strconv"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"rhubarbrelay/config"
 	"rhubarbrelay/header"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/timeline"
 	"rhubarbrelay/upstream"
-
-	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -80,7 +80,7 @@
 			return nil, errNotFresh
 		}
 		slot, err := c.dispatcher.Acquire(context.Background(), routing.Call{
-			Arrival: c.arrival, Deadline: c.deadline, Long: c.long, Exclude: c.tried,
+			Arrival: c.arrival, Deadline: c.deadline, Long: c.long, Class: c.class, Exclude: c.tried,
 		})
 		if err != nil {
 			return nil, err
--- a/relay/attempt_test.go
+++ b/relay/attempt_test.go
@@ -12,13 +12,13 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
 	"rhubarbrelay/config"
 	"rhubarbrelay/header"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/timeline"
-
-	"github.com/valyala/fasthttp"
-	"gotest.tools/v3/assert"
 )
 
 const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -156,6 +156,7 @@
 				targets = append(targets, newRawTarget(t, name, scripted(answer, &counts[i])))
 			}
 			h := newHarness(t, targets)
+			h.inOrder()
 			if c.denied {
 				h.relay.allowRetry = func(*routing.Dispatcher) bool { return false }
 			}
--- a/relay/badinput_test.go
+++ b/relay/badinput_test.go
@@ -11,11 +11,11 @@
 	"testing"
 	"time"
 
-	"rhubarbrelay/config"
-	"rhubarbrelay/header"
-
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/config"
+	"rhubarbrelay/header"
 )
 
 const host = "Host: spoolkeep\r\n"
--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -8,13 +8,13 @@
 	"testing"
 	"time"
 
-	"rhubarbrelay/config"
-	"rhubarbrelay/header"
-	"rhubarbrelay/upstream"
-
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/config"
+	"rhubarbrelay/header"
+	"rhubarbrelay/upstream"
 )
 
 const benchBody = 512 // bytes, about the size of an order
--- a/relay/body.go
+++ b/relay/body.go
@@ -5,9 +5,9 @@
 	"io"
 	"slices"
 
-	"rhubarbrelay/header"
-
 	"github.com/valyala/fasthttp"
+
+	"rhubarbrelay/header"
 )
 
 // firstBody is the space, in bytes, for a body of which nothing has arrived.
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -3,10 +3,10 @@
 import (
 	"encoding/json"
 
+	"github.com/valyala/fasthttp"
+
 	"rhubarbrelay/entry"
 	"rhubarbrelay/header"
-
-	"github.com/valyala/fasthttp"
 )
 
 // entryMessage is the entry answer on the wire.
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -11,16 +11,16 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
 	"rhubarbrelay/config"
 	"rhubarbrelay/entry"
 	"rhubarbrelay/header"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/timeline"
 	"rhubarbrelay/upstream"
-
-	"github.com/valyala/fasthttp"
-	"go.uber.org/goleak"
-	"gotest.tools/v3/assert"
 )
 
 // The two ignored goroutines belong to fasthttp's server: the clock of the Date
@@ -122,6 +122,15 @@
 	return h
 }
 
+// inOrder makes the dispatcher try the targets in the order of the service.
+func (h *harness) inOrder() {
+	service := *h.service
+	service.Policy = config.PolicyRoundRobin
+	h.service = &service
+	h.fleet.Services[service.Name] = h.service
+	h.table.Update(h.fleet)
+}
+
 // newTarget runs a target with the handler.
 func newTarget(t testing.TB, name string, handler fasthttp.RequestHandler) config.Target {
 	t.Helper()
--- a/relay/header.go
+++ b/relay/header.go
@@ -5,9 +5,9 @@
 	"errors"
 	"slices"
 
-	"rhubarbrelay/header"
-
 	"github.com/valyala/fasthttp"
+
+	"rhubarbrelay/header"
 )
 
 // The refusals of malformed headers. fasthttp accepts each of these requests;
--- a/relay/keyed.go
+++ b/relay/keyed.go
@@ -8,11 +8,11 @@
 	"fmt"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"rhubarbrelay/header"
 	"rhubarbrelay/idempotency"
 	"rhubarbrelay/timeline"
-
-	"github.com/valyala/fasthttp"
 )
 
 // The errors that a Forwarder may return. Each leads to the outcome unknown,
--- a/relay/keyed_test.go
+++ b/relay/keyed_test.go
@@ -10,13 +10,13 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
 	"rhubarbrelay/config"
 	"rhubarbrelay/header"
 	"rhubarbrelay/idempotency"
 	"rhubarbrelay/timeline"
-
-	"github.com/valyala/fasthttp"
-	"gotest.tools/v3/assert"
 )
 
 const incarnation = 7
@@ -77,6 +77,8 @@
 		time.Sleep(5 * time.Millisecond) // the repeats arrive meanwhile
 		echo(ctx)
 	})
+	// A busy machine must not turn a wait for a slot into a refusal.
+	h.service.MaxWait = testTimeout
 	const keys, repeats = 10, 8
 	issued := time.Now()
 	var group sync.WaitGroup
--- a/relay/request.go
+++ b/relay/request.go
@@ -9,12 +9,12 @@
 	"strings"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"rhubarbrelay/config"
 	"rhubarbrelay/header"
 	"rhubarbrelay/idempotency"
 	"rhubarbrelay/routing"
-
-	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -35,6 +35,8 @@
 	deadline   time.Time
 	idempotent bool
 	long       bool
+	// class groups requests whose durations are alike.
+	class string
 	// key is set for non-idempotent requests that carry one.
 	key   idempotency.Key
 	keyed bool
@@ -203,6 +205,7 @@
 		route = c.service.Match(string(req.Header.Method()), string(req.URI().Path()))
 	}
 	c.long = route.Long
+	c.class = classOf(req, route)
 	c.idempotent = !c.forwarded && isIdempotent(req, route)
 	if f := c.checkKey(req); f != nil {
 		return f
@@ -225,6 +228,20 @@
 	return nil
 }
 
+// classOf returns the method with the prefix of the route, or with the first
+// part of the path where no route matches.
+func classOf(req *fasthttp.Request, route config.Route) string {
+	prefix := route.PathPrefix
+	if prefix == "" {
+		path := req.URI().Path()
+		if end := bytes.IndexByte(path[min(1, len(path)):], '/'); end >= 0 {
+			path = path[:end+1]
+		}
+		prefix = string(path)
+	}
+	return string(req.Header.Method()) + " " + prefix
+}
+
 // checkKey drops the key of an idempotent request, which needs none, and
 // refuses a malformed key on any other.
 func (c *call) checkKey(req *fasthttp.Request) *failure {
--- a/relay/server.go
+++ b/relay/server.go
@@ -9,15 +9,15 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+
 	"rhubarbrelay/config"
 	"rhubarbrelay/entry"
 	"rhubarbrelay/idempotency"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/timeline"
 	"rhubarbrelay/upstream"
-
-	"github.com/valyala/fasthttp"
-	"golang.org/x/time/rate"
 )
 
 // Limits of the callers' listener.
--- a/routing/baseline.go
+++ b/routing/baseline.go
@@ -39,8 +39,9 @@
 type roundRobin struct{ next int }
 
 func (r *roundRobin) choose(targets []*target, _ *rand.Rand, exclude []netip.AddrPort) *target {
+	t := from(targets, r.next%len(targets), exclude)
 	r.next = (r.next + 1) % len(targets)
-	return from(targets, r.next, exclude)
+	return t
 }
 
 type leastInFlight struct{}
--- a/routing/dispatcher_test.go
+++ b/routing/dispatcher_test.go
@@ -11,11 +11,11 @@
 	"testing/synctest"
 	"time"
 
-	"rhubarbrelay/config"
-	"rhubarbrelay/limits"
-
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/config"
+	"rhubarbrelay/limits"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/routing/overload_test.go
+++ b/routing/overload_test.go
@@ -5,9 +5,9 @@
 	"testing/synctest"
 	"time"
 
-	"rhubarbrelay/config"
-
 	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/config"
 )
 
 // demandPeak is a time of three times the capacity. It is followed by one
--- a/routing/policy_test.go
+++ b/routing/policy_test.go
@@ -14,10 +14,10 @@
 	"testing/synctest"
 	"time"
 
-	"rhubarbrelay/config"
-
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/config"
 )
 
 var policyTable = flag.Bool("policytable", false, "print the table of policies over a long trace")
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
-	"rhubarbrelay/platform"
-
 	"github.com/valyala/fasthttp"
+
+	"rhubarbrelay/platform"
 )
 
 // defaultRetention is how long the log keeps a record.
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -6,10 +6,10 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"rhubarbrelay/platform"
 	"rhubarbrelay/standin"
-
-	"gotest.tools/v3/assert"
 )
 
 func startPlatform(t *testing.T) (*standin.Platform, *platform.Client) {
--- a/standin/target.go
+++ b/standin/target.go
@@ -9,9 +9,9 @@
 	"sync/atomic"
 	"time"
 
-	"rhubarbrelay/header"
-
 	"github.com/valyala/fasthttp"
+
+	"rhubarbrelay/header"
 )
 
 // WorkHeader sets the time that a target works on the request. The load
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -9,10 +9,10 @@
 	"syscall"
 	"time"
 
-	"rhubarbrelay/header"
-
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
+
+	"rhubarbrelay/header"
 )
 
 const (
--- a/upstream/fake_test.go
+++ b/upstream/fake_test.go
@@ -12,12 +12,12 @@
 	"testing"
 	"time"
 
-	"rhubarbrelay/config"
-	"rhubarbrelay/header"
-
 	"github.com/valyala/fasthttp"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/config"
+	"rhubarbrelay/header"
 )
 
 // The two ignored goroutines belong to fasthttp's server: the clock of the Date
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -10,10 +10,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"rhubarbrelay/config"
 	"rhubarbrelay/header"
-
-	"github.com/valyala/fasthttp"
 )
 
 // Defaults of a pool.
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -12,12 +12,12 @@
 	"testing"
 	"time"
 
-	"rhubarbrelay/config"
-	"rhubarbrelay/header"
-
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/config"
+	"rhubarbrelay/header"
 )
 
 const requestLength = 120 // bytes, at least the length of the test request
