--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -54,6 +54,12 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"call":     call,
 			"eventual": eventual,
+			"platform": startPlatform,
+			"target":   startTarget,
+			"instance": startInstance,
+			"listed":   setListed,
+			"signal":   signal,
+			"finished": finished,
 		},
 	})
 }
@@ -69,6 +75,9 @@
 		}
 		env.Defer(func() { _ = l.Close() })
 		env.Setenv("NET", network)
+		running := &processes{network: network, dir: env.WorkDir, running: map[string]*process{}}
+		env.Values[processesKey{}] = running
+		env.Defer(running.killAll)
 		return expandFiles(env.WorkDir, network)
 	}
 	return fmt.Errorf("no free loopback network")
