config: let a service have one primary instance for the callers of all zones

Cause: with one entry per zone, three instances share the targets of a service and each knows the others' load only from reports. Change: key single_primary, in place of an option of the planner that nothing set. The demo fails if a caller did not learn whether its request ran.

--- a/cmd/rhubarbrelay/load.go
+++ b/cmd/rhubarbrelay/load.go
@@ -26,6 +26,7 @@
 	Targets string `arg:"--targets" help:"stand-in targets to check against, comma separated"`
 	Seed    uint64 `arg:"--seed" help:"replaces the seed of the profile"`
 	SaveTo  string `arg:"--save" help:"file that keeps the report"`
+	Known   bool   `arg:"--forbid-unknown" help:"fail if a caller did not learn whether its request ran"`
 }
 
 type loadIdealArgs struct {
@@ -70,7 +71,7 @@
 	}
 	load := &commands.Load{
 		Profile: profile, Label: a.Label, Entries: entries, Zones: strings.Split(a.Zones, ","),
-		Targets: targets, SaveTo: a.SaveTo, Out: os.Stdout,
+		Targets: targets, ForbidUnknown: a.Known, SaveTo: a.SaveTo, Out: os.Stdout,
 	}
 	return load.Run(ctx)
 }
--- a/commands/load.go
+++ b/commands/load.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/netip"
 
+	"rhubarbrelay/header"
 	"rhubarbrelay/loadtest"
 )
 
@@ -25,6 +26,9 @@
 	Zones []string
 	// Targets are the stand-in targets to check against, none for no check.
 	Targets []netip.AddrPort
+	// ForbidUnknown makes a run fail in which a caller did not learn whether
+	// its request ran.
+	ForbidUnknown bool
 	// SaveTo is the file that keeps the report, empty for none.
 	SaveTo string
 	Out    io.Writer
@@ -47,7 +51,7 @@
 			return err
 		}
 	}
-	if report.Wrong > 0 {
+	if report.Wrong > 0 || l.ForbidUnknown && report.Outcomes[header.OutcomeUnknown] > 0 {
 		return ErrLoadFailed
 	}
 	return l.check(report)
--- a/config/document.go
+++ b/config/document.go
@@ -150,6 +150,8 @@
 			d.integer(section, key, &s.MaxQueue)
 		case keyEntryPerZone:
 			d.integer(section, key, &s.EntryPerZone)
+		case keySinglePrimary:
+			d.boolean(section, key, &s.SinglePrimary)
 		case keyRetryPercent:
 			d.integer(section, key, &s.RetryPercent)
 		case keyProbeInterval:
--- a/config/format.go
+++ b/config/format.go
@@ -12,6 +12,7 @@
 	keyMaxWait        = "max_wait"
 	keyMaxQueue       = "max_queue"
 	keyEntryPerZone   = "entry_per_zone"
+	keySinglePrimary  = "single_primary"
 	keyRetryPercent   = "retry_percent"
 	keyProbeInterval  = "probe_interval"
 	keyLongPercent    = "long_percent"
@@ -82,6 +83,7 @@
 		{keyMaxWait, s.MaxWait.String()},
 		{keyMaxQueue, strconv.Itoa(s.MaxQueue)},
 		{keyEntryPerZone, strconv.Itoa(s.EntryPerZone)},
+		{keySinglePrimary, strconv.FormatBool(s.SinglePrimary)},
 		{keyRetryPercent, strconv.Itoa(s.RetryPercent)},
 		{keyProbeInterval, s.ProbeInterval.String()},
 		{keyLongPercent, strconv.Itoa(s.LongPercent)},
--- a/config/service.go
+++ b/config/service.go
@@ -52,6 +52,10 @@
 	// EntryPerZone is the number of instances in each zone that the entry
 	// answer names for this service.
 	EntryPerZone int
+	// SinglePrimary puts one instance first for the callers of all zones. It
+	// alone then sees the load on the service's targets, at the price of a hop
+	// between zones for most callers.
+	SinglePrimary bool
 	// RetryPercent is the number of additional attempts allowed per hundred
 	// requests.
 	RetryPercent int
--- a/entry/planner.go
+++ b/entry/planner.go
@@ -54,10 +54,9 @@
 
 // Planner makes entry answers. It is safe for concurrent use.
 type Planner struct {
-	directory     Directory
-	fleet         Fleet
-	ttl           time.Duration
-	singlePrimary bool
+	directory Directory
+	fleet     Fleet
+	ttl       time.Duration
 
 	mu   sync.RWMutex
 	view *view
@@ -71,15 +70,6 @@
 	return func(p *Planner) { p.ttl = ttl }
 }
 
-// WithSinglePrimary puts the same instance first for callers of all zones, and
-// the instances by zone after it. With an entry per zone, a service is served
-// by as many instances as there are zones, each of which learns of the others'
-// load from the targets' reports only. One primary sees all of it, at the
-// price of a hop between zones and of one instance that carries the service.
-func WithSinglePrimary() Option {
-	return func(p *Planner) { p.singlePrimary = true }
-}
-
 // NewPlanner returns a planner over the directory and the configuration.
 func NewPlanner(directory Directory, fleet Fleet, opts ...Option) *Planner {
 	p := &Planner{directory: directory, fleet: fleet, ttl: DefaultTTL}
@@ -150,7 +140,7 @@
 		ranked := rank(v.byZone[zone], service.Name)
 		chosen = append(chosen, ranked[:min(len(ranked), count)]...)
 	}
-	if p.singlePrimary {
+	if service.SinglePrimary {
 		chosen = withPrimary(chosen, v.usable, service.Name)
 	}
 	addresses := make([]Address, 0, len(chosen))
@@ -160,7 +150,10 @@
 	return addresses
 }
 
-// withPrimary puts the instance that ranks first over all zones in front.
+// withPrimary puts the instance that ranks first over all zones in front. With
+// an entry per zone, a service is served by as many instances as there are
+// zones, each of which learns of the others' load from the targets' reports
+// only. One primary sees all of it.
 func withPrimary(chosen, usable []membership.Instance, service string) []membership.Instance {
 	if len(usable) == 0 {
 		return chosen
--- a/entry/planner_test.go
+++ b/entry/planner_test.go
@@ -43,10 +43,10 @@
 	return all
 }
 
-func planner(all []membership.Instance, opts ...Option) (*Planner, *fakeDirectory, *fakeFleet) {
+func planner(all []membership.Instance) (*Planner, *fakeDirectory, *fakeFleet) {
 	d := &fakeDirectory{instances: all}
 	f := &fakeFleet{fleet: config.NewFleet()}
-	return NewPlanner(d, f, opts...), d, f
+	return NewPlanner(d, f), d, f
 }
 
 func ids(a Answer) []string {
@@ -102,8 +102,9 @@
 // Guards against callers of different zones that see different primaries when
 // one primary is asked for.
 func TestSinglePrimary(t *testing.T) {
-	p, _, _ := planner(instances(15), WithSinglePrimary())
+	p, _, _ := planner(instances(15))
 	service := config.NewService("s")
+	service.SinglePrimary = true
 	first := ids(p.Plan(service, "a"))
 	for _, zone := range []string{"b", "c", "gone"} {
 		other := ids(p.Plan(service, zone))
@@ -117,15 +118,16 @@
 // others, which would lose what these know of the targets' load.
 func TestStableUnderMembershipChange(t *testing.T) {
 	const services = 1000
-	for _, opts := range [][]Option{nil, {WithSinglePrimary()}} {
+	for _, single := range []bool{false, true} {
 		moved, total := 0, 0
 		for gone := range 15 {
 			all := instances(15)
-			before, _, _ := planner(all, opts...)
+			before, _, _ := planner(all)
 			lost := all[gone]
-			after, _, _ := planner(slices.Delete(slices.Clone(all), gone, gone+1), opts...)
+			after, _, _ := planner(slices.Delete(slices.Clone(all), gone, gone+1))
 			for i := range services {
 				service := config.NewService(fmt.Sprint("service-", i))
+				service.SinglePrimary = single
 				was, is := ids(before.Plan(service, lost.Zone))[0], ids(after.Plan(service, lost.Zone))[0]
 				total++
 				if was != is {
@@ -135,7 +137,7 @@
 			}
 		}
 		t.Logf("single primary %t: primary of callers in the affected zone changed for %.1f %% of services",
-			len(opts) > 0, 100*float64(moved)/float64(total))
+			single, 100*float64(moved)/float64(total))
 	}
 }
 
--- a/java/src/org/rhubarbrelay/config/Service.java
+++ b/java/src/org/rhubarbrelay/config/Service.java
@@ -58,6 +58,7 @@
         private Duration maxWait = Duration.ofMillis(40);
         private int maxQueue = 512;
         private int entryPerZone = 1;
+        private boolean singlePrimary;
         private int retryPercent = 10;
         private Duration probeInterval = Duration.ofSeconds(1);
         private int longPercent = 50;
@@ -100,6 +101,12 @@
             return this;
         }
 
+        /** Puts one instance first for the callers of all zones. */
+        public Builder singlePrimary() {
+            singlePrimary = true;
+            return this;
+        }
+
         /** Sets the additional attempts allowed per hundred requests. */
         public Builder retryPercent(int value) {
             retryPercent = Checks.range("retry_percent", value, 0, 100);
@@ -167,6 +174,7 @@
             copy.maxWait = maxWait;
             copy.maxQueue = maxQueue;
             copy.entryPerZone = entryPerZone;
+            copy.singlePrimary = singlePrimary;
             copy.retryPercent = retryPercent;
             copy.probeInterval = probeInterval;
             copy.longPercent = longPercent;
@@ -181,6 +189,7 @@
             out.append("max_wait = ").append(Durations.text(maxWait)).append('\n');
             out.append("max_queue = ").append(maxQueue).append('\n');
             out.append("entry_per_zone = ").append(entryPerZone).append('\n');
+            out.append("single_primary = ").append(singlePrimary).append('\n');
             out.append("retry_percent = ").append(retryPercent).append('\n');
             out.append("probe_interval = ").append(Durations.text(probeInterval)).append('\n');
             out.append("long_percent = ").append(longPercent).append('\n');
--- a/java/test/ConfigTest.java
+++ b/java/test/ConfigTest.java
@@ -47,6 +47,7 @@
         Service.Builder dispatchdesk = Service.named("dispatchdesk")
                 .deadline(Duration.ofSeconds(2))
                 .maxQueue(128)
+                .singlePrimary()
                 .route(Route.of(Method.GET, "/dispatches").idempotent())
                 .route(Route.of(Method.PUT, "/dispatches").idempotent());
         addTargets(dispatchdesk, "dd", 2, 6, 4, KESSLER_ZONES);
