--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -31,6 +31,10 @@
 	NoiseLength time.Duration `arg:"--noise-length" default:"100ms" help:"about how long a slow moment lasts"`
 	NoiseShare  float64       `arg:"--noise-share" default:"0.2" help:"share of the time that is slow, between 0 and 1"`
 	Seed        uint64        `arg:"--seed" default:"1" help:"seed of the random moments"`
+	Delay       time.Duration `arg:"--delay" help:"time added to every answer without holding a slot"`
+	ReportAge   time.Duration `arg:"--report-age" help:"time between samples of the reported load; 0 reports the present load"`
+	ColdFactor  int           `arg:"--cold-factor" default:"1" help:"how many times slower the target is after its start"`
+	ColdLength  time.Duration `arg:"--cold-length" default:"3s" help:"how long the target is slow after its start"`
 }
 
 // putArgs are the arguments of a request that controls a stand-in.
@@ -66,10 +70,17 @@
 }
 
 func newTarget(a *targetArgs) *standin.Target {
-	if a.NoiseFactor <= 1 {
-		return standin.NewTarget(a.Slots)
+	options := []standin.TargetOption{standin.WithDelay(a.Delay)}
+	if a.NoiseFactor > 1 {
+		options = append(options, standin.WithNoise(a.NoiseFactor, a.NoiseLength, a.NoiseShare, a.Seed))
 	}
-	return standin.NewTarget(a.Slots, standin.WithNoise(a.NoiseFactor, a.NoiseLength, a.NoiseShare, a.Seed))
+	if a.ReportAge > 0 {
+		options = append(options, standin.WithStaleReports(a.ReportAge))
+	}
+	if a.ColdFactor > 1 {
+		options = append(options, standin.WithColdStart(a.ColdFactor, a.ColdLength))
+	}
+	return standin.NewTarget(a.Slots, options...)
 }
 
 func put(a *putArgs) error {
--- a/loadtest/ideal.go
+++ b/loadtest/ideal.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"sort"
 	"time"
 )
 
@@ -21,14 +22,13 @@
 
 // centralQueue keeps the time at which each slot becomes free.
 type centralQueue struct {
-	noise Noise
-	busy  slotHeap
-	free  []int // targets of the free slots
-	slow  []*noiseSchedule
+	busy slotHeap
+	free []int // targets of the free slots
+	slow []*noiseSchedule
 }
 
 func newCentralQueue(p *Profile, targets, slots int) *centralQueue {
-	q := &centralQueue{noise: p.Noise}
+	q := &centralQueue{}
 	for t := range targets {
 		q.slow = append(q.slow, newNoiseSchedule(p.Noise, p.Seed+uint64(t)))
 		for range slots {
@@ -51,12 +51,9 @@
 		q.free = append(q.free, next.target)
 	}
 	target := q.takeFree(start)
-	work := r.Work
-	if q.slow[target].slowAt(start) {
-		work *= time.Duration(q.noise.Factor)
-	}
-	heap.Push(&q.busy, busySlot{until: start + work, target: target})
-	return start + work
+	end := q.slow[target].finish(start, r.Work)
+	heap.Push(&q.busy, busySlot{until: end, target: target})
+	return end
 }
 
 func (q *centralQueue) takeFree(at time.Duration) int {
@@ -96,35 +93,70 @@
 	return last
 }
 
-// noiseSchedule is the sequence of slow moments of one target. Times must be
-// asked in ascending order.
+// noiseSchedule is the sequence of slow moments of one target.
 type noiseSchedule struct {
-	noise      Noise
-	rnd        *rand.Rand
+	noise Noise
+	rnd   *rand.Rand
+	slow  []interval
+}
+
+// interval is a slow moment of a target.
+type interval struct {
 	start, end time.Duration
 }
 
 func newNoiseSchedule(n Noise, seed uint64) *noiseSchedule {
-	s := &noiseSchedule{noise: n, rnd: rand.New(rand.NewPCG(seed, seed))}
-	s.next()
-	return s
+	return &noiseSchedule{noise: n, rnd: rand.New(rand.NewPCG(seed, seed))}
+}
+
+func (s *noiseSchedule) quiet() bool { return s.noise.Share <= 0 || s.noise.Factor <= 1 }
+
+// next returns the first slow moment that ends after the time.
+func (s *noiseSchedule) next(at time.Duration) interval {
+	i := sort.Search(len(s.slow), func(i int) bool { return s.slow[i].end > at })
+	for i == len(s.slow) {
+		s.extend()
+		if s.slow[i].end <= at {
+			i++
+		}
+	}
+	return s.slow[i]
 }
 
-func (s *noiseSchedule) next() {
-	if s.noise.Share <= 0 || s.noise.Factor <= 1 {
-		return
+func (s *noiseSchedule) extend() {
+	var last time.Duration
+	if len(s.slow) > 0 {
+		last = s.slow[len(s.slow)-1].end
 	}
 	length := float64(s.noise.Length)
-	s.start = s.end + time.Duration(length*(1-s.noise.Share)/s.noise.Share*s.rnd.ExpFloat64())
-	s.end = s.start + time.Duration(length*(0.5+s.rnd.Float64()))
+	start := last + time.Duration(length*(1-s.noise.Share)/s.noise.Share*s.rnd.ExpFloat64())
+	s.slow = append(s.slow, interval{start, start + time.Duration(length*(0.5+s.rnd.Float64()))})
 }
 
 func (s *noiseSchedule) slowAt(at time.Duration) bool {
-	if s.noise.Share <= 0 || s.noise.Factor <= 1 {
-		return false
+	return !s.quiet() && at >= s.next(at).start
+}
+
+// finish returns when work ends that begins at the time and takes the given
+// time at the usual speed.
+func (s *noiseSchedule) finish(at, work time.Duration) time.Duration {
+	if s.quiet() {
+		return at + work
 	}
-	for at >= s.end {
-		s.next()
+	factor := time.Duration(s.noise.Factor)
+	for {
+		slow := s.next(at)
+		if usual := slow.start - at; usual > 0 {
+			if work <= usual {
+				return at + work
+			}
+			work -= usual
+			at = slow.start
+		}
+		if left := slow.end - at; work*factor <= left {
+			return at + work*factor
+		}
+		work -= (slow.end - at) / factor
+		at = slow.end
 	}
-	return at >= s.start
 }
--- a/standin/target.go
+++ b/standin/target.go
@@ -26,16 +26,20 @@
 type Target struct {
 	slots      chan struct{}
 	maxWaiting int64
-	slowFactor atomic.Int64
+	speed      speed
 	draining   atomic.Bool
 	rejecting  atomic.Bool
 	shedding   atomic.Bool
 	silentLoad atomic.Bool
 	inFlight   atomic.Int64
-	probes     atomic.Int64
-	late       atomic.Int64 // requests accepted while draining
-	stop       chan struct{}
-	http       *fasthttp.Server
+	delay      time.Duration
+	// staleReports replaces the present load by the sampled one.
+	staleReports bool
+	sampled      atomic.Int64
+	probes       atomic.Int64
+	late         atomic.Int64 // requests accepted while draining
+	stop         chan struct{}
+	http         *fasthttp.Server
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -60,7 +64,6 @@
 		stop:       make(chan struct{}),
 		runs:       map[string]int{},
 	}
-	t.slowFactor.Store(1)
 	t.http = &fasthttp.Server{Handler: t.handle, MaxRequestBodySize: 16 << 20, NoDefaultServerHeader: true}
 	for _, opt := range opts {
 		opt(t)
@@ -94,11 +97,11 @@
 		if !t.sleep(quiet) {
 			return
 		}
-		t.slowFactor.Store(int64(factor))
+		t.speed.set(factor)
 		if !t.sleep(time.Duration(float64(length) * (0.5 + rnd.Float64()))) {
 			return
 		}
-		t.slowFactor.Store(1)
+		t.speed.set(1)
 	}
 }
 
@@ -147,8 +150,9 @@
 	t.slots <- struct{}{}
 	t.count(string(ctx.Request.Header.Peek(header.RequestID)))
 	work, _ := time.ParseDuration(string(ctx.Request.Header.Peek(WorkHeader)))
-	time.Sleep(work * time.Duration(t.slowFactor.Load()))
+	t.speed.work(work)
 	<-t.slots
+	time.Sleep(t.delay)
 	ctx.Response.Header.SetBytesV(header.RequestID, ctx.Request.Header.Peek(header.RequestID))
 	ctx.SetContentType("application/octet-stream")
 	ctx.SetBody(ctx.PostBody())
@@ -157,6 +161,9 @@
 
 // report adds the target's load and state to an answer.
 func (t *Target) report(ctx *fasthttp.RequestCtx, inFlight int64) {
+	if t.staleReports {
+		inFlight = t.sampled.Load()
+	}
 	if !t.silentLoad.Load() {
 		ctx.Response.Header.Set(header.InFlight, strconv.FormatInt(inFlight, 10))
 	}
@@ -192,7 +199,7 @@
 		}
 	}
 	if args.Has("slow") {
-		t.slowFactor.Store(int64(max(1, args.GetUintOrZero("slow"))))
+		t.speed.set(args.GetUintOrZero("slow"))
 	}
 }
 
