platform: do not fetch an unchanged instance list again

Cause: the list is read every 2 s. A line has about 150 bytes, so the 67 lines of one user today cost about 5 KB/s, and 1,100 lines at the size designed for about 80 KB/s, against 3 KB/s for all control. Change: the request names the entity tag of the last list; the platform answers 304 while nothing changed. The client counts its bytes for the metrics. Ruled out: a longer interval, since the list may carry the first sign that a target leaves. Conclusion: the test requires less than 1,000 bytes for an unchanged list of 1,000 lines.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -25,6 +25,7 @@
 	Probes         probeMetrics              `json:"probes"`
 	Peers          peerMetrics               `json:"peers"`
 	Keys           keyMetrics                `json:"keys"`
+	Platform       platformMetrics           `json:"platform"`
 }
 
 // serviceMetrics counts the decisions on one service.
@@ -84,6 +85,12 @@
 	Snapshots    uint64 `json:"snapshots"`
 }
 
+// platformMetrics counts the bytes exchanged with the platform.
+type platformMetrics struct {
+	BytesIn  uint64 `json:"bytes_in"`
+	BytesOut uint64 `json:"bytes_out"`
+}
+
 // keyMetrics shows what the deduplication table holds.
 type keyMetrics struct {
 	Keys        int   `json:"keys"`
@@ -108,6 +115,7 @@
 		Probes:         probesFrom(d.prober.Counts()),
 		Peers:          peersFrom(d.mesh.Stats()),
 		Keys:           keysFrom(d.memory.Stats()),
+		Platform:       platformMetrics(d.platform.Traffic()),
 	}
 	for name := range fleet.Services {
 		if dispatcher := d.table.Dispatcher(name); dispatcher != nil {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -3,6 +3,7 @@
 package standin
 
 import (
+	"fmt"
 	"net"
 	"slices"
 	"strconv"
@@ -10,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"rhubarbrelay/platform"
@@ -284,7 +286,14 @@
 		list = p.listLocked()
 	}
 	p.mu.Unlock()
-	answer(ctx)(platform.EncodeInstances(list))
+	body, err := platform.EncodeInstances(list)
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(body), 16))
+	ctx.Response.Header.Set(fasthttp.HeaderETag, tag)
+	if string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) == tag {
+		ctx.SetStatusCode(fasthttp.StatusNotModified)
+		return
+	}
+	answer(ctx)(body, err)
 }
 
 // handleControl serves the tests: PUT /standin/instances, DELETE
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -1,6 +1,7 @@
 package standin_test
 
 import (
+	"fmt"
 	"net"
 	"net/netip"
 	"testing"
@@ -69,3 +70,28 @@
 	assert.Equal(t, page.First, platform.Offset(1))
 	assert.Equal(t, page.Next, platform.Offset(3))
 }
+
+// Guards against an unchanged instance list that is sent again at every read,
+// which would cost more than the budget for control, and against a change that
+// is not seen.
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	p, c := startPlatform(t)
+	for i := range 1000 {
+		p.SetInstance(platform.Instance{ID: fmt.Sprintf("target-%04d", i), Role: platform.RoleTarget, State: platform.StateLive})
+	}
+	first, err := c.Instances(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(first), 1000)
+	before := c.Traffic()
+	again, err := c.Instances(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(again), 1000)
+	after := c.Traffic()
+	spent := after.BytesIn + after.BytesOut - before.BytesIn - before.BytesOut
+	assert.Assert(t, spent < 1000, "%d bytes for an unchanged list", spent)
+
+	p.RemoveInstance("target-0007")
+	changed, err := c.Instances(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(changed), 999)
+}
