config: probe an idle target every 5 s by default, not every second

Load reports on answers cost nothing, so only targets without traffic depend on probes. Ruled out: probing from one instance per service, since two instances that disagree on who is live would both probe.

--- a/cmd/rhubarbrelay/load.go
+++ b/cmd/rhubarbrelay/load.go
@@ -21,8 +21,9 @@
 type loadRunArgs struct {
 	Profile string `arg:"positional,required" help:"file with the load profile"`
 	Label   string `arg:"--label" default:"run" help:"name of the run in reports"`
-	Entries string `arg:"--entries,required" help:"callers' addresses of some instances, comma separated"`
-	Zones   string `arg:"--zones,required" help:"zones of the callers, comma separated"`
+	Entries string `arg:"--entries" help:"callers' addresses of some instances, comma separated"`
+	Zones   string `arg:"--zones" help:"zones of the callers, comma separated"`
+	Direct  bool   `arg:"--direct" help:"send to the targets, without any instance"`
 	Targets string `arg:"--targets" help:"stand-in targets to check against, comma separated"`
 	Seed    uint64 `arg:"--seed" help:"replaces the seed of the profile"`
 	SaveTo  string `arg:"--save" help:"file that keeps the report"`
@@ -52,7 +53,7 @@
 	case a.Report != nil:
 		return runLoadReport(a.Report)
 	default:
-		return fmt.Errorf("%w: load needs run, ideal or report", loadtest.ErrProfile)
+		return fmt.Errorf("%w: load needs run, ideal or report", errUsage)
 	}
 }
 
@@ -61,16 +62,19 @@
 	if err != nil {
 		return err
 	}
-	entries, err := parseAddresses([]string{a.Entries})
+	entries, err := optionalAddresses(a.Entries)
 	if err != nil {
 		return err
 	}
-	targets, err := targetAddresses(a.Targets)
+	targets, err := optionalAddresses(a.Targets)
 	if err != nil {
 		return err
 	}
+	if len(entries) == 0 && !a.Direct || len(targets) == 0 && a.Direct {
+		return fmt.Errorf("%w: load run needs --entries and --zones, or --direct and --targets", errUsage)
+	}
 	load := &commands.Load{
-		Profile: profile, Label: a.Label, Entries: entries, Zones: strings.Split(a.Zones, ","),
+		Profile: profile, Label: a.Label, Entries: entries, Zones: strings.Split(a.Zones, ","), Direct: a.Direct,
 		Targets: targets, ForbidUnknown: a.Known, SaveTo: a.SaveTo, Out: os.Stdout,
 	}
 	return load.Run(ctx)
@@ -115,9 +119,8 @@
 	return profile, err
 }
 
-// targetAddresses reads the addresses of the targets, of which there may be
-// none.
-func targetAddresses(text string) ([]netip.AddrPort, error) {
+// optionalAddresses reads a list of addresses that may be empty.
+func optionalAddresses(text string) ([]netip.AddrPort, error) {
 	if text == "" {
 		return nil, nil
 	}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -4,12 +4,15 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
+	"net/netip"
 	"os"
 	"time"
 
 	"github.com/alexflint/go-arg"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 
 	"rhubarbrelay/standin"
 )
@@ -26,6 +29,7 @@
 // targetArgs are the arguments of a target stand-in.
 type targetArgs struct {
 	Listen      string        `arg:"--listen,required" help:"address to listen on"`
+	Count       int           `arg:"--count" default:"1" help:"number of targets, each on the next IP address"`
 	Slots       int           `arg:"--slots" default:"4" help:"requests that run at once"`
 	NoiseFactor int           `arg:"--noise-factor" default:"1" help:"how many times slower the target gets at random moments"`
 	NoiseLength time.Duration `arg:"--noise-length" default:"100ms" help:"about how long a slow moment lasts"`
@@ -43,10 +47,16 @@
 	Body string `arg:"--body" help:"body of the request"`
 }
 
+// getArgs are the arguments of a request that reads from a process.
+type getArgs struct {
+	URL string `arg:"positional,required" help:"address and path to read"`
+}
+
 type args struct {
 	Platform *platformArgs `arg:"subcommand:platform" help:"log and instance list"`
 	Target   *targetArgs   `arg:"subcommand:target" help:"a target of a service"`
 	Put      *putArgs      `arg:"subcommand:put" help:"send a control request to a stand-in"`
+	Get      *getArgs      `arg:"subcommand:get" help:"print what a process answers"`
 }
 
 func main() {
@@ -57,9 +67,11 @@
 	case a.Platform != nil:
 		err = serve(a.Platform.Listen, standin.NewPlatform(standin.WithRetention(a.Platform.Retention)))
 	case a.Target != nil:
-		err = serve(a.Target.Listen, newTarget(a.Target))
+		err = serveTargets(a.Target)
 	case a.Put != nil:
-		err = put(a.Put)
+		err = send(fasthttp.MethodPut, a.Put.URL, a.Put.Body, io.Discard)
+	case a.Get != nil:
+		err = send(fasthttp.MethodGet, a.Get.URL, "", os.Stdout)
 	default:
 		p.Fail("a subcommand is needed")
 	}
@@ -69,6 +81,21 @@
 	}
 }
 
+// serveTargets serves the targets on consecutive IP addresses.
+func serveTargets(a *targetArgs) error {
+	address, err := netip.ParseAddrPort(a.Listen)
+	if err != nil {
+		return err
+	}
+	var group errgroup.Group
+	for range a.Count {
+		listen := address.String()
+		group.Go(func() error { return serve(listen, newTarget(a)) })
+		address = netip.AddrPortFrom(address.Addr().Next(), address.Port())
+	}
+	return group.Wait()
+}
+
 func newTarget(a *targetArgs) *standin.Target {
 	options := []standin.TargetOption{standin.WithDelay(a.Delay)}
 	if a.NoiseFactor > 1 {
@@ -83,18 +110,19 @@
 	return standin.NewTarget(a.Slots, options...)
 }
 
-func put(a *putArgs) error {
+// send sends one request and writes the body of a successful answer.
+func send(method, url, body string, out io.Writer) error {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	req.Header.SetMethod(fasthttp.MethodPut)
-	req.SetRequestURI(a.URL)
-	req.SetBodyString(a.Body)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(url)
+	req.SetBodyString(body)
 	if err := fasthttp.DoTimeout(req, resp, controlTimeout); err != nil {
 		return err
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return fmt.Errorf("%s: status %d", a.URL, resp.StatusCode())
+		return fmt.Errorf("%s: status %d", url, resp.StatusCode())
 	}
-	return nil
+	return resp.BodyWriteTo(out)
 }
 
 // server serves on a listener.
--- a/commands/load.go
+++ b/commands/load.go
@@ -22,6 +22,8 @@
 	Label   string
 	// Entries are the addresses of some instances.
 	Entries []netip.AddrPort
+	// Direct sends the requests to the targets, without any instance.
+	Direct bool
 	// Zones are the zones in which callers run; requests go to them in turn.
 	Zones []string
 	// Targets are the stand-in targets to check against, none for no check.
@@ -38,11 +40,7 @@
 // when a guarantee was broken.
 func (l *Load) Run(ctx context.Context) error {
 	trace := loadtest.NewTrace(l.Profile, rand.Text())
-	callers := make([]*loadtest.Caller, 0, len(l.Zones))
-	for _, zone := range l.Zones {
-		callers = append(callers, loadtest.NewCaller(l.Profile.Service, zone, l.Entries))
-	}
-	report := loadtest.Run(ctx, l.Label, l.Profile, trace, callers)
+	report := loadtest.Run(ctx, l.Label, l.Profile, trace, l.callers())
 	if err := loadtest.WriteTable(l.Out, []*loadtest.Report{report}); err != nil {
 		return err
 	}
@@ -57,6 +55,17 @@
 	return l.check(report)
 }
 
+func (l *Load) callers() []*loadtest.Caller {
+	if l.Direct {
+		return []*loadtest.Caller{loadtest.NewDirectCaller(l.Profile.Service, l.Targets)}
+	}
+	callers := make([]*loadtest.Caller, 0, len(l.Zones))
+	for _, zone := range l.Zones {
+		callers = append(callers, loadtest.NewCaller(l.Profile.Service, zone, l.Entries))
+	}
+	return callers
+}
+
 func (l *Load) check(report *loadtest.Report) error {
 	if len(l.Targets) == 0 {
 		return nil
--- a/config/service.go
+++ b/config/service.go
@@ -29,7 +29,7 @@
 	DefaultMaxQueue       = 512
 	DefaultEntryPerZone   = 1
 	DefaultRetryPercent   = 10
-	DefaultProbeInterval  = time.Second
+	DefaultProbeInterval  = 5 * time.Second
 	DefaultLongPercent    = 50
 	DefaultEjectPercent   = 40
 	DefaultSlots          = 4
--- a/demo/cluster.sh
+++ b/demo/cluster.sh
@@ -65,6 +65,7 @@
 entry_ttl = ${ENTRY_TTL:-2s}
 [peers]
 listen = $3:8081
+max_instances = ${MAX_INSTANCES:-20}
 [admin]
 listen = $3:8082
 [platform]
--- a/java/src/org/rhubarbrelay/config/Service.java
+++ b/java/src/org/rhubarbrelay/config/Service.java
@@ -60,7 +60,7 @@
         private int entryPerZone = 1;
         private boolean singlePrimary;
         private int retryPercent = 10;
-        private Duration probeInterval = Duration.ofSeconds(1);
+        private Duration probeInterval = Duration.ofSeconds(5);
         private int longPercent = 50;
         private int ejectPercent = 40;
 
--- a/loadtest/caller.go
+++ b/loadtest/caller.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -50,6 +51,9 @@
 	service string
 	zone    string
 	seeds   []netip.AddrPort
+	// direct makes the caller send to the seeds in turn, which are targets.
+	direct bool
+	next   atomic.Uint64
 
 	mu        sync.Mutex
 	addresses []entryAddress
@@ -63,6 +67,14 @@
 	return &Caller{service: service, zone: zone, seeds: seeds, clients: map[netip.AddrPort]*fasthttp.HostClient{}}
 }
 
+// NewDirectCaller returns a caller that sends its requests to the targets in
+// turn, without rhubarbrelay, for the comparison of latencies.
+func NewDirectCaller(service string, targets []netip.AddrPort) *Caller {
+	c := NewCaller(service, "", targets)
+	c.direct = true
+	return c
+}
+
 // Answer is what a caller got for one request.
 type Answer struct {
 	// Outcome is run, not_run or unknown.
@@ -115,8 +127,12 @@
 	if err != nil {
 		return Answer{Outcome: header.OutcomeUnknown, Reason: err.Error()}, !r.Write || key != ""
 	}
+	outcome := string(resp.Header.Peek(header.Outcome))
+	if c.direct {
+		outcome = header.OutcomeRun
+	}
 	return Answer{
-		Outcome: string(resp.Header.Peek(header.Outcome)),
+		Outcome: outcome,
 		Status:  resp.StatusCode(),
 		Reason:  string(resp.Header.Peek(header.Reason)),
 		Body:    append([]byte(nil), resp.Body()...),
@@ -176,6 +192,10 @@
 // entry returns the addresses to use, asking again when the kept answer is
 // too old.
 func (c *Caller) entry() ([]entryAddress, error) {
+	if c.direct {
+		target := c.seeds[c.next.Add(1)%uint64(len(c.seeds))]
+		return []entryAddress{{address: target}}, nil
+	}
 	c.mu.Lock()
 	if time.Now().Before(c.expires) && len(c.addresses) > 0 {
 		defer c.mu.Unlock()
