--- a/daemon/run.go
+++ b/daemon/run.go
@@ -39,6 +39,7 @@
 	}
 	group, running := errgroup.WithContext(context.Background())
 	d.recorder.Record(timeline.Event{Kind: timeline.InstanceStarted})
+	d.logger.Info("instance started")
 	group.Go(func() error { return d.follower.Run(running) })
 	group.Go(func() error { return d.watchList(running) })
 	group.Go(func() error { return d.revalidate(running) })
