--- a/cmd/rhubarbrelay/load.go
+++ b/cmd/rhubarbrelay/load.go
@@ -42,6 +42,7 @@
 	Reports []string `arg:"positional,required" help:"files with saved reports"`
 	Title   string   `arg:"--title" default:"short requests" help:"title of the plot"`
 	Plot    string   `arg:"--plot" help:"PNG or SVG file for the plot"`
+	Seconds bool     `arg:"--by-second" help:"print answered requests and p99 for each second of the runs"`
 }
 
 func runLoad(ctx context.Context, a *loadArgs) error {
@@ -108,7 +109,10 @@
 			return err
 		}
 	}
-	return loadtest.WriteTable(os.Stdout, reports)
+	if err := loadtest.WriteTable(os.Stdout, reports); err != nil || !a.Seconds {
+		return err
+	}
+	return loadtest.WriteSeconds(os.Stdout, reports)
 }
 
 func loadProfile(path string, seed uint64) (*loadtest.Profile, error) {
--- a/loadtest/report.go
+++ b/loadtest/report.go
@@ -141,6 +141,24 @@
 	return w.Flush()
 }
 
+// WriteSeconds prints, for each second of a run, the answered requests and the
+// p99 of the short ones, one line a run.
+func WriteSeconds(out io.Writer, reports []*Report) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	for _, r := range reports {
+		_, _ = fmt.Fprintf(w, "%s\tanswered\t", r.Label)
+		for _, s := range r.Seconds {
+			_, _ = fmt.Fprintf(w, "%d\t", s.Answered)
+		}
+		_, _ = fmt.Fprintf(w, "\n%s\tp99 ms\t", r.Label)
+		for _, s := range r.Seconds {
+			_, _ = fmt.Fprintf(w, "%.0f\t", float64(s.Short.ValueAtQuantile(quantile99))/1000)
+		}
+		_, _ = fmt.Fprintln(w)
+	}
+	return w.Flush()
+}
+
 func ms(h *hdrhistogram.Histogram, percentile float64) string {
 	if h.TotalCount() == 0 {
 		return "-"
