scenario: check exit codes, versions, late work and probes

Cause: scenarios could not tell exit codes apart, signal a process while requests are in progress, follow versions over a whole scenario, or say how long after its first leaving signal a target got its last request. Change: commands exits, during, versions, quiet and probes; listed also takes targets; instance takes "slow" for a stop of some seconds. The target stand-in reports the time since its first leaving signal and the time from it to the latest request, and counts silently with leaving=true for signals that come from elsewhere.

--- a/scenario/processes_test.go
+++ b/scenario/processes_test.go
@@ -18,11 +18,13 @@
 	network string
 	dir     string
 	running map[string]*process
+	watch   *versionWatch
 }
 
 // process is one background process.
 type process struct {
 	command *exec.Cmd
+	started time.Time
 	log     string
 	exited  chan struct{}
 	err     error
@@ -47,7 +49,7 @@
 	if err := command.Start(); err != nil {
 		return errors.Join(err, out.Close())
 	}
-	started := &process{command: command, log: path, exited: make(chan struct{})}
+	started := &process{command: command, started: time.Now(), log: path, exited: make(chan struct{})}
 	go func() {
 		started.err = errors.Join(command.Wait(), out.Close())
 		close(started.exited)
@@ -86,40 +88,45 @@
 }
 
 // startInstance starts an instance: instance ID ZONE HOST [unlisted]
-// [SETTINGS-FILE]. Its listeners are $NET.HOST:8080 for callers, 8081 for peers
+// [slow] [SETTINGS-FILE]. Its listeners are $NET.HOST:8080 for callers, 8081 for peers
 // and 8082 for operators. It is put on the platform's list unless it is
-// unlisted. The file's text is appended to its settings.
+// unlisted. A slow one takes seconds for a graceful stop. The file's text is
+// appended to its settings.
 func startInstance(ts *testscript.TestScript, _ bool, args []string) {
 	if len(args) < 3 {
 		ts.Fatalf("usage: instance ID ZONE HOST [unlisted] [SETTINGS-FILE]")
 	}
 	p := processesOf(ts)
 	id, zone, host := args[0], args[1], p.network+"."+args[2]
-	listed, extra := true, ""
+	listed, ttl, extra := true, "300ms", ""
 	for _, option := range args[3:] {
 		if option == "unlisted" {
 			listed = false
 			continue
 		}
+		if option == "slow" {
+			ttl = "4s"
+			continue
+		}
 		extra = ts.ReadFile(option)
 	}
 	if listed {
 		listInstance(ts, id, zone, host, "live")
 	}
 	path := filepath.Join(p.dir, id+".ini")
-	check(ts, os.WriteFile(path, []byte(settingsOf(p.network, id, zone, host)+extra), 0o600))
+	check(ts, os.WriteFile(path, []byte(settingsOf(p.network, id, zone, host, ttl)+extra), 0o600))
 	check(ts, p.start(id, "rhubarbrelayd", "--settings", path))
 }
 
-// settingsOf returns settings with a short entry TTL, so that a graceful stop
-// takes less than a second.
-func settingsOf(network, id, zone, host string) string {
+// settingsOf returns settings. With a short entry TTL a graceful stop takes less
+// than a second.
+func settingsOf(network, id, zone, host, ttl string) string {
 	return fmt.Sprintf(`[instance]
 id = %[2]s
 zone = %[3]s
 [callers]
 listen = %[4]s:8080
-entry_ttl = 300ms
+entry_ttl = %[5]s
 [peers]
 listen = %[4]s:8081
 [admin]
@@ -128,20 +135,29 @@
 address = %[1]s.1:7000
 [stop]
 margin = 200ms
-`, network, id, zone, host)
+`, network, id, zone, host, ttl)
 }
 
-// setListed changes a line of the platform's list: listed ID ZONE HOST STATE.
+// setListed changes a line of the platform's list: listed ID ZONE HOST STATE
+// [target].
 func setListed(ts *testscript.TestScript, _ bool, args []string) {
-	if len(args) != 4 {
-		ts.Fatalf("usage: listed ID ZONE HOST STATE")
+	if len(args) < 4 {
+		ts.Fatalf("usage: listed ID ZONE HOST STATE [target]")
+	}
+	host := processesOf(ts).network + "." + args[2]
+	if len(args) == 4 {
+		listInstance(ts, args[0], args[1], host, args[3])
+		return
 	}
-	listInstance(ts, args[0], args[1], processesOf(ts).network+"."+args[2], args[3])
+	putInstance(ts, fmt.Sprintf(`{"id":%q,"role":"target","zone":%q,"state":%q,"caller_address":"%s:9000"}`, args[0], args[1], args[3], host))
 }
 
 func listInstance(ts *testscript.TestScript, id, zone, host, state string) {
-	body := fmt.Sprintf(`{"id":%q,"role":"entry","zone":%q,"state":%q,"caller_address":"%[4]s:8080","peer_address":"%[4]s:8081","admin_address":"%[4]s:8082"}`,
-		id, zone, state, host)
+	putInstance(ts, fmt.Sprintf(`{"id":%q,"role":"entry","zone":%q,"state":%q,"caller_address":"%[4]s:8080","peer_address":"%[4]s:8081","admin_address":"%[4]s:8082"}`,
+		id, zone, state, host))
+}
+
+func putInstance(ts *testscript.TestScript, body string) {
 	url := "http://" + processesOf(ts).network + ".1:7000/standin/instances"
 	check(ts, ts.Exec("standin", "put", url, "--body", body))
 }
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -2,6 +2,7 @@
 package scenario
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"io/fs"
@@ -60,6 +61,11 @@
 			"listed":   setListed,
 			"signal":   signal,
 			"finished": finished,
+			"exits":    exits,
+			"during":   during,
+			"versions": versions,
+			"quiet":    quiet,
+			"probes":   probes,
 		},
 	})
 }
@@ -78,6 +84,7 @@
 		running := &processes{network: network, dir: env.WorkDir, running: map[string]*process{}}
 		env.Values[processesKey{}] = running
 		env.Defer(running.killAll)
+		env.Defer(running.stopWatch)
 		return expandFiles(env.WorkDir, network)
 	}
 	return fmt.Errorf("no free loopback network")
@@ -108,6 +115,10 @@
 }
 
 func send(ts *testscript.TestScript, args []string) (string, error) {
+	return sendWith(context.Background(), ts, args)
+}
+
+func sendWith(ctx context.Context, ts *testscript.TestScript, args []string) (string, error) {
 	if len(args) < 2 {
 		return "", fmt.Errorf("usage: call METHOD URL [Name:value ...] [@file]")
 	}
@@ -116,7 +127,7 @@
 		body = ts.ReadFile(file)
 		args = args[:len(args)-1]
 	}
-	req, err := http.NewRequest(args[0], args[1], strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, args[0], args[1], strings.NewReader(body))
 	if err != nil {
 		return "", err
 	}
--- a/standin/target.go
+++ b/standin/target.go
@@ -33,9 +33,13 @@
 	silentLoad atomic.Bool
 	inFlight   atomic.Int64
 	probes     atomic.Int64
-	late       atomic.Int64 // requests accepted while draining
-	stop       chan struct{}
-	http       *fasthttp.Server
+	// leavingSince is the time of the first leaving signal in Unix
+	// milliseconds, 0 when there is none.
+	leavingSince atomic.Int64
+	late         atomic.Int64 // requests that arrived after the first leaving signal
+	lateAfter    atomic.Int64 // milliseconds from that signal to the latest of them
+	stop         chan struct{}
+	http         *fasthttp.Server
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -133,8 +137,9 @@
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
-	if t.draining.Load() {
+	if after := t.leavingFor(); after >= 0 {
 		t.late.Add(1)
+		t.lateAfter.Store(after)
 	}
 	waiting := t.inFlight.Add(1)
 	defer t.inFlight.Add(-1)
@@ -155,6 +160,16 @@
 	t.report(ctx, t.inFlight.Load()-1)
 }
 
+// leavingFor returns the milliseconds since the first leaving signal, or -1
+// without one.
+func (t *Target) leavingFor() int64 {
+	since := t.leavingSince.Load()
+	if since == 0 {
+		return -1
+	}
+	return time.Now().UnixMilli() - since
+}
+
 // report adds the target's load and state to an answer.
 func (t *Target) report(ctx *fasthttp.RequestCtx, inFlight int64) {
 	if !t.silentLoad.Load() {
@@ -174,7 +189,9 @@
 }
 
 // handleControl changes the target's behaviour: PUT /standin/control?
-// draining=&rejecting=&shedding=&slow=&silent_load=.
+// draining=&rejecting=&shedding=&slow=&silent_load=&leaving=. With leaving=true
+// the target counts late requests without announcing that it drains, for
+// signals that come from elsewhere.
 func (t *Target) handleControl(ctx *fasthttp.RequestCtx) {
 	args := ctx.QueryArgs()
 	flags := []struct {
@@ -191,6 +208,11 @@
 			f.to.Store(args.GetBool(f.name))
 		}
 	}
+	if args.GetBool("draining") || args.GetBool("leaving") {
+		t.leavingSince.CompareAndSwap(0, time.Now().UnixMilli())
+	} else if args.Has("draining") || args.Has("leaving") {
+		t.leavingSince.Store(0)
+	}
 	if args.Has("slow") {
 		t.slowFactor.Store(int64(max(1, args.GetUintOrZero("slow"))))
 	}
@@ -201,10 +223,16 @@
 	Runs   map[string]int `json:"runs"`
 	Probes int64          `json:"probes"`
 	Late   int64          `json:"late"`
+	// LeavingMS and LateAfterMS are in milliseconds since the first leaving signal.
+	LeavingMS   int64 `json:"leaving_ms"`
+	LateAfterMS int64 `json:"late_after_ms"`
 }
 
 func (t *Target) handleStats(ctx *fasthttp.RequestCtx) {
-	m := statsMessage{Runs: t.Runs(), Probes: t.probes.Load(), Late: t.late.Load()}
+	m := statsMessage{
+		Runs: t.Runs(), Probes: t.probes.Load(), Late: t.late.Load(),
+		LeavingMS: t.leavingFor(), LateAfterMS: t.lateAfter.Load(),
+	}
 	answer(ctx)(json.Marshal(m))
 }
 
@@ -214,8 +242,11 @@
 	Runs map[string]int
 	// Probes counts the measuring requests.
 	Probes int64
-	// Late counts the requests that arrived while the target was draining.
+	// Late counts the requests that arrived after the first leaving signal.
 	Late int64
+	// Leaving is the time since that signal, negative without one, and
+	// LateAfter the time from it to the latest of these requests.
+	Leaving, LateAfter time.Duration
 }
 
 // DecodeStats decodes the answer of a target's /standin/stats.
@@ -224,5 +255,8 @@
 	if err := json.Unmarshal(body, &m); err != nil {
 		return Stats{}, err
 	}
-	return Stats(m), nil
+	return Stats{
+		Runs: m.Runs, Probes: m.Probes, Late: m.Late,
+		Leaving: time.Duration(m.LeavingMS) * time.Millisecond, LateAfter: time.Duration(m.LateAfterMS) * time.Millisecond,
+	}, nil
 }
