Compare the version with the peers before an instance serves

Cause: an instance that restarted while the log was read stale, or had lost its tail, was ready at the end of that log when no peer had told its version yet. Change: an instance is ready only after its version was compared with that of a serving peer, or of every instance it knows when none serves. It stops waiting 3 s after its start, so that a dead instance that is still listed does not keep others from serving. Ruled out: requiring every listed instance to answer, which lets one dead instance hold up each start for the whole 3 s. Limit: when no peer answers within 3 s and the log is stale, the instance serves what the log shows.

--- a/configlog/fake_test.go
+++ b/configlog/fake_test.go
@@ -143,9 +143,10 @@
 }
 
 // quietFollower returns a follower whose log lines the test can read.
-func quietFollower(l Log) (*Follower, *memory.Handler) {
+func quietFollower(l Log, opts ...FollowerOption) (*Follower, *memory.Handler) {
 	handler := memory.New()
-	return NewFollower(l, WithFollowerLogger(&log.Logger{Handler: handler, Level: log.DebugLevel})), handler
+	all := append([]FollowerOption{WithFollowerLogger(&log.Logger{Handler: handler, Level: log.DebugLevel})}, opts...)
+	return NewFollower(l, all...), handler
 }
 
 func alarms(h *memory.Handler) int {
--- a/configlog/follower.go
+++ b/configlog/follower.go
@@ -58,7 +58,10 @@
 	// loaded is set once the log was read to its end, or a peer gave a state.
 	loaded   bool
 	required platform.Offset
-	failure  error
+	// checkPeers keeps the instance from being ready before its version was
+	// compared with those of its peers.
+	checkPeers bool
+	failure    error
 	// logNext is the end of the log at the last read.
 	logNext   platform.Offset
 	behind    bool
@@ -91,6 +94,13 @@
 	return func(f *Follower) { f.jitter = jitter }
 }
 
+// WithPeerCheck keeps the follower from being ready until PeersChecked is
+// called. Without it a stale read of the log could make an instance serve an
+// older configuration than its predecessor did.
+func WithPeerCheck() FollowerOption {
+	return func(f *Follower) { f.checkPeers = true }
+}
+
 // NewFollower returns a follower of the configuration stream.
 func NewFollower(l Log, opts ...FollowerOption) *Follower {
 	f := &Follower{
@@ -120,7 +130,7 @@
 
 // Ready reports whether the instance knows a configuration that it may serve:
 // the log was read to its end or a peer gave a state, at the required version
-// or above. It stays true from then on, since a serving instance keeps its
+// or above, and the peers were checked. It stays true from then on, since a serving instance keeps its
 // configuration through an outage.
 func (f *Follower) Ready() bool { return f.ready.Load() }
 
@@ -132,6 +142,8 @@
 	switch {
 	case f.Ready():
 		return nil
+	case f.loaded && f.state.Version() >= f.required:
+		return fmt.Errorf("%w: version %d was not compared with the peers yet", ErrNotReady, f.state.Version())
 	case f.loaded:
 		return fmt.Errorf("%w: version %d, a peer knows version %d", ErrNotReady, f.state.Version(), f.required)
 	case f.failure != nil:
@@ -150,6 +162,15 @@
 	f.updateReady()
 }
 
+// PeersChecked ends the wait of WithPeerCheck. The versions of the peers were
+// given to RequireAtLeast before.
+func (f *Follower) PeersChecked() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.checkPeers = false
+	f.updateReady()
+}
+
 // Problems returns the reasons why accepted bodies are not in force here.
 func (f *Follower) Problems() []error {
 	f.mu.Lock()
@@ -376,7 +397,7 @@
 
 // updateReady sets readiness. The caller holds the lock.
 func (f *Follower) updateReady() {
-	if f.loaded && f.state.Version() >= f.required {
+	if f.loaded && !f.checkPeers && f.state.Version() >= f.required {
 		f.ready.Store(true)
 	}
 }
--- a/configlog/follower_test.go
+++ b/configlog/follower_test.go
@@ -209,6 +209,22 @@
 	assert.Equal(t, f.Version(), platform.Offset(6))
 }
 
+// Guards against a restarted instance that serves an older configuration than
+// before, because it read the log stale and no peer had told its version yet.
+func TestFollowerWaitsForPeers(t *testing.T) {
+	l := newFakeLog()
+	publishAll(l, 3)
+	f, _ := quietFollower(l, WithPeerCheck())
+	assert.NilError(t, f.poll(t.Context(), 0))
+	assert.Assert(t, !f.Ready())
+	assert.ErrorContains(t, f.NotReadyReason(), "version 2 was not compared")
+	f.RequireAtLeast(4)
+	f.PeersChecked()
+	assert.Assert(t, !f.Ready(), "a peer has a newer version")
+	assert.NilError(t, f.Offer(snapshotAt(t, 5)))
+	assert.Assert(t, f.Ready())
+}
+
 // Guards against a configuration that is lost with the log.
 func TestFollowerSurvivesOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -52,6 +52,8 @@
 	memory    *idempotency.Memory
 	relay     *relay.Server
 	admin     *admin.Server
+	// listed is closed after the first read of the instance list.
+	listed chan struct{}
 	// stale receives a value when the guard notices that the process was paused.
 	stale chan struct{}
 }
@@ -64,10 +66,11 @@
 		logger:   logger,
 		clock:    timeline.NewClock(time.Now),
 		platform: platform.NewClient(s.Platform.Address),
+		listed:   make(chan struct{}),
 		stale:    make(chan struct{}, 1),
 	}
 	d.recorder = timeline.NewRecorder(s.Instance.ID, d.clock)
-	d.follower = configlog.NewFollower(d.platform, configlog.WithFollowerLogger(logger))
+	d.follower = configlog.NewFollower(d.platform, configlog.WithFollowerLogger(logger), configlog.WithPeerCheck())
 	d.buildMembership(started)
 	d.buildRouting()
 	d.buildServers(started)
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -20,9 +20,13 @@
 func (d *Daemon) watchList(ctx context.Context) error {
 	ticker := time.NewTicker(listInterval)
 	defer ticker.Stop()
-	available := true
+	available, first := true, true
 	for {
 		err := d.readList(ctx)
+		if err == nil && first {
+			first = false
+			close(d.listed)
+		}
 		if ctx.Err() == nil && available != (err == nil) {
 			available = err == nil
 			d.notePlatform(available, err)
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -22,6 +22,10 @@
 	// finishTimeout bounds the wait for requests in progress at a stop. It is
 	// longer than any deadline of a request.
 	finishTimeout = time.Minute
+	// peerCheckTimeout bounds the wait for the versions of the peers at the
+	// start. In it a listed peer can be dialled and dialled again; an instance
+	// that is dead but still listed must not keep others from serving.
+	peerCheckTimeout = 3 * time.Second
 )
 
 // errStopped ends the group of the running parts without an error.
@@ -41,6 +45,7 @@
 	d.recorder.Record(timeline.Event{Kind: timeline.InstanceStarted})
 	group.Go(func() error { return d.follower.Run(running) })
 	group.Go(func() error { return d.watchList(running) })
+	group.Go(func() error { return d.checkPeers(running) })
 	group.Go(func() error { return d.revalidate(running) })
 	group.Go(func() error { return d.guard.Run(running) })
 	group.Go(func() error { return d.mesh.Run(running, peerListener) })
@@ -90,6 +95,39 @@
 	return errors.Join(d.stop(), <-serving, errStopped)
 }
 
+// checkPeers waits until the configuration was compared with what the peers
+// have in force, since the log may be read stale.
+func (d *Daemon) checkPeers(running context.Context) error {
+	ctx, cancel := context.WithTimeout(running, peerCheckTimeout)
+	defer cancel()
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !d.peersCompared() {
+		select {
+		case <-ctx.Done():
+			if running.Err() == nil {
+				d.logger.Warn("no peer confirmed the configuration in time")
+				d.follower.PeersChecked()
+			}
+			return nil
+		case <-ticker.C:
+		}
+	}
+	d.follower.PeersChecked()
+	return nil
+}
+
+// peersCompared returns whether the list was read, so that the peers are
+// known, and their versions were compared.
+func (d *Daemon) peersCompared() bool {
+	select {
+	case <-d.listed:
+		return d.mesh.Compared()
+	default:
+		return false
+	}
+}
+
 // waitReady waits until the configuration is complete and returns false when
 // the instance ends before that.
 func (d *Daemon) waitReady(running, stop context.Context) bool {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"rhubarbrelay/membership"
 	"rhubarbrelay/peer/peerpb"
 	"rhubarbrelay/platform"
 )
@@ -24,6 +25,32 @@
 	fetching bool
 }
 
+// compare notes the version that a peer has in a state.
+func (m *Mesh) compare(s *session, version platform.Offset, state membership.State) {
+	m.noteVersion(s, version)
+	s.serving.Store(state == membership.Live || state == membership.Leaving)
+	s.compared.Store(true)
+}
+
+// Compared returns whether the configuration has been given the version of a
+// peer that serves callers or, when none does, of every other instance known
+// that is not dead.
+func (m *Mesh) Compared() bool {
+	compared := map[string]bool{m.directory.Self().ID: true}
+	for _, s := range m.list() {
+		if s.serving.Load() && s.compared.Load() {
+			return true
+		}
+		compared[s.peer.ID] = s.compared.Load() || compared[s.peer.ID]
+	}
+	for _, in := range m.directory.Instances() {
+		if !compared[in.ID] {
+			return false
+		}
+	}
+	return true
+}
+
 // noteVersion starts to fetch the configuration when a peer has had a higher
 // version for some time. An instance without any configuration fetches at once.
 func (m *Mesh) noteVersion(s *session, version platform.Offset) {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -316,7 +316,7 @@
 		m.relay(s, syncFrame(membership.News{Instances: []membership.Instance{s.peer}}))
 	}
 	m.sendSync(s)
-	m.noteVersion(s, s.helloVersion)
+	m.compare(s, s.helloVersion, s.peer.State)
 	started := m.start(func(ctx context.Context) {
 		m.serve(ctx, s)
 		m.release(s)
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -295,6 +295,35 @@
 	})
 }
 
+// Guards against an instance that takes its version to be compared although no
+// serving peer has told its own, or that waits for more than one of them.
+func TestVersionIsCompared(t *testing.T) {
+	n := newNetwork()
+	first := startNode(t, n, "first", 1000)
+	assert.Assert(t, first.mesh.Compared(), "no other instance is known")
+	first.directory.SetSelf(membership.Starting)
+	n.set("joiner", "first", true)
+	joiner := startNode(t, n, "joiner", 2000)
+	for _, id := range []string{"first", "dead"} {
+		joiner.directory.ApplyNews(membership.News{Instances: []membership.Instance{{
+			ID: id, Incarnation: 1000, State: membership.Live, PeerAddress: first.address,
+		}}})
+	}
+	assert.Assert(t, !joiner.mesh.Compared(), "no peer was heard")
+	first.config.version.Store(7)
+	n.set("joiner", "first", false)
+	awaitState(t, joiner, "first", membership.Starting)
+	assert.Assert(t, !joiner.mesh.Compared(), "the only peer heard does not serve")
+	first.directory.SetSelf(membership.Live)
+	await(t, func() error {
+		if !joiner.mesh.Compared() {
+			return fmt.Errorf("version not compared")
+		}
+		return nil
+	})
+	assert.Equal(t, joiner.config.required.Load(), int64(7))
+}
+
 // Guards against a snapshot that blocks heartbeats or exceeds the limit of
 // control frames.
 func TestLargeConfiguration(t *testing.T) {
--- a/peer/session.go
+++ b/peer/session.go
@@ -62,6 +62,9 @@
 	usedAt  atomic.Int64
 	// version is the peer's configuration version.
 	version atomic.Int64
+	// compared is set once the peer's version was given to the configuration,
+	// serving while the peer served callers then.
+	compared, serving atomic.Bool
 	// missed is set when a frame was dropped, so that all is sent again.
 	missed atomic.Bool
 	// farewell is set when either side closes the session on purpose, stopping
@@ -332,7 +335,7 @@
 	m.observeClock(h.GetClock())
 	version := platform.Offset(h.GetConfigVersion())
 	s.version.Store(int64(version))
-	m.noteVersion(s, version)
+	m.compare(s, version, state)
 	if delay < m.timings.Heartbeat/2 {
 		m.observe(version)
 	}
