Revalidate the view after a pause with a peer where there is one

Cause: after a pause, log and list together made the view count as valid. Change: log and list suffice only when no other instance lives or no peer was heard for 3 s after the resume. TestGuardRevalidation expected fresh after log and list with peers present; it now expects stale there, and fresh when alone or after 3 s, which is stricter. Limit: a resumed instance that reaches log and list but no peer for 3 s may still send to a target that only announced its drain itself, until its first answer.

--- a/membership/guard.go
+++ b/membership/guard.go
@@ -14,8 +14,8 @@
 	// guardGap is the time without a tick after which the process is taken to
 	// have been paused.
 	guardGap = time.Second
-	// aloneTimeout is how long an instance without peers and without the
-	// platform stays stale.
+	// aloneTimeout is how long an instance that hears no peer stays stale
+	// without the platform, or with it while it knows other instances.
 	aloneTimeout = 3 * time.Second
 )
 
@@ -23,10 +23,11 @@
 // state of the system. While it is stale nothing may be sent to a target.
 //
 // A stale guard becomes fresh when, after the resume, a heartbeat arrives from
-// a peer whose configuration version is not above the own one, or when both
-// the log and the list have been read. An instance that knows no other one
-// that lives and cannot reach the platform has nothing to compare its view
-// with; it becomes fresh after 3 s.
+// a peer whose configuration version is not above the own one. Only peers know
+// what targets said of themselves, so that log and list, both read, suffice
+// only when no other instance lives or no peer was heard for 3 s. An instance
+// that knows no other one that lives and cannot reach the platform has nothing
+// to compare its view with; it becomes fresh after 3 s.
 type Guard struct {
 	now       func() time.Time
 	version   func() platform.Offset
@@ -151,12 +152,12 @@
 func (g *Guard) ReadList(began time.Time) { g.read(began, &g.readList) }
 
 func (g *Guard) read(began time.Time, done *bool) {
-	g.update(func(time.Time) {
+	g.update(func(now time.Time) {
 		if !g.stale || began.Before(g.resumedAt) {
 			return
 		}
 		*done = true
-		if g.readLog && g.readList {
+		if g.readLog && g.readList && (g.alone() || now.Sub(g.resumedAt) >= aloneTimeout) {
 			g.refresh()
 		}
 	})
--- a/membership/guard_test.go
+++ b/membership/guard_test.go
@@ -48,11 +48,13 @@
 }
 
 // Guards against a view that counts as revalidated by what is older than the
-// resume, or by a peer that knows a newer configuration.
+// resume, by a peer that knows a newer configuration, or by log and list alone
+// while peers may know of a leaving target.
 func TestGuardRevalidation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := &pausable{}
-		g := runGuard(t, p, WithVersion(func() platform.Offset { return 7 }))
+		var alone atomic.Bool
+		g := runGuard(t, p, WithVersion(func() platform.Offset { return 7 }), WithAlone(alone.Load))
 		beforePause := p.now()
 		p.pause(2 * time.Second)
 		// The first call after the resume notices the pause itself.
@@ -62,7 +64,19 @@
 		g.ReadList(p.now())
 		assert.Assert(t, !g.Fresh())
 		g.ReadLog(p.now())
+		assert.Assert(t, !g.Fresh(), "a peer may know more than log and list")
+		alone.Store(true)
+		g.ReadLog(p.now())
 		assert.Assert(t, g.Fresh())
+		alone.Store(false)
+
+		p.pause(2 * time.Second)
+		assert.Assert(t, !g.Fresh())
+		g.ReadLog(p.now())
+		time.Sleep(aloneTimeout)
+		assert.Assert(t, !g.Fresh())
+		g.ReadList(p.now())
+		assert.Assert(t, g.Fresh(), "no peer was heard in time")
 
 		p.pause(2 * time.Second)
 		assert.Assert(t, !g.Fresh())
