Compare with peers from seeds when the list cannot be read

Cause: the peer check waited for the instance list, so that newcomers during an outage of the platform waited out the 3 s although a serving peer, known from the seeds, had told its version. Change: after the first attempt to read the list, a peer known from elsewhere suffices. An instance that knows nobody still waits for the list.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -52,8 +53,10 @@
 	memory    *idempotency.Memory
 	relay     *relay.Server
 	admin     *admin.Server
-	// listed is closed after the first read of the instance list.
-	listed chan struct{}
+	// listTried is closed after the first attempt to read the instance list, and
+	// listRead is set once it was read.
+	listTried chan struct{}
+	listRead  atomic.Bool
 	// stale receives a value when the guard notices that the process was paused.
 	stale chan struct{}
 }
@@ -62,12 +65,12 @@
 func New(s *settings.Settings, logger log.Interface) *Daemon {
 	started := time.Now()
 	d := &Daemon{
-		settings: s,
-		logger:   logger,
-		clock:    timeline.NewClock(time.Now),
-		platform: platform.NewClient(s.Platform.Address),
-		listed:   make(chan struct{}),
-		stale:    make(chan struct{}, 1),
+		settings:  s,
+		logger:    logger,
+		clock:     timeline.NewClock(time.Now),
+		platform:  platform.NewClient(s.Platform.Address),
+		listTried: make(chan struct{}),
+		stale:     make(chan struct{}, 1),
 	}
 	d.recorder = timeline.NewRecorder(s.Instance.ID, d.clock)
 	d.follower = configlog.NewFollower(d.platform, configlog.WithFollowerLogger(logger), configlog.WithPeerCheck())
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -23,9 +23,9 @@
 	available, first := true, true
 	for {
 		err := d.readList(ctx)
-		if err == nil && first {
+		if first {
 			first = false
-			close(d.listed)
+			close(d.listTried)
 		}
 		if ctx.Err() == nil && available != (err == nil) {
 			available = err == nil
@@ -46,6 +46,7 @@
 		return err
 	}
 	d.directory.ApplyList(list)
+	d.listRead.Store(true)
 	d.guard.ReadList(began)
 	return nil
 }
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -117,12 +117,12 @@
 	return nil
 }
 
-// peersCompared returns whether the list was read, so that the peers are
-// known, and their versions were compared.
+// peersCompared returns whether the own version was compared with those of the
+// peers. They are known from the list or, when it cannot be read, from a seed.
 func (d *Daemon) peersCompared() bool {
 	select {
-	case <-d.listed:
-		return d.mesh.Compared()
+	case <-d.listTried:
+		return (d.listRead.Load() || !d.directory.Alone()) && d.mesh.Compared()
 	default:
 		return false
 	}
