relay: answer not run for a key that no process owns

Cause: an entry answer may name an instance that is known from the platform's list only. Its key prefix has incarnation 0, which no process has, and requests with such a key got "unknown" although none can have run. Change: they get "not run", so that the caller may repeat them. Ruled out: dispatching such a key on any instance, which could run it twice. Fails without the change: TestKeyWithoutOwner.

--- a/relay/keyed.go
+++ b/relay/keyed.go
@@ -37,6 +37,14 @@
 		s.serveOwned(req, resp, c)
 		return
 	}
+	if c.key.Incarnation == 0 {
+		// The prefix came from an entry answer that named an instance known from
+		// the platform's list only. No process has this incarnation, so none
+		// ever dispatched the key.
+		c.mayHaveRun = false
+		s.fail(resp, c, notRun(fasthttp.StatusServiceUnavailable, "idempotency key names no owner"))
+		return
+	}
 	if c.forwarded || s.forwarder == nil {
 		s.fail(resp, c, unknown(fasthttp.StatusBadGateway, ErrOwnerGone.Error()))
 		return
--- a/relay/keyed_test.go
+++ b/relay/keyed_test.go
@@ -71,6 +71,16 @@
 	assert.Equal(t, runs.Load(), int64(3), "idempotent requests need no key")
 }
 
+// Guards against a caller that is told unknown for a key that no process ever
+// owned, from an entry answer over the platform's list alone.
+func TestKeyWithoutOwner(t *testing.T) {
+	h, runs := newOwner(t, echo)
+	a := h.call(t, "POST", "/orders", "", fmt.Sprintf("Idempotency-Key: kt-a-1~0~%d~r", time.Now().UnixMilli()))
+	assert.Equal(t, a.status, 503)
+	assert.Equal(t, a.outcome, "not_run")
+	assert.Equal(t, runs.Load(), int64(0))
+}
+
 // Guards against concurrent repeats that both reach the target.
 func TestKeyedConcurrentRepeats(t *testing.T) {
 	h, runs := newOwner(t, func(ctx *fasthttp.RequestCtx) {
