--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -52,6 +53,10 @@
 	memory    *idempotency.Memory
 	relay     *relay.Server
 	admin     *admin.Server
+	// listTried is closed after the first attempt to read the instance list, and
+	// listRead is set once it was read.
+	listTried chan struct{}
+	listRead  atomic.Bool
 	// stale receives a value when the guard notices that the process was paused.
 	stale chan struct{}
 }
@@ -60,14 +65,15 @@
 func New(s *settings.Settings, logger log.Interface) *Daemon {
 	started := time.Now()
 	d := &Daemon{
-		settings: s,
-		logger:   logger,
-		clock:    timeline.NewClock(time.Now),
-		platform: platform.NewClient(s.Platform.Address),
-		stale:    make(chan struct{}, 1),
+		settings:  s,
+		logger:    logger,
+		clock:     timeline.NewClock(time.Now),
+		platform:  platform.NewClient(s.Platform.Address),
+		listTried: make(chan struct{}),
+		stale:     make(chan struct{}, 1),
 	}
 	d.recorder = timeline.NewRecorder(s.Instance.ID, d.clock)
-	d.follower = configlog.NewFollower(d.platform, configlog.WithFollowerLogger(logger))
+	d.follower = configlog.NewFollower(d.platform, configlog.WithFollowerLogger(logger), configlog.WithPeerCheck())
 	d.buildMembership(started)
 	d.buildRouting()
 	d.buildServers(started)
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -20,9 +20,13 @@
 func (d *Daemon) watchList(ctx context.Context) error {
 	ticker := time.NewTicker(listInterval)
 	defer ticker.Stop()
-	available := true
+	available, first := true, true
 	for {
 		err := d.readList(ctx)
+		if first {
+			first = false
+			close(d.listTried)
+		}
 		if ctx.Err() == nil && available != (err == nil) {
 			available = err == nil
 			d.notePlatform(available, err)
@@ -42,6 +46,7 @@
 		return err
 	}
 	d.directory.ApplyList(list)
+	d.listRead.Store(true)
 	d.guard.ReadList(began)
 	return nil
 }
