relay: notice callers that close their connections

Cause: fasthttp does not report that a caller has gone, so a waiting request was dispatched and an exchange ran on for nobody.

Change: the wait for a target takes the caller's connection as its context, which looks at the connection every 10 ms once the dispatcher asks for Done, that is, only when the request has to wait, and once more before the dispatch. Exchanges of idempotent requests ask a Canceler at most once per 20 ms and connection. A cancelled exchange is not repeated and does not count against the target. A forwarded request has no caller's connection and is not watched.

Ruled out: MSG_PEEK, which does not see a close behind the bytes of a pipelined request; poll with POLLRDHUP does, and reads nothing. Terms.Done, which costs a goroutine and two channels per exchange. A caller that only closes its sending side cannot be told from one that closed the connection; both count as closed.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -127,6 +127,10 @@
 	case errors.Is(err, routing.ErrQueueFull), errors.Is(err, routing.ErrTooLate), errors.Is(err, routing.ErrNoTarget),
 		errors.Is(err, errNotFresh):
 		return overloaded(err.Error())
+	case errors.Is(err, errCallerClosed):
+		f := overloaded(err.Error())
+		f.hangUp = true
+		return f
 	}
 	return notRun(fasthttp.StatusServiceUnavailable, err.Error())
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
 	"strconv"
@@ -70,6 +69,9 @@
 	if !safe {
 		c.mayHaveRun = true
 	}
+	if errors.Is(err, upstream.ErrCancelled) {
+		return false
+	}
 	return (safe || c.idempotent) && c.attempt < maxAttempts && time.Now().Before(c.deadline)
 }
 
@@ -79,17 +81,21 @@
 		if !s.awaitFresh(c) {
 			return nil, errNotFresh
 		}
-		slot, err := c.dispatcher.Acquire(context.Background(), routing.Call{
+		slot, err := c.dispatcher.Acquire(&c.caller, routing.Call{
 			Arrival: c.arrival, Deadline: c.deadline, Long: c.long, Class: c.class, Exclude: c.tried,
 		})
+		closed := c.caller.endWait()
 		if err != nil {
 			return nil, err
 		}
 		// The instance may have been paused during the wait.
-		if s.freshness == nil || s.freshness.Fresh() {
+		if closed == nil && (s.freshness == nil || s.freshness.Fresh()) {
 			return slot, nil
 		}
 		slot.Release(routing.Result{Status: routing.Unused, Reported: routing.NoReport})
+		if closed != nil {
+			return nil, closed
+		}
 	}
 }
 
@@ -163,7 +169,12 @@
 	}
 	req.Header.SetBytesV(header.Deadline, appendDuration(buf[:0], c.deadline.Sub(start)))
 	req.Header.SetBytesV(header.Attempt, strconv.AppendInt(buf[:0], int64(c.attempt), 10))
-	err := pool.Exchange(req, resp, upstream.Terms{Deadline: c.deadline, Proven: !c.idempotent})
+	terms := upstream.Terms{Deadline: c.deadline, Proven: !c.idempotent}
+	// Any other exchange runs to its end, so that its outcome is known.
+	if c.idempotent {
+		terms.Canceler = &c.caller
+	}
+	err := pool.Exchange(req, resp, terms)
 	result.Latency = time.Since(start)
 	result.Status = statusOf(resp, err, c.deadline)
 	if err == nil || errors.Is(err, upstream.ErrNotRun) {
@@ -189,7 +200,7 @@
 		return routing.Failed
 	case errors.Is(err, upstream.ErrNotRun):
 		return routing.Shed
-	case errors.Is(err, upstream.ErrNoConnection), errors.Is(err, upstream.ErrClosed):
+	case errors.Is(err, upstream.ErrNoConnection), errors.Is(err, upstream.ErrCancelled), errors.Is(err, upstream.ErrClosed):
 		return routing.Unused
 	case errors.Is(err, upstream.ErrNotSent):
 		return routing.Unreachable
--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -42,14 +42,20 @@
 	target := newTarget(b, "sk-01", benchTarget)
 	h := newHarness(b, []config.Target{target})
 	paths := []struct {
-		name    string
-		address string
-	}{{"direct", target.Address.String()}, {"relayed", h.address}}
+		name       string
+		address    string
+		idempotent string
+	}{
+		{"direct", target.Address.String(), "false"},
+		{"relayed", h.address, "false"},
+		{"relayed_idempotent", h.address, "true"},
+	}
 	for _, path := range paths {
 		b.Run(path.name, func(b *testing.B) {
 			pool := upstream.NewPool(config.Target{Address: netip.MustParseAddrPort(path.address)}, 1)
 			defer pool.Close()
 			req, resp := newBenchRequest(), &fasthttp.Response{}
+			req.Header.Set(header.Idempotent, path.idempotent)
 			b.ReportAllocs()
 			for b.Loop() {
 				if err := pool.Exchange(req, resp, upstream.Terms{Deadline: time.Now().Add(testTimeout)}); err != nil {
--- a/relay/request.go
+++ b/relay/request.go
@@ -49,6 +49,7 @@
 	tried      []netip.AddrPort
 	found      inspection
 	body       []byte
+	caller     callerContext
 }
 
 // reset clears the call for reuse and keeps a buffer of usual size.
@@ -63,6 +64,7 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	ctx.Response.ReleaseBody(maxKeptBody)
 	c := s.calls.Get().(*call)
+	c.caller.conn = ctx.Conn()
 	s.serve(&ctx.Request, &ctx.Response, c)
 	ctx.Request.ResetBody() // it uses the call's buffer
 	c.reset()
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -21,6 +22,8 @@
 	writeBuffer  = 4 << 10
 	// maxInterim bounds the 1xx answers that precede an answer.
 	maxInterim = 8
+	// cancelInterval is the time between two questions to a Canceler.
+	cancelInterval = 20 * time.Millisecond
 )
 
 // conn is one connection with its buffers. It belongs to one exchange at a time.
@@ -34,6 +37,8 @@
 	// sent is the number of bytes of the current request that the kernel took.
 	sent int
 
+	cancellation cancellation
+
 	quiet bool
 	peek  [1]byte
 	probe func(fd uintptr) bool
@@ -80,6 +85,62 @@
 	return true
 }
 
+// cancellation closes the connection of an exchange that is cancelled. Its timer
+// is armed at most once per interval, not per exchange, since arming and
+// stopping it would slow down short exchanges.
+type cancellation struct {
+	mu       sync.Mutex
+	canceler Canceler // nil between exchanges
+	canceled bool
+	armed    bool
+	timer    *time.Timer
+}
+
+// watch asks the canceler at intervals until unwatch.
+func (c *conn) watch(canceler Canceler) {
+	if canceler == nil {
+		return
+	}
+	w := &c.cancellation
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.canceler = canceler
+	switch {
+	case w.armed:
+	case w.timer == nil:
+		w.timer = time.AfterFunc(cancelInterval, c.askCanceler)
+	default:
+		w.timer.Reset(cancelInterval)
+	}
+	w.armed = true
+}
+
+// unwatch returns whether the connection was closed.
+func (c *conn) unwatch() bool {
+	w := &c.cancellation
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.canceler = nil
+	return w.canceled
+}
+
+func (c *conn) askCanceler() {
+	w := &c.cancellation
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.armed = false
+	if w.canceler == nil {
+		return
+	}
+	if w.canceler.Canceled() {
+		w.canceled = true
+		_ = c.Close()
+		return
+	}
+	w.armed = true
+	w.timer.Reset(cancelInterval)
+}
+
 // setUserTimeout bounds the time that sent bytes may stay unacknowledged, so
 // that a connection whose path lost its state fails.
 func setUserTimeout(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -137,13 +137,15 @@
 		return err
 	}
 	stop := watch(c, terms.Done)
+	c.watch(terms.Canceler)
 	err = c.exchange(req, resp, p.maxAnswer)
-	if stop() {
+	canceled := c.unwatch()
+	if stop() || canceled {
 		p.discard(c)
-		if err == nil {
-			err = fmt.Errorf("%w: %w", ErrUnknown, errCancelled)
+		if errors.Is(err, ErrNotSent) {
+			return fmt.Errorf("%w: %w", ErrNotSent, ErrCancelled)
 		}
-		return err
+		return fmt.Errorf("%w: %w", ErrUnknown, ErrCancelled)
 	}
 	if err != nil {
 		p.discard(c)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -23,6 +23,10 @@
 	ErrClosed = fmt.Errorf("%w: pool is closed", ErrNotSent)
 )
 
+// ErrCancelled means that the exchange was cancelled. It is wrapped together
+// with what is known of the request.
+var ErrCancelled = errors.New("exchange was cancelled")
+
 // The reasons for which an answer is discarded. They are wrapped together with
 // ErrUnknown.
 var (
@@ -31,7 +35,6 @@
 	errAnswerTooLarge   = errors.New("answer is too large")
 	errSwitchedProtocol = errors.New("answer switches the protocol")
 	errManyInterim      = errors.New("too many interim answers")
-	errCancelled        = errors.New("exchange was cancelled")
 )
 
 // Terms are the conditions of one exchange.
@@ -43,6 +46,14 @@
 	Proven bool
 	// Done cancels the exchange by closing its connection. It may be nil.
 	Done <-chan struct{}
+	// Canceler cancels the exchange in the same way. It may be nil.
+	Canceler Canceler
+}
+
+// Canceler tells whether an exchange in progress should be cancelled. It is
+// asked at most once per cancelInterval and connection, while the exchange runs.
+type Canceler interface {
+	Canceled() bool
 }
 
 // Stats counts what a pool did since it was opened.
