relay: give refused connections an outcome and a reason

Cause: above the limit of callers' connections fasthttp answers by itself, without Rhubarbrelay-Outcome and Rhubarbrelay-Reason.

Change: a listener counts the open connections and answers those above the limit. It reads the header of the request for up to 1 s beside the accepting: a request with an idempotency key may repeat one that ran, and gets unknown like every refusal before the key is decided; any other gets not_run. Above 256 refused connections at a time they are answered unread, with unknown. The sending side is closed first, because closing with unread bytes resets the connection and the caller could lose the answer. fasthttp gets twice as many workers as connections, since a worker becomes free only after the close.

Ruled out: not_run for every refused connection, which is false for the repeat of a key that ran; counting in ConnState, which comes after fasthttp's own decision; fasthttp's ErrorHandler, which that refusal does not call.

Conclusion: every refusal carries an outcome.

--- a/relay/server.go
+++ b/relay/server.go
@@ -32,8 +32,8 @@
 	DefaultWriteTimeout = 10 * time.Second
 	// maxRequestHeader bounds the header of a request, in bytes.
 	maxRequestHeader = 8 << 10
-	// maxConcurrency bounds the connections of callers.
-	maxConcurrency = 16 << 10
+	// DefaultMaxConnections bounds the connections of callers.
+	DefaultMaxConnections = 16 << 10
 	// refusalEvents bounds the recorded refusals per second: an overload must
 	// not push all other events out of the timeline.
 	refusalEvents = 10
@@ -93,6 +93,8 @@
 	closing     atomic.Bool
 	calls       sync.Pool // of *call
 	http        *fasthttp.Server
+	// maxConnections bounds the connections of callers.
+	maxConnections int
 }
 
 // Option changes a Server under construction.
@@ -127,7 +129,7 @@
 
 // WithMaxConnections bounds the connections of callers.
 func WithMaxConnections(n int) Option {
-	return func(s *Server) { s.http.Concurrency = n }
+	return func(s *Server) { s.maxConnections = n }
 }
 
 // WithReadTimeout bounds the time that a caller may take to send a request.
@@ -141,9 +143,9 @@
 ) *Server {
 	s := &Server{
 		fleet: fleet, dispatchers: dispatchers, pools: pools, planner: planner, targets: targets,
-		allowRetry: (*routing.Dispatcher).AllowRetry,
-		refusals:   rate.NewLimiter(refusalEvents, refusalEvents),
-		calls:      sync.Pool{New: func() any { return &call{} }},
+		allowRetry: (*routing.Dispatcher).AllowRetry, maxConnections: DefaultMaxConnections,
+		refusals: rate.NewLimiter(refusalEvents, refusalEvents),
+		calls:    sync.Pool{New: func() any { return &call{} }},
 	}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
@@ -155,7 +157,6 @@
 		ReadTimeout:           DefaultReadTimeout,
 		WriteTimeout:          DefaultWriteTimeout,
 		IdleTimeout:           DefaultIdleTimeout,
-		Concurrency:           maxConcurrency,
 		NoDefaultServerHeader: true,
 		NoDefaultContentType:  true,
 		SecureErrorLogMessage: true,
@@ -168,6 +169,10 @@
 	for _, opt := range opts {
 		opt(s)
 	}
+	// The listener keeps to the limit. A worker of fasthttp becomes free shortly
+	// after its connection was closed, so that there must be more workers than
+	// connections.
+	s.http.Concurrency = 2 * s.maxConnections
 	return s
 }
 
@@ -179,7 +184,11 @@
 func (discardLogger) Printf(string, ...any) {}
 
 // Serve accepts callers until the listener closes.
-func (s *Server) Serve(l net.Listener) error { return s.http.Serve(l) }
+func (s *Server) Serve(l net.Listener) error {
+	limited := &limitedListener{Listener: l, limit: int64(s.maxConnections), refuse: s.refuseConnection}
+	defer limited.pending.Wait()
+	return s.http.Serve(limited)
+}
 
 // SetClosing sets whether every answer asks the caller to close its connection.
 func (s *Server) SetClosing(closing bool) { s.closing.Store(closing) }
