relay: end a panicking request instead of the process

Cause: a panic in a handler ended the process, with every request in it.

Change: the places where a request is handled recover. The panic is logged once with its stack and counted; the slot, the watch of the caller's connection and the connection to the target are released. The answer is 500 with not_run, or unknown once a byte may have left for a target or for the owner of the key, or while the key may stand for a request that ran. The key of a request that was not dispatched becomes free again, as its caller is told.

Ruled out: releasing the slot by a deferred call in acquire alone, since the slot is handed on; recording an event, because the recorder may be what panicked. Goroutines of timers have no request and are not covered.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -114,6 +114,7 @@
 	d.memory = idempotency.NewMemory(s.Instance.ID, started.UnixMilli(), started)
 	d.relay = relay.NewServer(d.follower, d.table, d.pools, planner, d,
 		relay.WithRecorder(d.recorder),
+		relay.WithLogger(d.logger),
 		relay.WithFreshness(d.guard),
 		relay.WithMemory(d.memory),
 		relay.WithForwarder(forwarder{d.mesh}),
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -98,6 +98,7 @@
 // handleError answers a request that fasthttp could not read.
 func (s *Server) handleError(ctx *fasthttp.RequestCtx, err error) {
 	var c call
+	defer s.endPanic(&ctx.Request, &ctx.Response, &c)
 	f := failureOfRead(err)
 	f.hangUp = true
 	// What did not arrive may carry the key of a request that ran. A malformed
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -88,6 +88,7 @@
 		if err != nil {
 			return nil, err
 		}
+		c.slot = slot
 		// The instance may have been paused during the wait.
 		if closed == nil && (s.freshness == nil || s.freshness.Fresh()) {
 			return slot, nil
@@ -174,6 +175,7 @@
 	if c.idempotent {
 		terms.Canceler = &c.caller
 	}
+	c.dispatched = true
 	err := pool.Exchange(req, resp, terms)
 	result.Latency = time.Since(start)
 	result.Status = statusOf(resp, err, c.deadline)
--- a/relay/keyed.go
+++ b/relay/keyed.go
@@ -87,11 +87,16 @@
 }
 
 // dispatchClaimed runs the first request with a key and records its outcome. A
-// failure inside the relay leaves the outcome unknown.
+// panic after the dispatch leaves the outcome unknown.
 func (s *Server) dispatchClaimed(req *fasthttp.Request, resp *fasthttp.Response, c *call, claim *idempotency.Claim) {
 	outcome := idempotency.Unknown
 	var answer []byte
-	defer func() { claim.Finish(outcome, answer) }()
+	defer func() {
+		if !c.dispatched {
+			outcome = idempotency.NotRun
+		}
+		claim.Finish(outcome, answer)
+	}()
 	c.mayHaveRun = false
 	s.dispatch(req, resp, c)
 	switch string(resp.Header.Peek(header.Outcome)) {
@@ -132,6 +137,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
 	defer cancel()
 	s.recordEvent(c, timeline.Event{Kind: timeline.RequestForwarded, Peer: c.key.Instance})
+	c.dispatched = true
 	answer, err := s.forwarder.Forward(ctx, c.key.Instance, c.key.Incarnation, encodeRequest(req))
 	if err == nil {
 		err = decodeAnswer(resp, answer)
--- a/relay/listener.go
+++ b/relay/listener.go
@@ -101,6 +101,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	var c call
+	defer s.endPanic(req, resp, &c)
 	outcome := header.OutcomeUnknown
 	if read && req.Header.Read(bufio.NewReaderSize(conn, maxRequestHeader)) == nil {
 		if len(req.Header.Peek(header.IdempotencyKey)) == 0 {
--- a/relay/request.go
+++ b/relay/request.go
@@ -45,11 +45,16 @@
 	// mayHaveRun is set while an attempt, or a request with the same key, may
 	// have run.
 	mayHaveRun bool
-	attempt    int
-	tried      []netip.AddrPort
-	found      inspection
-	body       []byte
-	caller     callerContext
+	// dispatched is set before the first byte may leave for a target or for
+	// the owner of the key.
+	dispatched bool
+	// slot is the last one that the call got. It may be released already.
+	slot    *routing.Slot
+	attempt int
+	tried   []netip.AddrPort
+	found   inspection
+	body    []byte
+	caller  callerContext
 }
 
 // reset clears the call for reuse and keeps a buffer of usual size.
@@ -76,8 +81,10 @@
 
 // handleExpect decides whether a caller that waits for 100 Continue should send
 // its body.
-func (s *Server) handleExpect(ctx *fasthttp.RequestCtx) int {
+func (s *Server) handleExpect(ctx *fasthttp.RequestCtx) (status int) {
 	var c call
+	status = fasthttp.StatusInternalServerError // after a panic
+	defer s.endPanic(&ctx.Request, &ctx.Response, &c)
 	f := s.admit(&ctx.Request, &c)
 	if f == nil {
 		return fasthttp.StatusContinue
@@ -87,6 +94,7 @@
 }
 
 func (s *Server) serve(req *fasthttp.Request, resp *fasthttp.Response, c *call) {
+	defer s.endPanic(req, resp, c)
 	resp.SkipBody = req.Header.IsHead()
 	f := s.readBody(req, c)
 	if f == nil {
--- a/relay/server.go
+++ b/relay/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 
@@ -90,6 +91,8 @@
 	memory      *idempotency.Memory
 	allowRetry  func(*routing.Dispatcher) bool
 	refusals    *rate.Limiter
+	logger      log.Interface
+	panics      atomic.Uint64
 	closing     atomic.Bool
 	calls       sync.Pool // of *call
 	http        *fasthttp.Server
@@ -105,6 +108,11 @@
 	return func(s *Server) { s.recorder = recorder }
 }
 
+// WithLogger sets the logger of panics.
+func WithLogger(logger log.Interface) Option {
+	return func(s *Server) { s.logger = logger }
+}
+
 // WithFreshness holds requests back while the instance's view is not fresh.
 func WithFreshness(freshness Freshness) Option {
 	return func(s *Server) { s.freshness = freshness }
@@ -144,6 +152,7 @@
 	s := &Server{
 		fleet: fleet, dispatchers: dispatchers, pools: pools, planner: planner, targets: targets,
 		allowRetry: (*routing.Dispatcher).AllowRetry, maxConnections: DefaultMaxConnections,
+		logger:   log.Log,
 		refusals: rate.NewLimiter(refusalEvents, refusalEvents),
 		calls:    sync.Pool{New: func() any { return &call{} }},
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -138,7 +138,15 @@
 	}
 	stop := watch(c, terms.Done)
 	c.watch(terms.Canceler)
+	returned := false
+	defer func() {
+		if !returned { // a panic
+			_, _ = stop(), c.unwatch()
+			p.discard(c)
+		}
+	}()
 	err = c.exchange(req, resp, p.maxAnswer)
+	returned = true
 	canceled := c.unwatch()
 	if stop() || canceled {
 		p.discard(c)
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -384,6 +384,25 @@
 	close(release)
 }
 
+// Guards against a connection that a panic takes from its pool.
+func TestExchangePanicClosesConnection(t *testing.T) {
+	p := NewPool(config.Target{}, 1, WithDial(func(context.Context, string, string) (net.Conn, error) {
+		return panickingConn{&net.TCPConn{}}, nil
+	}))
+	func() {
+		defer func() { assert.Assert(t, recover() != nil) }()
+		_, _ = post(p, "")
+	}()
+	assert.Equal(t, p.Stats().Open, 0)
+}
+
+// panickingConn panics when a request is written.
+type panickingConn struct{ net.Conn }
+
+func (panickingConn) SetDeadline(time.Time) error { return nil }
+
+func (panickingConn) Write([]byte) (int, error) { panic("test of the pool") }
+
 // Guards against a cancelled exchange that holds its connection or returns it.
 func TestExchangeCancel(t *testing.T) {
 	f := newFakeTarget(t, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
