relay: count outcomes for the metrics page

Cause: an operator could not see how callers' requests end; the dispatchers' counters know neither outcomes nor failures before and after the dispatch.

Change: Server.Stats counts outcomes, retries, forwards, panics and, by cause, the answers with not_run. The metrics show it under the key callers. Requests is the sum of the outcomes, so that a request that runs at once adds to a single counter.

Ruled out: sharded counters.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -4,6 +4,7 @@
 	"rhubarbrelay/health"
 	"rhubarbrelay/idempotency"
 	"rhubarbrelay/peer"
+	"rhubarbrelay/relay"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/upstream"
 )
@@ -20,6 +21,7 @@
 	LiveInstances  int                       `json:"live_instances"`
 	MaxInstances   int                       `json:"max_instances"`
 	Requests       int                       `json:"requests"`
+	Callers        callerMetrics             `json:"callers"`
 	Services       map[string]serviceMetrics `json:"services"`
 	Upstream       upstreamMetrics           `json:"upstream"`
 	Probes         probeMetrics              `json:"probes"`
@@ -27,6 +29,35 @@
 	Keys           keyMetrics                `json:"keys"`
 }
 
+// callerMetrics counts the answers to callers.
+type callerMetrics struct {
+	Requests  uint64         `json:"requests"`
+	Run       uint64         `json:"run"`
+	NotRun    uint64         `json:"not_run"`
+	Unknown   uint64         `json:"unknown"`
+	Retries   uint64         `json:"retries"`
+	Forwarded uint64         `json:"forwarded"`
+	Panics    uint64         `json:"panics"`
+	Refused   refusalMetrics `json:"refused"`
+}
+
+// refusalMetrics counts the answers with the outcome not_run by their cause.
+type refusalMetrics struct {
+	Input        uint64 `json:"input"`
+	QueueFull    uint64 `json:"queue_full"`
+	TooLate      uint64 `json:"too_late"`
+	NoTarget     uint64 `json:"no_target"`
+	Stale        uint64 `json:"stale"`
+	Connections  uint64 `json:"connections"`
+	NoConnection uint64 `json:"no_connection"`
+	Unreachable  uint64 `json:"unreachable"`
+	Shed         uint64 `json:"shed"`
+	Deadline     uint64 `json:"deadline"`
+	CallerClosed uint64 `json:"caller_closed"`
+	Keys         uint64 `json:"keys"`
+	Internal     uint64 `json:"internal"`
+}
+
 // serviceMetrics counts the decisions on one service.
 type serviceMetrics struct {
 	Acquired       uint64 `json:"acquired"`
@@ -103,6 +134,7 @@
 		LiveInstances:  d.directory.LiveCount(),
 		MaxInstances:   d.settings.Peers.MaxInstances,
 		Requests:       d.fairness.Total(),
+		Callers:        callersFrom(d.relay.Stats()),
 		Services:       map[string]serviceMetrics{},
 		Upstream:       sumUpstream(d.pools),
 		Probes:         probesFrom(d.prober.Counts()),
@@ -117,6 +149,13 @@
 	return m
 }
 
+func callersFrom(s relay.Stats) callerMetrics {
+	return callerMetrics{
+		Requests: s.Requests, Run: s.Run, NotRun: s.NotRun, Unknown: s.Unknown,
+		Retries: s.Retries, Forwarded: s.Forwarded, Panics: s.Panics, Refused: refusalMetrics(s.Refused),
+	}
+}
+
 func serviceFrom(s routing.Stats) serviceMetrics { return serviceMetrics(s) }
 
 func probesFrom(c health.Counts) probeMetrics { return probeMetrics(c) }
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -27,6 +27,12 @@
 	// hangUp closes the caller's connection: what follows the request on it
 	// cannot be trusted.
 	hangUp bool
+	cause  refusal
+}
+
+func (f *failure) because(cause refusal) *failure {
+	f.cause = cause
+	return f
 }
 
 func notRun(status int, reason string) *failure {
@@ -37,9 +43,9 @@
 	return &failure{status: status, outcome: header.OutcomeUnknown, reason: reason}
 }
 
-func overloaded(reason string) *failure {
+func overloaded(cause refusal, reason string) *failure {
 	return &failure{
-		status: fasthttp.StatusServiceUnavailable, outcome: header.OutcomeNotRun, reason: reason, overload: true,
+		status: fasthttp.StatusServiceUnavailable, outcome: header.OutcomeNotRun, reason: reason, overload: true, cause: cause,
 	}
 }
 
@@ -51,6 +57,7 @@
 		outcome = header.OutcomeUnknown
 	}
 	writeFailure(resp, f, outcome)
+	s.counters.refuse(f, outcome)
 	if c.id != "" {
 		resp.Header.Set(header.RequestID, c.id)
 	}
@@ -106,6 +113,7 @@
 	c.mayHaveRun = f.status == fasthttp.StatusRequestTimeout ||
 		len(ctx.Request.Header.Peek(header.IdempotencyKey)) > 0
 	s.fail(&ctx.Response, &c, f)
+	s.counters.answered(&ctx.Response)
 }
 
 func failureOfRead(err error) *failure {
@@ -125,15 +133,20 @@
 // failureOfAcquire maps the refusals of a dispatcher.
 func failureOfAcquire(err error) *failure {
 	switch {
-	case errors.Is(err, routing.ErrQueueFull), errors.Is(err, routing.ErrTooLate), errors.Is(err, routing.ErrNoTarget),
-		errors.Is(err, errNotFresh):
-		return overloaded(err.Error())
+	case errors.Is(err, routing.ErrQueueFull):
+		return overloaded(refusedQueueFull, err.Error())
+	case errors.Is(err, routing.ErrTooLate):
+		return overloaded(refusedTooLate, err.Error())
+	case errors.Is(err, routing.ErrNoTarget):
+		return overloaded(refusedNoTarget, err.Error())
+	case errors.Is(err, errNotFresh):
+		return overloaded(refusedStale, err.Error())
 	case errors.Is(err, errCallerClosed):
-		f := overloaded(err.Error())
+		f := overloaded(refusedCallerClosed, err.Error())
 		f.hangUp = true
 		return f
 	}
-	return notRun(fasthttp.StatusServiceUnavailable, err.Error())
+	return notRun(fasthttp.StatusServiceUnavailable, err.Error()).because(refusedInternal)
 }
 
 // failureOfExchange maps the errors of an exchange. The reason names no address
@@ -141,13 +154,13 @@
 func failureOfExchange(err error, deadline time.Time) *failure {
 	switch {
 	case errors.Is(err, upstream.ErrNoConnection):
-		return overloaded("no connection to the target is free")
+		return overloaded(refusedNoConnection, "no connection to the target is free")
 	case errors.Is(err, upstream.ErrNotRun):
-		return overloaded("target did not run the request")
+		return overloaded(refusedShed, "target did not run the request")
 	case errors.Is(err, upstream.ErrNotSent) && !time.Now().Before(deadline):
-		return notRun(fasthttp.StatusGatewayTimeout, "deadline passed before the request was sent")
+		return notRun(fasthttp.StatusGatewayTimeout, "deadline passed before the request was sent").because(refusedDeadline)
 	case errors.Is(err, upstream.ErrNotSent):
-		return notRun(fasthttp.StatusBadGateway, "target cannot be reached")
+		return notRun(fasthttp.StatusBadGateway, "target cannot be reached").because(refusedUnreachable)
 	case !time.Now().Before(deadline):
 		return unknown(fasthttp.StatusGatewayTimeout, "no answer before the deadline")
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -58,6 +58,7 @@
 		}
 		last = err
 		c.tried = append(c.tried, target.Address)
+		s.counters.retries.Add(1)
 		s.record(timeline.RequestRetried, c, target.Name, err.Error())
 	}
 }
@@ -254,6 +255,7 @@
 	}
 	finishAnswer(resp, c, header.OutcomeNotRun)
 	resp.Header.Set(header.Reason, f.reason)
+	s.counters.refuse(f, header.OutcomeNotRun)
 	if len(resp.Header.Peek(fasthttp.HeaderRetryAfter)) == 0 {
 		resp.Header.Set(fasthttp.HeaderRetryAfter, retryAfter)
 	}
--- a/relay/entry.go
+++ b/relay/entry.go
@@ -36,7 +36,7 @@
 	}
 	body, err := encodeEntry(s.planner.Plan(service, string(uri.QueryArgs().Peek("zone"))))
 	if err != nil {
-		s.fail(resp, c, notRun(fasthttp.StatusInternalServerError, err.Error()))
+		s.fail(resp, c, notRun(fasthttp.StatusInternalServerError, err.Error()).because(refusedInternal))
 		return
 	}
 	resp.Header.SetContentType("application/json")
--- a/relay/keyed.go
+++ b/relay/keyed.go
@@ -80,7 +80,7 @@
 		s.fail(resp, c, notRun(fasthttp.StatusUnprocessableEntity, err.Error()))
 	case errors.Is(err, idempotency.ErrFull):
 		c.mayHaveRun = false
-		s.fail(resp, c, overloaded(err.Error()))
+		s.fail(resp, c, overloaded(refusedKeys, err.Error()))
 	default:
 		s.fail(resp, c, unknown(fasthttp.StatusConflict, err.Error()))
 	}
@@ -138,6 +138,7 @@
 	defer cancel()
 	s.recordEvent(c, timeline.Event{Kind: timeline.RequestForwarded, Peer: c.key.Instance})
 	c.dispatched = true
+	s.counters.forwarded.Add(1)
 	answer, err := s.forwarder.Forward(ctx, c.key.Instance, c.key.Incarnation, encodeRequest(req))
 	if err == nil {
 		err = decodeAnswer(resp, answer)
@@ -174,6 +175,7 @@
 		req.Header.Set(header.Deadline, timeout.String())
 	}
 	s.serve(req, resp, &call{forwarded: true})
+	s.counters.answered(resp)
 	return encodeAnswer(resp)
 }
 
--- a/relay/listener.go
+++ b/relay/listener.go
@@ -112,9 +112,11 @@
 			c.id = string(given)
 		}
 	}
-	f := overloaded("instance has too many connections of callers")
+	f := overloaded(refusedConnections, "instance has too many connections of callers")
 	f.hangUp = true
 	writeFailure(resp, f, outcome)
+	s.counters.refuse(f, outcome)
+	s.counters.answered(resp)
 	if c.id != "" {
 		resp.Header.Set(header.RequestID, c.id)
 	}
--- a/relay/panic.go
+++ b/relay/panic.go
@@ -17,14 +17,14 @@
 	if cause == nil {
 		return
 	}
-	s.panics.Add(1)
+	s.counters.panics.Add(1)
 	s.logger.WithField("panic", cause).WithField("request", c.id).WithField("stack", string(debug.Stack())).
 		Error("request ended by a panic")
 	_ = c.caller.endWait()
 	if c.slot != nil {
 		c.slot.Release(routing.Result{Status: routing.Unused, Reported: routing.NoReport})
 	}
-	f := notRun(fasthttp.StatusInternalServerError, "internal error")
+	f := notRun(fasthttp.StatusInternalServerError, "internal error").because(refusedInternal)
 	f.hangUp = true // the rest of the request may be unread
 	// Until the call has its service, the key may not have been read.
 	keyed := c.service == nil && len(req.Header.Peek(header.IdempotencyKey)) > 0
@@ -32,6 +32,7 @@
 		f.outcome = header.OutcomeUnknown
 	}
 	writeFailure(resp, f, f.outcome)
+	s.counters.refuse(f, f.outcome)
 	if c.id != "" {
 		resp.Header.Set(header.RequestID, c.id)
 	}
--- a/relay/panic_test.go
+++ b/relay/panic_test.go
@@ -60,7 +60,7 @@
 			assert.Equal(t, a.headers["Rhubarbrelay-Request-Id"], "id-1")
 			assert.Equal(t, h.table.Dispatcher("spoolkeep").Stats().InFlight, 0)
 			assert.Equal(t, h.pools.Pool(target.Address).Stats().Open, 0)
-			assert.Equal(t, h.relay.panics.Load(), uint64(1))
+			assert.Equal(t, h.relay.Stats().Panics, uint64(1))
 			assert.Equal(t, len(logged.Entries), 1)
 			assert.Assert(t, logged.Entries[0].Fields.Get("stack") != "")
 		})
--- a/relay/request.go
+++ b/relay/request.go
@@ -71,6 +71,7 @@
 	c := s.calls.Get().(*call)
 	c.caller.conn = ctx.Conn()
 	s.serve(&ctx.Request, &ctx.Response, c)
+	s.counters.answered(&ctx.Response)
 	ctx.Request.ResetBody() // it uses the call's buffer
 	c.reset()
 	s.calls.Put(c)
@@ -90,6 +91,7 @@
 		return fasthttp.StatusContinue
 	}
 	s.fail(&ctx.Response, &c, f)
+	s.counters.answered(&ctx.Response)
 	return f.status
 }
 
@@ -230,7 +232,7 @@
 			return notRun(fasthttp.StatusBadRequest, "deadline is not a duration such as 250ms")
 		}
 		if own <= 0 {
-			return notRun(fasthttp.StatusGatewayTimeout, "deadline has passed")
+			return notRun(fasthttp.StatusGatewayTimeout, "deadline has passed").because(refusedDeadline)
 		}
 		timeout = min(timeout, own)
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -92,7 +92,7 @@
 	allowRetry  func(*routing.Dispatcher) bool
 	refusals    *rate.Limiter
 	logger      log.Interface
-	panics      atomic.Uint64
+	counters    counters
 	closing     atomic.Bool
 	calls       sync.Pool // of *call
 	http        *fasthttp.Server
