--- a/queries/queries.go
+++ b/queries/queries.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/netip"
 	"text/tabwriter"
 
 	"rhubarbrelay/config"
@@ -76,11 +75,3 @@
 	}
 	return fmt.Sprint(int64(v))
 }
-
-// addressText returns an empty string for an unknown address.
-func addressText(a netip.AddrPort) string {
-	if !a.IsValid() {
-		return ""
-	}
-	return a.String()
-}
--- a/queries/status.go
+++ b/queries/status.go
@@ -98,7 +98,7 @@
 				if target.State == admin.TargetReady && !r.Targets {
 					continue
 				}
-				t.row(s.Name+"/"+target.Name, statusName(m), dash(addressText(target.Address)), dash(target.Zone), target.State,
+				t.row(s.Name+"/"+target.Name, statusName(m), dash(admin.FormatAddress(target.Address)), dash(target.Zone), target.State,
 					target.InFlight, target.Limit, target.Slots, dash(target.Reason))
 			}
 		}
@@ -135,6 +135,8 @@
 	Targets  []targetMessage `json:"targets"`
 }
 
+// targetMessage is converted from admin.TargetMessage. Its own tags keep an
+// empty reason in the output.
 type targetMessage struct {
 	Name     string `json:"name"`
 	Address  string `json:"address"`
@@ -164,7 +166,7 @@
 func instanceOf(member admin.Member) instanceMessage {
 	s := member.Status
 	m := instanceMessage{
-		ID: statusName(member), Address: addressText(member.Address), Zone: s.Zone, State: string(s.State),
+		ID: statusName(member), Address: admin.FormatAddress(member.Address), Zone: s.Zone, State: string(s.State),
 		Incarnation: s.Incarnation, Ready: s.Ready, Reason: s.Reason, Version: int64(s.Version), Scopes: scopesOf(s.Scopes),
 		DrainedInstances: append([]string{}, s.DrainedInstances...), InFlight: s.InFlight, Services: []loadMessage{},
 	}
@@ -174,10 +176,7 @@
 			MaxQueue: service.MaxQueue, Targets: []targetMessage{},
 		}
 		for _, t := range service.Targets {
-			load.Targets = append(load.Targets, targetMessage{
-				Name: t.Name, Address: addressText(t.Address), Zone: t.Zone, State: string(t.State), Reason: t.Reason,
-				InFlight: t.InFlight, Limit: t.Limit, Slots: t.Slots,
-			})
+			load.Targets = append(load.Targets, targetMessage(admin.TargetToMessage(t)))
 		}
 		m.Services = append(m.Services, load)
 	}
--- a/queries/timeline.go
+++ b/queries/timeline.go
@@ -102,7 +102,7 @@
 func missingMessages(members []admin.Member) []missingMessage {
 	all := make([]missingMessage, 0, len(members))
 	for _, m := range members {
-		all = append(all, missingMessage{ID: m.ID, Address: addressText(m.Address), Error: m.Err.Error()})
+		all = append(all, missingMessage{ID: m.ID, Address: admin.FormatAddress(m.Address), Error: m.Err.Error()})
 	}
 	return all
 }
