cli: say what the last case of dispatch guards

Cause: "command is not implemented" read like an unfinished command.

Change: the case and its message name what it guards: a subcommand that was added to the arguments without a case in dispatch.

Ruled out: a method on each argument struct, which go-arg returns as any, so that the same check would remain as a type assertion.

--- a/cmd/rhubarbrelay/main.go
+++ b/cmd/rhubarbrelay/main.go
@@ -146,7 +146,9 @@
 	case a.Load != nil:
 		return nil, runLoad(ctx, a.Load)
 	default:
-		return nil, errors.New("command is not implemented")
+		// Guards against a subcommand that was added to args without a case here.
+		// The parser refuses a call without a subcommand.
+		return nil, errors.New("command has no case in dispatch")
 	}
 }
 
