--- a/settings/reader.go
+++ b/settings/reader.go
@@ -137,51 +137,47 @@
 	return text
 }
 
-// kind is how a number is written in the settings.
-type kind struct {
-	parse  func(text string) (int, error)
-	format func(n int) string
-}
-
 func (r *reader) duration(section, key string, fallback, least, most time.Duration) time.Duration {
-	parse := func(text string) (int, error) {
-		d, err := time.ParseDuration(text)
-		if err != nil {
-			return 0, errDuration
-		}
-		return int(d), nil
+	text, ok := r.optional(section, key)
+	if !ok {
+		return fallback
+	}
+	d, err := time.ParseDuration(text)
+	switch {
+	case err != nil:
+		r.problem(setting{section, key}, text, "not a duration with its unit, such as 250ms")
+	case d < least || d > most:
+		r.problem(setting{section, key}, text, fmt.Sprintf("outside of %s to %s", least, most))
 	}
-	format := func(n int) string { return time.Duration(n).String() }
-	return time.Duration(r.number(section, key, kind{parse, format}, int(fallback), int(least), int(most)))
+	return d
 }
 
 func (r *reader) integer(section, key string, fallback, least, most int) int {
-	parse := func(text string) (int, error) {
-		n, err := strconv.Atoi(text)
-		if err != nil {
-			return 0, errInteger
-		}
-		return n, nil
+	text, ok := r.optional(section, key)
+	if !ok {
+		return fallback
 	}
-	return r.number(section, key, kind{parse, strconv.Itoa}, fallback, least, most)
+	n, err := strconv.Atoi(text)
+	switch {
+	case err != nil:
+		r.problem(setting{section, key}, text, "not a whole number")
+	case n < least || n > most:
+		r.problem(setting{section, key}, text, fmt.Sprintf("outside of %d to %d", least, most))
+	}
+	return n
 }
 
 func (r *reader) size(section, key string, fallback, least, most int) int {
-	return r.number(section, key, kind{parseSize, formatSize}, fallback, least, most)
-}
-
-// number reads a number of the kind and reports one that is out of bounds.
-func (r *reader) number(section, key string, k kind, fallback, least, most int) int {
 	text, ok := r.optional(section, key)
 	if !ok {
 		return fallback
 	}
-	n, err := k.parse(text)
+	n, err := parseSize(text)
 	switch {
 	case err != nil:
 		r.problem(setting{section, key}, text, err.Error())
 	case n < least || n > most:
-		r.problem(setting{section, key}, text, fmt.Sprintf("outside of %s to %s", k.format(least), k.format(most)))
+		r.problem(setting{section, key}, text, fmt.Sprintf("outside of %s to %s", formatSize(least), formatSize(most)))
 	}
 	return n
 }
@@ -270,12 +266,7 @@
 	r.problems = append(r.problems, fmt.Errorf("%s: section %q, key %q, value %q: %s", r.path, k.section, k.key, value, text))
 }
 
-// The problems of numbers in the wrong form.
-var (
-	errDuration = errors.New("not a duration with its unit, such as 250ms")
-	errInteger  = errors.New("not a whole number")
-	errSize     = errors.New("not a size with its unit, such as 512KiB or 8MiB")
-)
+var errSize = errors.New("not a size with its unit, such as 512KiB or 8MiB")
 
 func parseSize(text string) (int, error) {
 	units := []struct {
