routing: give the reasons of target views a type

Cause: TargetView.Reason was a bare string with constants.

Change: a named type Reason with String, and ReasonNone for a target that gets all its slots. The daemon converts it to the same text as before.

Conclusion: the output of the administration API stays the same; tests are unchanged.

--- a/daemon/status.go
+++ b/daemon/status.go
@@ -43,7 +43,7 @@
 	for _, v := range dispatcher.Views() {
 		status.Targets = append(status.Targets, admin.TargetStatus{
 			Name: v.Target.Name, Address: v.Target.Address, Zone: v.Target.Zone,
-			State: targetState(v), Reason: v.Reason,
+			State: targetState(v), Reason: v.Reason.String(),
 			InFlight: v.InFlight, Limit: v.Limit, Slots: v.Target.Slots,
 		})
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -77,23 +77,30 @@
 	Ejected bool
 	// Latency is the recent latency of short requests.
 	Latency time.Duration
-	// Reason says why the target gets less than its slots; empty if it does not.
-	Reason string
+	// Reason is ReasonNone if the target gets all its slots.
+	Reason Reason
 }
 
+// Reason says why a target gets less work than its slots allow.
+type Reason string
+
 // The reasons of a TargetView, in the order in which it names the first that
 // applies.
 const (
-	ReasonDrained   = "drained"
-	ReasonLeaving   = "leaving"
-	ReasonEjected   = "ejected"
-	ReasonTrial     = "trial"
-	ReasonSlowStart = "slow_start"
-	ReasonLimited   = "limited"
-	ReasonSlow      = "slow"
-	ReasonBusy      = "busy"
+	ReasonNone      Reason = ""
+	ReasonDrained   Reason = "drained"
+	ReasonLeaving   Reason = "leaving"
+	ReasonEjected   Reason = "ejected"
+	ReasonTrial     Reason = "trial"
+	ReasonSlowStart Reason = "slow_start"
+	ReasonLimited   Reason = "limited"
+	ReasonSlow      Reason = "slow"
+	ReasonBusy      Reason = "busy"
 )
 
+// String returns the reason as the administration API shows it.
+func (r Reason) String() string { return string(r) }
+
 // Stats counts what a dispatcher did. The first group only grows; the second
 // is the present state.
 type Stats struct {
--- a/routing/views.go
+++ b/routing/views.go
@@ -36,7 +36,7 @@
 	}
 }
 
-func (t *target) reason(ratio, others float64) string {
+func (t *target) reason(ratio, others float64) Reason {
 	switch {
 	case t.config.Drained:
 		return ReasonDrained
@@ -55,7 +55,7 @@
 	case float64(len(t.slots))+others > float64(t.limit())-0.5:
 		return ReasonBusy
 	default:
-		return ""
+		return ReasonNone
 	}
 }
 
