relay: take a connection that is no socket for open

Cause: a counted connection whose listener gives no sockets reports ErrUnsupported, which counted as a closed caller: its waiting requests would have been refused and its idempotent exchanges cancelled.

Change: such a connection counts as open.

--- a/relay/caller.go
+++ b/relay/caller.go
@@ -132,6 +132,9 @@
 		return false
 	}
 	raw, err := socket.SyscallConn()
+	if errors.Is(err, errors.ErrUnsupported) {
+		return false
+	}
 	if err != nil {
 		return true
 	}
--- a/relay/caller_test.go
+++ b/relay/caller_test.go
@@ -80,3 +80,10 @@
 	assert.Equal(t, unknown, uint64(1))
 	assert.Equal(t, dispatcher.Stats().Failures, uint64(0))
 }
+
+// Guards against taking a connection that cannot be looked at for a closed one.
+func TestConnectionWithoutSocketIsOpen(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _, _ = near.Close(), far.Close() }()
+	assert.Assert(t, !isClosed(&countedConn{Conn: near, open: &atomic.Int64{}}))
+}
