--- a/relay/keyed.go
+++ b/relay/keyed.go
@@ -88,18 +88,23 @@
 		s.fail(resp, c, notRun(fasthttp.StatusUnprocessableEntity, err.Error()))
 	case errors.Is(err, idempotency.ErrFull):
 		c.mayHaveRun = false
-		s.fail(resp, c, overloaded(err.Error()))
+		s.fail(resp, c, overloaded(refusedKeys, err.Error()))
 	default:
 		s.fail(resp, c, unknown(fasthttp.StatusConflict, err.Error()))
 	}
 }
 
 // dispatchClaimed runs the first request with a key and records its outcome. A
-// failure inside the relay leaves the outcome unknown.
+// panic after the dispatch leaves the outcome unknown.
 func (s *Server) dispatchClaimed(req *fasthttp.Request, resp *fasthttp.Response, c *call, claim *idempotency.Claim) {
 	outcome := idempotency.Unknown
 	var answer []byte
-	defer func() { claim.Finish(outcome, answer) }()
+	defer func() {
+		if !c.dispatched {
+			outcome = idempotency.NotRun
+		}
+		claim.Finish(outcome, answer)
+	}()
 	c.mayHaveRun = false
 	s.dispatch(req, resp, c)
 	switch string(resp.Header.Peek(header.Outcome)) {
@@ -140,6 +145,8 @@
 	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
 	defer cancel()
 	s.recordEvent(c, timeline.Event{Kind: timeline.RequestForwarded, Peer: c.key.Instance})
+	c.dispatched = true
+	s.counters.forwarded.Add(1)
 	answer, err := s.forwarder.Forward(ctx, c.key.Instance, c.key.Incarnation, encodeRequest(req))
 	if err == nil {
 		err = decodeAnswer(resp, answer)
@@ -176,6 +183,7 @@
 		req.Header.Set(header.Deadline, timeout.String())
 	}
 	s.serve(req, resp, &call{forwarded: true})
+	s.counters.answered(resp)
 	return encodeAnswer(resp)
 }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -45,10 +45,16 @@
 	// mayHaveRun is set while an attempt, or a request with the same key, may
 	// have run.
 	mayHaveRun bool
-	attempt    int
-	tried      []netip.AddrPort
-	found      inspection
-	body       []byte
+	// dispatched is set before the first byte may leave for a target or for
+	// the owner of the key.
+	dispatched bool
+	// slot is the last one that the call got. It may be released already.
+	slot    *routing.Slot
+	attempt int
+	tried   []netip.AddrPort
+	found   inspection
+	body    []byte
+	caller  callerContext
 }
 
 // reset clears the call for reuse and keeps a buffer of usual size.
@@ -63,7 +69,9 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	ctx.Response.ReleaseBody(maxKeptBody)
 	c := s.calls.Get().(*call)
+	c.caller.conn = ctx.Conn()
 	s.serve(&ctx.Request, &ctx.Response, c)
+	s.counters.answered(&ctx.Response)
 	ctx.Request.ResetBody() // it uses the call's buffer
 	c.reset()
 	s.calls.Put(c)
@@ -74,17 +82,21 @@
 
 // handleExpect decides whether a caller that waits for 100 Continue should send
 // its body.
-func (s *Server) handleExpect(ctx *fasthttp.RequestCtx) int {
+func (s *Server) handleExpect(ctx *fasthttp.RequestCtx) (status int) {
 	var c call
+	status = fasthttp.StatusInternalServerError // after a panic
+	defer s.endPanic(&ctx.Request, &ctx.Response, &c)
 	f := s.admit(&ctx.Request, &c)
 	if f == nil {
 		return fasthttp.StatusContinue
 	}
 	s.fail(&ctx.Response, &c, f)
+	s.counters.answered(&ctx.Response)
 	return f.status
 }
 
 func (s *Server) serve(req *fasthttp.Request, resp *fasthttp.Response, c *call) {
+	defer s.endPanic(req, resp, c)
 	resp.SkipBody = req.Header.IsHead()
 	f := s.readBody(req, c)
 	if f == nil {
@@ -220,7 +232,7 @@
 			return notRun(fasthttp.StatusBadRequest, "deadline is not a duration such as 250ms")
 		}
 		if own <= 0 {
-			return notRun(fasthttp.StatusGatewayTimeout, "deadline has passed")
+			return notRun(fasthttp.StatusGatewayTimeout, "deadline has passed").because(refusedDeadline)
 		}
 		timeout = min(timeout, own)
 	}
