standin: faults of targets and a network path that fails

Cause: scenarios need a request that is lost before or after its run, an answer that is cut, late or never comes, and connections that are refused, reset or silent. Ruled out: counts in memory alone; a killed target would lose them.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,5 @@
-// Command standin runs a stand-in of the platform or of a target, for tests,
-// the demo and measurements.
+// Command standin runs a stand-in of the platform, of a target or of a network
+// path, for tests, the demo and measurements.
 package main
 
 import (
@@ -31,6 +31,14 @@
 	NoiseLength time.Duration `arg:"--noise-length" default:"100ms" help:"about how long a slow moment lasts"`
 	NoiseShare  float64       `arg:"--noise-share" default:"0.2" help:"share of the time that is slow, between 0 and 1"`
 	Seed        uint64        `arg:"--seed" default:"1" help:"seed of the random moments"`
+	Runs        string        `arg:"--runs" help:"file that keeps the runs over restarts"`
+}
+
+// proxyArgs are the arguments of a proxy.
+type proxyArgs struct {
+	Listen  string `arg:"--listen,required" help:"address to listen on"`
+	To      string `arg:"--to,required" help:"address to pass connections on to"`
+	Control string `arg:"--control,required" help:"address of the control requests"`
 }
 
 // putArgs are the arguments of a request that controls a stand-in.
@@ -42,6 +50,7 @@
 type args struct {
 	Platform *platformArgs `arg:"subcommand:platform" help:"log and instance list"`
 	Target   *targetArgs   `arg:"subcommand:target" help:"a target of a service"`
+	Proxy    *proxyArgs    `arg:"subcommand:proxy" help:"a network path that can fail"`
 	Put      *putArgs      `arg:"subcommand:put" help:"send a control request to a stand-in"`
 }
 
@@ -53,7 +62,12 @@
 	case a.Platform != nil:
 		err = serve(a.Platform.Listen, standin.NewPlatform(standin.WithRetention(a.Platform.Retention)))
 	case a.Target != nil:
-		err = serve(a.Target.Listen, newTarget(a.Target))
+		target := newTarget(a.Target)
+		if err = target.LoadRuns(); err == nil {
+			err = serve(a.Target.Listen, target)
+		}
+	case a.Proxy != nil:
+		err = serve(a.Proxy.Control, standin.NewProxy(a.Proxy.Listen, a.Proxy.To))
 	case a.Put != nil:
 		err = put(a.Put)
 	default:
@@ -66,10 +80,11 @@
 }
 
 func newTarget(a *targetArgs) *standin.Target {
+	runs := standin.WithRunsFile(a.Runs)
 	if a.NoiseFactor <= 1 {
-		return standin.NewTarget(a.Slots)
+		return standin.NewTarget(a.Slots, runs)
 	}
-	return standin.NewTarget(a.Slots, standin.WithNoise(a.NoiseFactor, a.NoiseLength, a.NoiseShare, a.Seed))
+	return standin.NewTarget(a.Slots, runs, standin.WithNoise(a.NoiseFactor, a.NoiseLength, a.NoiseShare, a.Seed))
 }
 
 func put(a *putArgs) error {
--- a/standin/target.go
+++ b/standin/target.go
@@ -35,6 +35,8 @@
 	probes     atomic.Int64
 	late       atomic.Int64 // requests accepted while draining
 	stop       chan struct{}
+	fault      atomic.Pointer[targetFault]
+	runsFile   string
 	http       *fasthttp.Server
 
 	mu   sync.Mutex
@@ -144,8 +146,15 @@
 		t.report(ctx, waiting-1)
 		return
 	}
+	if t.failBefore(ctx) {
+		return
+	}
 	t.slots <- struct{}{}
-	t.count(string(ctx.Request.Header.Peek(header.RequestID)))
+	if err := t.count(string(ctx.Request.Header.Peek(header.RequestID))); err != nil {
+		<-t.slots
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
 	work, _ := time.ParseDuration(string(ctx.Request.Header.Peek(WorkHeader)))
 	time.Sleep(work * time.Duration(t.slowFactor.Load()))
 	<-t.slots
@@ -153,6 +162,7 @@
 	ctx.SetContentType("application/octet-stream")
 	ctx.SetBody(ctx.PostBody())
 	t.report(ctx, t.inFlight.Load()-1)
+	t.failAfter(ctx)
 }
 
 // report adds the target's load and state to an answer.
@@ -167,14 +177,15 @@
 	ctx.Response.Header.Set(header.State, state)
 }
 
-func (t *Target) count(id string) {
+func (t *Target) count(id string) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.runs[id]++
+	return t.keepRun(id)
 }
 
 // handleControl changes the target's behaviour: PUT /standin/control?
-// draining=&rejecting=&shedding=&slow=&silent_load=.
+// draining=&rejecting=&shedding=&slow=&silent_load=&fault=&cut=.
 func (t *Target) handleControl(ctx *fasthttp.RequestCtx) {
 	args := ctx.QueryArgs()
 	flags := []struct {
@@ -191,6 +202,9 @@
 			f.to.Store(args.GetBool(f.name))
 		}
 	}
+	if args.Has("fault") {
+		t.setFault(string(args.Peek("fault")), args.GetUintOrZero("cut"))
+	}
 	if args.Has("slow") {
 		t.slowFactor.Store(int64(max(1, args.GetUintOrZero("slow"))))
 	}
