settings: advertise an address for peers

Cause: an instance announces the address on which it listens for peers, so that no network path can be placed between two instances, in tests or where addresses are translated. Change: [peers] advertise, by default the listen address. Ruled out: the peer address of the platform's list; what an instance says of itself replaces it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -81,7 +81,7 @@
 	s := d.settings
 	d.directory = membership.NewDirectory(membership.Instance{
 		ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: started.UnixMilli(),
-		CallerAddress: s.Callers.Listen, PeerAddress: s.Peers.Listen, AdminAddress: s.Admin.Listen,
+		CallerAddress: s.Callers.Listen, PeerAddress: s.Peers.Advertise, AdminAddress: s.Admin.Listen,
 		State: membership.Starting,
 	}, membership.WithClock(d.clock))
 	d.guard = membership.NewGuard(
--- a/settings/reader.go
+++ b/settings/reader.go
@@ -195,6 +195,15 @@
 	return a
 }
 
+func (r *reader) optionalAddress(section, key string, fallback netip.AddrPort) netip.AddrPort {
+	text, ok := r.optional(section, key)
+	if !ok {
+		return fallback
+	}
+	a, _ := r.parseAddress(setting{section, key}, text)
+	return a
+}
+
 func (r *reader) addresses(section, key string) []netip.AddrPort {
 	text, ok := r.optional(section, key)
 	if !ok {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -75,6 +75,9 @@
 // Peers configures the sessions with other instances.
 type Peers struct {
 	Listen netip.AddrPort
+	// Advertise is the address that other instances connect to, where it
+	// differs from Listen.
+	Advertise netip.AddrPort
 	// MaxInstances bounds the instances that run at once, replacements
 	// included. Connection limits and the measuring budget are divided by it.
 	MaxInstances int
@@ -133,6 +136,7 @@
 
 // settings reads every key.
 func (r *reader) settings() *Settings {
+	peers := r.address("peers", "listen")
 	return &Settings{
 		Instance: Instance{ID: r.name("instance", "id"), Zone: r.name("instance", "zone")},
 		Callers: Callers{
@@ -142,7 +146,8 @@
 			MaxConnections: r.integer("callers", "max_connections", DefaultMaxConnections, 1, maxMaxConnections),
 		},
 		Peers: Peers{
-			Listen:       r.address("peers", "listen"),
+			Listen:       peers,
+			Advertise:    r.optionalAddress("peers", "advertise", peers),
 			MaxInstances: r.integer("peers", "max_instances", DefaultMaxInstances, 1, maxMaxInstances),
 			Seeds:        r.addresses("peers", "seeds"),
 		},
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -38,6 +38,7 @@
 	assert.Equal(t, s.Callers.MaxRequestBody, 8<<20)
 	assert.Equal(t, s.Callers.MaxConnections, 10_000)
 	assert.Equal(t, s.Peers.MaxInstances, 20)
+	assert.Equal(t, s.Peers.Advertise, s.Peers.Listen)
 	assert.Equal(t, s.Stop.Margin, 2*time.Second)
 	assert.Equal(t, s.Log, Log{Level: "info", Format: "text"})
 	assert.Equal(t, s.Admin.Token, "")
@@ -114,6 +115,7 @@
 		{"size without unit", "[peers]", "max_request_body = 1000\n[peers]", `key "max_request_body", value "1000": not a size`},
 		{"size with a wrong unit", "[peers]", "max_request_body = 8MB\n[peers]", `value "8MB": not a size`},
 		{"size out of range", "[peers]", "max_request_body = 2GiB\n[peers]", `value "2GiB": outside of 1KiB to 1GiB`},
+		{"bad advertised address", "[admin]", "advertise = nowhere\n[admin]", `section "peers", key "advertise", value "nowhere": not an IP address`},
 		{"bad seed", "[admin]", "seeds = 127.0.0.1:1,nowhere\n[admin]", `section "peers", key "seeds", value "nowhere": not an IP address`},
 		{"short token", "[platform]", "token = abc\n[platform]", `section "admin", key "token", value "(hidden)": not a token`},
 		{"log level", "[platform]", "[log]\nlevel = loud\n[platform]", `section "log", key "level", value "loud": not one of debug, info, warn, error`},
