scenario: answers, outcomes and single runs when parts fail

Cause: that an answer is whole and its caller's own, that not run is true and that a non-idempotent request runs at most once was tested inside packages, not over several processes. Change: eleven scenarios: a target that is killed, resets or cuts; an idempotent retry; a path that resets, refuses or goes silent; a late answer; repeats of a key while its owner lives, is paused, is partitioned, or is killed and restarted; a paused instance with a queue; shedding after queueing. Runs are counted over kills, by request id. Commands proxy, instance_behind, ask, answered, key, running and ran.

Each fails without its mechanism (one try each on a scratch copy): - target_killed, target_resets: without the outcome unknown after a send. - target_killed, path_reset: without not run for a connection that is refused. - target_resets: without the proven end of an answer. - idempotent_retry: without the retry of idempotent requests. - path_reset: without the probe of idle connections. - path_silent: without proven connections for non-idempotent requests. - late_answer: without closing a connection after a failed exchange, the probe and the check of the echoed id together; each alone suffices to pass. - owner_killed: without the incarnation in Owns and the low-water mark at the start together; the mark alone suffices to pass. - owner_alive, owner_paused, owner_partitioned, owner_killed: without forwarding to the owner. owner_alive, owner_partitioned: without the table. - instance_paused: without the guard. With max_wait 5s the scenario passed without it, because the request left the queue during the pause; now 8s. - shed_after_queueing: without the target's own not run.

--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -52,14 +52,21 @@
 		Dir:   "testdata",
 		Setup: setup,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"call":     call,
-			"eventual": eventual,
-			"platform": startPlatform,
-			"target":   startTarget,
-			"instance": startInstance,
-			"listed":   setListed,
-			"signal":   signal,
-			"finished": finished,
+			"call":            call,
+			"eventual":        eventual,
+			"platform":        startPlatform,
+			"target":          startTarget,
+			"instance":        startInstance,
+			"listed":          setListed,
+			"signal":          signal,
+			"finished":        finished,
+			"proxy":           startProxy,
+			"instance_behind": startBehindPath,
+			"ask":             ask,
+			"answered":        answered,
+			"key":             makeKey,
+			"ran":             ran,
+			"running":         awaitRun,
 		},
 	})
 }
@@ -77,6 +84,7 @@
 		env.Setenv("NET", network)
 		running := &processes{network: network, dir: env.WorkDir, running: map[string]*process{}}
 		env.Values[processesKey{}] = running
+		env.Values[backgroundKey{}] = background{}
 		env.Defer(running.killAll)
 		return expandFiles(env.WorkDir, network)
 	}
