--- a/Makefile
+++ b/Makefile
@@ -28,5 +28,11 @@
 demo: build
 	./demo/run
 
+# Runs SOAK random sequences of faults with a random seed, which a failure
+# prints. A failure names the flags that repeat its sequence.
+SOAK := 40
+soak:
+	go test -race -count=1 -timeout 60m -v -run TestRandomFaults ./scenario -rapid.checks=$(SOAK)
+
 java:
 	./java/build
