--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,5 @@
-// Command standin runs a stand-in of the platform or of a target, for tests,
-// the demo and measurements.
+// Command standin runs a stand-in of the platform, of a target or of a network
+// path, for tests, the demo and measurements.
 package main
 
 import (
@@ -39,6 +39,14 @@
 	ReportAge   time.Duration `arg:"--report-age" help:"time between samples of the reported load; 0 reports the present load"`
 	ColdFactor  int           `arg:"--cold-factor" default:"1" help:"how many times slower the target is after its start"`
 	ColdLength  time.Duration `arg:"--cold-length" default:"3s" help:"how long the target is slow after its start"`
+	Runs        string        `arg:"--runs" help:"file that keeps the runs over restarts"`
+}
+
+// proxyArgs are the arguments of a proxy.
+type proxyArgs struct {
+	Listen  string `arg:"--listen,required" help:"address to listen on"`
+	To      string `arg:"--to,required" help:"address to pass connections on to"`
+	Control string `arg:"--control,required" help:"address of the control requests"`
 }
 
 // putArgs are the arguments of a request that controls a stand-in.
@@ -55,6 +63,7 @@
 type args struct {
 	Platform *platformArgs `arg:"subcommand:platform" help:"log and instance list"`
 	Target   *targetArgs   `arg:"subcommand:target" help:"a target of a service"`
+	Proxy    *proxyArgs    `arg:"subcommand:proxy" help:"a network path that can fail"`
 	Put      *putArgs      `arg:"subcommand:put" help:"send a control request to a stand-in"`
 	Get      *getArgs      `arg:"subcommand:get" help:"print what a process answers"`
 }
@@ -68,6 +77,8 @@
 		err = serve(a.Platform.Listen, standin.NewPlatform(standin.WithRetention(a.Platform.Retention)))
 	case a.Target != nil:
 		err = serveTargets(a.Target)
+	case a.Proxy != nil:
+		err = serve(a.Proxy.Control, standin.NewProxy(a.Proxy.Listen, a.Proxy.To))
 	case a.Put != nil:
 		err = send(fasthttp.MethodPut, a.Put.URL, a.Put.Body, io.Discard)
 	case a.Get != nil:
@@ -90,14 +101,22 @@
 	var group errgroup.Group
 	for range a.Count {
 		listen := address.String()
-		group.Go(func() error { return serve(listen, newTarget(a)) })
+		group.Go(func() error { return serveTarget(listen, a) })
 		address = netip.AddrPortFrom(address.Addr().Next(), address.Port())
 	}
 	return group.Wait()
 }
 
+func serveTarget(listen string, a *targetArgs) error {
+	target := newTarget(a)
+	if err := target.LoadRuns(); err != nil {
+		return err
+	}
+	return serve(listen, target)
+}
+
 func newTarget(a *targetArgs) *standin.Target {
-	options := []standin.TargetOption{standin.WithDelay(a.Delay)}
+	options := []standin.TargetOption{standin.WithDelay(a.Delay), standin.WithRunsFile(a.Runs)}
 	if a.NoiseFactor > 1 {
 		options = append(options, standin.WithNoise(a.NoiseFactor, a.NoiseLength, a.NoiseShare, a.Seed))
 	}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -53,19 +53,26 @@
 		Dir:   "testdata",
 		Setup: setup,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"call":     call,
-			"eventual": eventual,
-			"platform": startPlatform,
-			"target":   startTarget,
-			"instance": startInstance,
-			"listed":   setListed,
-			"signal":   signal,
-			"finished": finished,
-			"exits":    exits,
-			"during":   during,
-			"versions": versions,
-			"quiet":    quiet,
-			"probes":   probes,
+			"call":            call,
+			"eventual":        eventual,
+			"platform":        startPlatform,
+			"target":          startTarget,
+			"instance":        startInstance,
+			"listed":          setListed,
+			"signal":          signal,
+			"finished":        finished,
+			"proxy":           startProxy,
+			"instance_behind": startBehindPath,
+			"ask":             ask,
+			"answered":        answered,
+			"key":             makeKey,
+			"ran":             ran,
+			"running":         awaitRun,
+			"exits":           exits,
+			"during":          during,
+			"versions":        versions,
+			"quiet":           quiet,
+			"probes":          probes,
 		},
 	})
 }
@@ -83,6 +90,7 @@
 		env.Setenv("NET", network)
 		running := &processes{network: network, dir: env.WorkDir, running: map[string]*process{}}
 		env.Values[processesKey{}] = running
+		env.Values[backgroundKey{}] = background{}
 		env.Defer(running.killAll)
 		env.Defer(running.stopWatch)
 		return expandFiles(env.WorkDir, network)
--- a/standin/target.go
+++ b/standin/target.go
@@ -43,6 +43,8 @@
 	late         atomic.Int64 // requests that arrived after the first leaving signal
 	lateAfter    atomic.Int64 // milliseconds from that signal to the latest of them
 	stop         chan struct{}
+	fault        atomic.Pointer[targetFault]
+	runsFile     string
 	http         *fasthttp.Server
 
 	mu   sync.Mutex
@@ -152,8 +154,15 @@
 		t.report(ctx, waiting-1)
 		return
 	}
+	if t.failBefore(ctx) {
+		return
+	}
 	t.slots <- struct{}{}
-	t.count(string(ctx.Request.Header.Peek(header.RequestID)))
+	if err := t.count(string(ctx.Request.Header.Peek(header.RequestID))); err != nil {
+		<-t.slots
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
 	work, _ := time.ParseDuration(string(ctx.Request.Header.Peek(WorkHeader)))
 	t.speed.work(work)
 	<-t.slots
@@ -162,6 +171,7 @@
 	ctx.SetContentType("application/octet-stream")
 	ctx.SetBody(ctx.PostBody())
 	t.report(ctx, t.inFlight.Load()-1)
+	t.failAfter(ctx)
 }
 
 // leavingFor returns the milliseconds since the first leaving signal, or -1
@@ -189,16 +199,17 @@
 	ctx.Response.Header.Set(header.State, state)
 }
 
-func (t *Target) count(id string) {
+func (t *Target) count(id string) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.runs[id]++
+	return t.keepRun(id)
 }
 
 // handleControl changes the target's behaviour: PUT /standin/control?
-// draining=&rejecting=&shedding=&slow=&silent_load=&leaving=. With leaving=true
-// the target counts late requests without announcing that it drains, for
-// signals that come from elsewhere.
+// draining=&rejecting=&shedding=&slow=&silent_load=&fault=&cut=&leaving=. With
+// leaving=true the target counts late requests without announcing that it
+// drains, for signals that come from elsewhere.
 func (t *Target) handleControl(ctx *fasthttp.RequestCtx) {
 	args := ctx.QueryArgs()
 	flags := []struct {
@@ -220,6 +231,9 @@
 	} else if args.Has("draining") || args.Has("leaving") {
 		t.leavingSince.Store(0)
 	}
+	if args.Has("fault") {
+		t.setFault(string(args.Peek("fault")), args.GetUintOrZero("cut"))
+	}
 	if args.Has("slow") {
 		t.speed.set(args.GetUintOrZero("slow"))
 	}
