idempotency: not_run is final for a key

An earlier copy of a request can lie unread in the socket buffer of a paused instance, or in a forwarded frame. Change: a key whose request was not run stays in the table. Repeats get not_run, 409, and a new attempt needs a new key. Ruled out: ordering copies by send time, which callers would have to state.

--- a/idempotency/memory.go
+++ b/idempotency/memory.go
@@ -26,9 +26,6 @@
 	ErrMismatch = errors.New("idempotency key was used for a different request")
 	// ErrFull means that the table has no place. The request was not run.
 	ErrFull = errors.New("deduplication table is full")
-	// ErrFreed means that the request that was waited for was not run. Begin
-	// may be called again.
-	ErrFreed = errors.New("idempotency key is free again")
 )
 
 // Defaults of a table.
@@ -189,7 +186,10 @@
 
 // Finish records the outcome of the dispatched request and wakes the requests
 // that wait for it. The table keeps the answer of a request that ran while
-// there is room. NotRun frees the key. Calls after the first have no effect.
+// there is room. NotRun is final too: an earlier copy of the request may still
+// be on its way, for example in the socket buffer of a process that was paused,
+// and must not run after the caller was told that it did not. Calls after the
+// first have no effect.
 func (c *Claim) Finish(outcome Outcome, answer []byte) {
 	if !c.first {
 		return
@@ -203,11 +203,6 @@
 	default:
 	}
 	e.outcome = outcome
-	if outcome == NotRun {
-		delete(s.entries, e.entryKey)
-		close(e.done)
-		return
-	}
 	heap.Push(&s.finished, e)
 	if outcome == Run && answer != nil {
 		s.keepAnswer(e, answer, c.limit)
@@ -216,7 +211,7 @@
 }
 
 // Wait waits until the dispatched request is finished and returns its outcome,
-// and its answer if it is still kept. The error is ErrFreed or the context's.
+// and its answer if it is still kept. The error is the context's.
 func (c *Claim) Wait(ctx context.Context) (Outcome, []byte, error) {
 	select {
 	case <-c.entry.done:
@@ -225,9 +220,6 @@
 	}
 	c.shard.mu.Lock()
 	defer c.shard.mu.Unlock()
-	if c.entry.outcome == NotRun {
-		return NotRun, nil, ErrFreed
-	}
 	return c.entry.outcome, c.entry.answer, nil
 }
 
