routing: load reports compare targets, they never make a request wait

Cause: a target counted as full when its last load report exceeded its slots. Change: reports only enter the comparison of targets. Ruled out: a shorter memory of reports, since the sample itself is old.

--- a/routing/pick.go
+++ b/routing/pick.go
@@ -59,7 +59,7 @@
 	if t.ejection.Rejecting(now) {
 		score += rejectingPenalty
 	}
-	if score >= bound || t.full(limit, typical, now) {
+	if score >= bound {
 		return 0, false
 	}
 	score += t.othersNow(now, reportMemory*typical) / limit
@@ -75,12 +75,6 @@
 	return score, score < bound
 }
 
-// full returns whether the requests of all instances take the target's slots.
-func (t *target) full(limit, typical float64, now time.Time) bool {
-	room := limit - float64(len(t.slots)) - 0.5
-	return t.others > room && t.othersNow(now, gateMemory*typical) > room
-}
-
 // worthSlow returns whether a slow target finishes a request earlier than it
 // would get a slot elsewhere: the others release one slot each typical duration
 // over their requests in flight, and the whole queue is ahead.
--- a/routing/target.go
+++ b/routing/target.go
@@ -28,12 +28,9 @@
 	slowTrialInterval = 20 * time.Millisecond
 	// reportMemory is the time constant, in typical durations, with which a load
 	// report ages when targets are compared. A long memory helps an instance
-	// that sees few answers of each target.
+	// that sees few answers of each target. Reports only compare targets; they
+	// never make a request wait, since a stale one would hold back free slots.
 	reportMemory = 64.0
-	// gateMemory is the same for the decision whether a slot is free at all. It
-	// is short, because the requests that a report counted soon finish, and
-	// waiting for a slot that is free already costs more than a wrong try.
-	gateMemory = 2.0
 	// forgottenAfter is the age, in time constants, from which an estimate
 	// counts as zero. Exponentials are most of the cost of a decision.
 	forgottenAfter = 8
--- a/routing/views.go
+++ b/routing/views.go
@@ -27,12 +27,12 @@
 	return TargetView{
 		Target:   t.config,
 		InFlight: len(t.slots),
-		Others:   int(math.Round(t.othersNow(now, gateMemory*typical))),
+		Others:   int(math.Round(t.othersNow(now, reportMemory*typical))),
 		Limit:    t.limit(),
 		Leaving:  t.leaving,
 		Ejected:  t.ejection.State() == limits.Ejected,
 		Latency:  time.Duration(ratio * typical * float64(time.Second)),
-		Reason:   t.reason(ratio, t.othersNow(now, gateMemory*typical)),
+		Reason:   t.reason(ratio, t.othersNow(now, reportMemory*typical)),
 	}
 }
 
