daemon: report a graceful stop that failed

Cause: the error of a stop was joined with the one that means a normal end, and so was taken for one. An instance whose requests did not finish in time ended with exit code 0.

--- a/daemon/run.go
+++ b/daemon/run.go
@@ -74,7 +74,8 @@
 }
 
 // serveCallers opens the callers' listener once the configuration is complete
-// and closes it after a graceful stop. It returns errStopped.
+// and closes it after a graceful stop. It returns errStopped after a stop that
+// cut off nothing.
 func (d *Daemon) serveCallers(running, stop context.Context) error {
 	if !d.waitReady(running, stop) {
 		return errStopped
@@ -93,7 +94,10 @@
 	case err := <-serving:
 		return trace.Wrap(err, "serve callers")
 	}
-	return errors.Join(d.stop(), <-serving, errStopped)
+	if err := errors.Join(d.stop(), <-serving); err != nil {
+		return err
+	}
+	return errStopped
 }
 
 // checkPeers waits until the configuration was compared with what the peers
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -41,7 +41,7 @@
 	Succeeded Status = iota
 	// Failed is an error answer of the target or an exchange that broke.
 	Failed
-	// Shed is a refusal that the target vouches not to have run.
+	// Shed is a refusal of a request that the target states not to have run.
 	Shed
 	// Unreachable is a connection that could not be opened.
 	Unreachable
