--- a/routing/reports.go
+++ b/routing/reports.go
@@ -5,10 +5,10 @@
 const (
 	// reportWeight is the weight of a report in the share of contradicted ones.
 	reportWeight = 0.005
-	// distrust is how much faster than the share of contradicted reports the
+	// contradictionFactor is how much faster than the share of contradicted reports the
 	// trust in all of them falls: reports count for nothing when one in a hundred
 	// is contradicted.
-	distrust = 100.0
+	contradictionFactor = 100.0
 )
 
 // reportTrust judges the load reports of a service's targets. A report that is
@@ -29,7 +29,7 @@
 }
 
 // weight returns how much reports count, between 0 and 1.
-func (r *reportTrust) weight() float64 { return max(0, 1-distrust*r.contradicted) }
+func (r *reportTrust) weight() float64 { return max(0, 1-contradictionFactor*r.contradicted) }
 
 // noteReport takes the load report on the answer to a request of this instance.
 func (d *Dispatcher) noteReport(t *target, s *Slot, reported int, now time.Time) {
