loadtest: a failed dial does not answer an earlier try

Cause: a caller whose keyed request got no answer and whose repeat could not connect counted the request as not run, although the first try may have run. Change: a refusal without an instance's answer speaks of its own try only. The test fails without the change. No check of the tool is loosened: a not_run that an instance told is still compared with the targets' counts.

--- a/loadtest/caller.go
+++ b/loadtest/caller.go
@@ -101,7 +101,10 @@
 	for try := range callerMaxTries {
 		address := addresses[try%len(addresses)].address
 		next, repeat := c.try(address, r, key, body, deadline)
-		if answer.Outcome == header.OutcomeUnknown && next.Outcome == header.OutcomeNotRun && key == "" {
+		// Only an instance can say of a key that it was not run; a refusal of a
+		// request without one, or a failed dial, speaks of this try alone.
+		ofThisTry := key == "" || next.Status == 0
+		if answer.Outcome == header.OutcomeUnknown && next.Outcome == header.OutcomeNotRun && ofThisTry {
 			next.Outcome = header.OutcomeUnknown
 		}
 		answer = next
--- a/loadtest/loadtest_test.go
+++ b/loadtest/loadtest_test.go
@@ -1,6 +1,8 @@
 package loadtest
 
 import (
+	"net"
+	"net/netip"
 	"path/filepath"
 	"testing"
 	"time"
@@ -96,3 +98,24 @@
 	assert.Equal(t, got.Refused.TotalCount(), int64(1))
 	assert.Equal(t, got.Seconds[1].Answered, 1)
 }
+
+// Guards against a load report that takes a failed dial for the answer to an
+// earlier try, whose request may have run.
+func TestFailedDialKeepsUnknown(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() {
+		conn, err := l.Accept()
+		if err == nil {
+			_, _ = conn.Read(make([]byte, 1))
+			_ = l.Close() // later tries cannot connect
+			_ = conn.Close()
+		}
+	}()
+	address := netip.MustParseAddrPort(l.Addr().String())
+	c := NewDirectCaller("spoolkeep", []netip.AddrPort{address})
+	p := &Profile{Keyed: true, Deadline: time.Second}
+	answer := c.Send(p, Request{ID: "order-1", Write: true}, []byte("order-1"))
+	assert.Equal(t, answer.Outcome, header.OutcomeUnknown)
+	assert.Equal(t, answer.Tries, callerMaxTries)
+}
