--- a/admin/codec.go
+++ b/admin/codec.go
@@ -2,83 +2,93 @@
 
 import (
 	"encoding/json"
-	"slices"
-	"strings"
+	"time"
 
-	"github.com/valyala/fasthttp"
-
-	"rhubarbrelay/config"
+	"rhubarbrelay/timeline"
 )
 
-// errorKind ties the kind of an error to its HTTP status.
-type errorKind struct {
-	name   string
-	status int
+// Status is the state of an instance.
+type Status struct {
+	ID            string
+	Zone          string
+	Ready         bool
+	ConfigVersion int64
+	Targets       int
+	// TargetAge is the age of the state of the targets.
+	TargetAge time.Duration
+	// StoreFailing is set while the platform's store cannot be read.
+	StoreFailing bool
+	InProgress   int64
+	Instances    []string // ready ones, by ID
 }
 
-// The kinds of error.
-var (
-	kindInvalid      = errorKind{"invalid", fasthttp.StatusBadRequest}
-	kindUnauthorized = errorKind{"unauthorized", fasthttp.StatusUnauthorized}
-	kindNotFound     = errorKind{"not_found", fasthttp.StatusNotFound}
-	kindMethod       = errorKind{"method_not_allowed", fasthttp.StatusMethodNotAllowed}
-	kindTimeout      = errorKind{"timeout", fasthttp.StatusRequestTimeout}
-	kindConflict     = errorKind{"conflict", fasthttp.StatusConflict}
-	kindTooLarge     = errorKind{"too_large", fasthttp.StatusRequestEntityTooLarge}
-	kindInternal     = errorKind{"internal", fasthttp.StatusInternalServerError}
-	kindUnavailable  = errorKind{"unavailable", fasthttp.StatusServiceUnavailable}
-	kindUncertain    = errorKind{"uncertain", fasthttp.StatusGatewayTimeout}
-)
-
-// errorMessage is an error on the wire.
-type errorMessage struct {
-	Error string `json:"error"`
-	Kind  string `json:"kind"`
-	// Current and Drained are the state of the scope after a conflict.
-	Current *documentMessage `json:"current,omitempty"`
-	Drained bool             `json:"drained,omitempty"`
+type statusMessage struct {
+	ID            string   `json:"id"`
+	Zone          string   `json:"zone"`
+	Ready         bool     `json:"ready"`
+	ConfigVersion int64    `json:"config_version"`
+	Targets       int      `json:"targets"`
+	TargetAgeMS   int64    `json:"target_age_ms"`
+	StoreFailing  bool     `json:"store_failing"`
+	InProgress    int64    `json:"in_progress"`
+	Instances     []string `json:"instances"`
 }
 
-func writeJSON(ctx *fasthttp.RequestCtx, m any) { writeStatus(ctx, fasthttp.StatusOK, m) }
-
-func writeError(ctx *fasthttp.RequestCtx, kind errorKind, text string) {
-	writeStatus(ctx, kind.status, errorMessage{Error: text, Kind: kind.name})
+func statusToWire(s Status) statusMessage {
+	return statusMessage{
+		ID: s.ID, Zone: s.Zone, Ready: s.Ready, ConfigVersion: s.ConfigVersion, Targets: s.Targets,
+		TargetAgeMS: s.TargetAge.Milliseconds(), StoreFailing: s.StoreFailing, InProgress: s.InProgress, Instances: s.Instances,
+	}
 }
 
-func writeStatus(ctx *fasthttp.RequestCtx, status int, m any) {
-	body, err := json.Marshal(m)
-	if err != nil {
-		status, body = kindInternal.status, []byte(`{"error":"answer cannot be encoded","kind":"internal"}`)
+// DecodeStatus reads the answer of StatusPath.
+func DecodeStatus(body []byte) (Status, error) {
+	var m statusMessage
+	if err := json.Unmarshal(body, &m); err != nil {
+		return Status{}, err
 	}
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(append(body, '\n'))
+	return Status{
+		ID: m.ID, Zone: m.Zone, Ready: m.Ready, ConfigVersion: m.ConfigVersion, Targets: m.Targets,
+		TargetAge: time.Duration(m.TargetAgeMS) * time.Millisecond, StoreFailing: m.StoreFailing,
+		InProgress: m.InProgress, Instances: m.Instances,
+	}, nil
 }
 
-func versionOf(fleet *config.Fleet, scope string) config.Version {
-	if version, ok := fleet.ScopeVersions[scope]; ok {
-		return version
-	}
-	return config.NoVersion
+type eventMessage struct {
+	Time     uint64 `json:"time"`
+	Instance string `json:"instance"`
+	Kind     string `json:"kind"`
+	Service  string `json:"service,omitempty"`
+	Target   string `json:"target,omitempty"`
+	Request  string `json:"request,omitempty"`
+	Peer     string `json:"peer,omitempty"`
+	Version  int64  `json:"version,omitempty"`
+	Detail   string `json:"detail,omitempty"`
 }
 
-// SortedServices returns the services of a fleet by name.
-func SortedServices(fleet *config.Fleet) []*config.Service {
-	all := make([]*config.Service, 0, len(fleet.Services))
-	for _, s := range fleet.Services {
-		all = append(all, s)
+func eventsToWire(events []timeline.Event) []eventMessage {
+	messages := make([]eventMessage, 0, len(events))
+	for _, e := range events {
+		messages = append(messages, eventMessage{
+			Time: uint64(e.Time), Instance: e.Instance, Kind: string(e.Kind), Service: e.Service, Target: e.Target,
+			Request: e.Request, Peer: e.Peer, Version: e.Version, Detail: e.Detail,
+		})
 	}
-	slices.SortFunc(all, func(a, b *config.Service) int { return strings.Compare(a.Name, b.Name) })
-	return all
+	return messages
 }
 
-func sortedKeys(set map[string]bool) []string {
-	var keys []string
-	for key, in := range set {
-		if in {
-			keys = append(keys, key)
-		}
+// DecodeEvents reads the answer of TimelinePath.
+func DecodeEvents(body []byte) ([]timeline.Event, error) {
+	var messages []eventMessage
+	if err := json.Unmarshal(body, &messages); err != nil {
+		return nil, err
+	}
+	events := make([]timeline.Event, 0, len(messages))
+	for _, m := range messages {
+		events = append(events, timeline.Event{
+			Time: timeline.Stamp(m.Time), Instance: m.Instance, Kind: timeline.Kind(m.Kind), Service: m.Service,
+			Target: m.Target, Request: m.Request, Peer: m.Peer, Version: m.Version, Detail: m.Detail,
+		})
 	}
-	slices.Sort(keys)
-	return keys
+	return events, nil
 }
--- a/cmd/rhubarbrelayd/main.go
+++ b/cmd/rhubarbrelayd/main.go
@@ -1,17 +1,22 @@
 // Command rhubarbrelayd runs one instance of rhubarbrelay.
 package main
 
+import "C" // The platform requires a program that is linked to the C library.
+
 import (
 	"context"
 	"expvar"
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
+	"sync"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
 
 	"rhubarbrelay/daemon"
+	"rhubarbrelay/eventlog"
 	"rhubarbrelay/settings"
 )
 
@@ -23,9 +28,13 @@
 	exitInterrupted = 3
 )
 
+// heapShare is the part of the allowed memory that the heap may take; the rest
+// is for stacks and buffers of the kernel.
+const heapShare = 0.7
+
 // args are the arguments of the daemon.
 type args struct {
-	Settings string `arg:"--settings,required" help:"file with the settings"`
+	Settings string `arg:"--settings,required,env:RHUBARBRELAY_BOOT" help:"file with the settings"`
 	Check    bool   `arg:"--check" help:"check the settings and exit"`
 }
 
@@ -47,20 +56,33 @@
 		fmt.Println("settings are valid")
 		return
 	}
-	if err := run(s); err != nil {
+	if err := run(a.Settings, s); err != nil {
 		fmt.Fprintln(os.Stderr, "rhubarbrelayd:", err)
 		os.Exit(exitFailed)
 	}
 }
 
-func run(s *settings.Settings) error {
+func run(path string, s *settings.Settings) error {
+	debug.SetMemoryLimit(int64(heapShare * float64(s.Instance.Memory)))
 	stop, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	go watchSignals(signals, cancel)
-	d := daemon.New(s, newLogger(s, os.Stderr))
-	expvar.Publish(daemon.MetricsName, expvar.Func(d.Metrics))
+
+	lines := eventlog.NewWriter(os.Stdout)
+	writing, stopWriting := context.WithCancel(context.Background())
+	var writer sync.WaitGroup
+	writer.Go(func() { lines.Run(writing) })
+	defer func() {
+		stopWriting()
+		writer.Wait()
+	}()
+	d := daemon.New(s, newLogger(s, lines))
+	expvar.Publish(daemon.MetricsName, expvar.Func(func() any { return d.Metrics(lines.Stats()) }))
+	go daemon.WatchSettings(stop, path, hangups, d.Reload)
 	return d.Run(stop)
 }
 
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -4,141 +4,105 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
 	"rhubarbrelay/membership"
-	"rhubarbrelay/peer"
-	"rhubarbrelay/relay"
 	"rhubarbrelay/timeline"
 )
 
 const (
-	// readyPoll is the time between two looks at whether the configuration is
-	// complete.
-	readyPoll = 20 * time.Millisecond
-	// finishTimeout bounds the wait for requests in progress at a stop. It is
-	// longer than any deadline of a request.
-	finishTimeout = time.Minute
-	// peerCheckTimeout bounds the wait for the versions of the peers at the
-	// start. In it a listed peer can be dialled and dialled again; an instance
-	// that is dead but still listed must not keep others from serving.
-	peerCheckTimeout = 3 * time.Second
+	// readyPoll is the time between two looks at whether the state is complete.
+	readyPoll = 10 * time.Millisecond
+	// serveShare is the part of the grace time for which a leaving instance
+	// serves on: callers keep an entry answer for a while.
+	serveShare = 0.5
+	// exitMargin is the time before the end of the grace time at which the
+	// process exits at the latest.
+	exitMargin = 300 * time.Millisecond
+	// behindInterval is the time between two looks at the versions of others.
+	behindInterval = 500 * time.Millisecond
 )
 
 // errStopped ends the group of the running parts without an error.
 var errStopped = errors.New("instance stopped")
 
+// server is a part that accepts connections.
+type server struct {
+	address netip.AddrPort
+	serve   func(net.Listener) error
+}
+
 // Run serves until the stop context ends, then stops gracefully.
 func (d *Daemon) Run(stop context.Context) error {
-	adminListener, err := listen(d.settings.Admin.Listen.String())
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(d.settings.Peers.Listen))
 	if err != nil {
-		return err
-	}
-	peerListener, err := listen(d.settings.Peers.Listen.String())
-	if err != nil {
-		return errors.Join(err, adminListener.Close())
+		return trace.Wrap(err, "listen for instances on %s", d.settings.Peers.Listen)
 	}
 	group, running := errgroup.WithContext(context.Background())
+	for _, s := range []server{
+		{d.settings.Callers.Listen, d.relay.Serve},
+		{d.settings.Callers.Entry, d.desk.Serve},
+		{d.settings.Callers.Ready, d.desk.Serve},
+		{d.settings.Admin.Listen, d.admin.Serve},
+	} {
+		l, err := net.Listen("tcp", s.address.String()) //nolint:noctx // It lives as long as the daemon.
+		if err != nil {
+			return errors.Join(trace.Wrap(err, "listen on %s", s.address), conn.Close())
+		}
+		group.Go(func() error { return s.serve(l) })
+	}
 	d.recorder.Record(timeline.Event{Kind: timeline.InstanceStarted})
-	d.logger.Info("instance started")
-	group.Go(func() error { return d.follower.Run(running) })
-	group.Go(func() error { return d.watchList(running) })
-	group.Go(func() error { return d.checkPeers(running) })
-	group.Go(func() error { return d.revalidate(running) })
-	group.Go(func() error { return d.guard.Run(running) })
-	group.Go(func() error { return d.mesh.Run(running, peerListener) })
-	group.Go(func() error { return d.prober.Run(running) })
-	group.Go(func() error { return d.admin.Serve(adminListener) })
-	group.Go(func() error { return d.serveCallers(running, stop) })
-	group.Go(func() error {
-		<-running.Done()
-		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
-		defer cancel()
-		return d.admin.Shutdown(ctx)
-	})
+	d.logger.WithField("callers", d.settings.Callers.Listen.String()).WithField("zone", d.settings.Instance.Zone).
+		Info("instance started")
+	group.Go(func() error { return d.mesh.Run(running, conn) })
+	group.Go(func() error { return d.config.Run(running) })
+	group.Go(func() error { return d.registry.Run(running) })
+	group.Go(func() error { return d.announce(running) })
+	group.Go(func() error { return d.catchUp(running) })
+	group.Go(func() error { return d.live(running, stop) })
 	err = group.Wait()
-	d.pools.Close()
 	if errors.Is(err, errStopped) {
+		d.recorder.Record(timeline.Event{Kind: timeline.InstanceStopped})
 		d.logger.Info("instance stopped")
 		return nil
 	}
 	return err
 }
 
-func listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address) //nolint:noctx // The listener lives as long as the daemon.
-	return l, trace.Wrap(err, "listen on %s", address)
-}
-
-// serveCallers opens the callers' listener once the configuration is complete
-// and closes it after a graceful stop. It returns errStopped after a stop that
-// cut off nothing.
-func (d *Daemon) serveCallers(running, stop context.Context) error {
-	if !d.waitReady(running, stop) {
-		return errStopped
-	}
-	callers, err := listen(d.settings.Callers.Listen.String())
-	if err != nil {
-		return err
-	}
-	serving := make(chan error, 1)
-	go func() { serving <- d.relay.Serve(callers) }()
-	d.directory.SetSelf(membership.Live)
-	d.logger.WithField("callers", d.settings.Callers.Listen.String()).Info("instance serves callers")
-	select {
-	case <-stop.Done():
-	case <-running.Done():
-	case err := <-serving:
-		return trace.Wrap(err, "serve callers")
-	}
-	if err := errors.Join(d.stop(), <-serving); err != nil {
-		return err
-	}
-	return errStopped
+// announce registers the instance and greets the others.
+func (d *Daemon) announce(running context.Context) error {
+	d.announcer.Announce(running)
+	d.mesh.Hello()
+	return nil
 }
 
-// checkPeers waits until the configuration was compared with what the peers
-// have in force, since the log may be read stale.
-func (d *Daemon) checkPeers(running context.Context) error {
-	ctx, cancel := context.WithTimeout(running, peerCheckTimeout)
-	defer cancel()
-	ticker := time.NewTicker(readyPoll)
-	defer ticker.Stop()
-	for !d.peersCompared() {
+// live takes callers once the state is complete, until the instance stops. It
+// returns errStopped.
+func (d *Daemon) live(running, stop context.Context) error {
+	if d.waitReady(running, stop) {
+		d.members.SetState(membership.Ready)
+		d.mesh.Announce()
+		d.logger.WithField("version", d.config.Current().Version).WithField("targets", d.targets.Count()).
+			Info("instance is ready")
 		select {
-		case <-ctx.Done():
-			if running.Err() == nil {
-				d.logger.Warn("no peer confirmed the configuration in time")
-				d.follower.PeersChecked()
-			}
+		case <-stop.Done():
+		case <-running.Done():
 			return nil
-		case <-ticker.C:
 		}
 	}
-	d.follower.PeersChecked()
-	return nil
-}
-
-// peersCompared returns whether the own version was compared with those of the
-// peers. They are known from the list or, when it cannot be read, from a seed.
-func (d *Daemon) peersCompared() bool {
-	select {
-	case <-d.listTried:
-		return (d.listRead.Load() || !d.directory.Alone()) && d.mesh.Compared()
-	default:
-		return false
-	}
+	d.stop()
+	return errStopped
 }
 
-// waitReady waits until the configuration is complete and returns false when
-// the instance ends before that.
+// waitReady returns false when the instance ends before its state is complete.
 func (d *Daemon) waitReady(running, stop context.Context) bool {
 	ticker := time.NewTicker(readyPoll)
 	defer ticker.Stop()
-	for !d.follower.Ready() {
+	for d.config.Current() == nil || !d.targets.Loaded() {
 		select {
 		case <-stop.Done():
 			return false
@@ -150,28 +114,46 @@
 	return true
 }
 
-// stop leaves the entry answers, serves on while callers may hold an old one,
-// asks them to close their connections, and finishes the requests in progress.
-func (d *Daemon) stop() error {
-	d.directory.SetSelf(membership.Leaving)
-	d.recorder.Record(timeline.Event{Kind: timeline.InstanceLeaving})
-	d.logger.Info("instance leaving")
-	time.Sleep(d.settings.Callers.EntryTTL)
-	d.relay.SetClosing(true)
-	time.Sleep(d.settings.Stop.Margin)
-	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+// stop leaves the entry answers at once, serves on while callers may hold an
+// old one, asks them to close their connections, and finishes the requests in
+// progress within the grace time.
+func (d *Daemon) stop() {
+	began := time.Now()
+	grace := d.settings.Stop.Grace
+	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin)
 	defer cancel()
-	err := d.relay.Shutdown(ctx)
-	d.recorder.Record(timeline.Event{Kind: timeline.InstanceStopped})
-	return trace.Wrap(err, "finish the requests in progress")
+	d.members.SetState(membership.Leaving)
+	d.relay.SetClosing()
+	d.recorder.Record(timeline.Event{Kind: timeline.InstanceLeaving})
+	d.logger.WithField("in_progress", d.relay.InProgress()).Info("instance leaving")
+	var group errgroup.Group
+	group.Go(func() error { d.mesh.AnnounceLeaving(ctx); return nil })
+	group.Go(func() error { d.announcer.Withdraw(ctx); return nil })
+	time.Sleep(time.Duration(serveShare * float64(grace)))
+	if err := d.relay.Shutdown(ctx); err != nil {
+		d.logger.WithError(err).WithField("in_progress", d.relay.InProgress()).Error("requests were cut off at the stop")
+	}
+	_ = group.Wait() // its parts return no error
+	d.logger.WithField("took", time.Since(began).String()).Info("requests in progress are finished")
 }
 
-// forwardError maps an error of the mesh to what the relay tells the caller.
-func forwardError(err error) error {
-	switch {
-	case errors.Is(err, peer.ErrOwnerUnknown), errors.Is(err, peer.ErrOtherIncarnation):
-		return relay.ErrOwnerGone
-	default:
-		return relay.ErrOwnerUnreachable
+// catchUp reads the configuration from another instance when this one cannot
+// reach the store and the other has a newer version.
+func (d *Daemon) catchUp(running context.Context) error {
+	ticker := time.NewTicker(behindInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-running.Done():
+			return nil
+		case <-ticker.C:
+		}
+		version := int64(0)
+		if document := d.config.Current(); document != nil {
+			version = document.Version
+		}
+		if other, ok := d.members.Newer(version); ok {
+			d.fetchConfig(other)
+		}
 	}
 }
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -1,6 +1,3 @@
-// Package limits holds the budgets and limits of an instance: concurrency per
-// target, ejection, retries, probes and fairness between services.
-//
-// Types that take the time as an argument are not safe for concurrent use
-// unless they say so; their owner holds a lock.
+// Package limits holds the budgets that an instance keeps to: second tries and
+// health probes. The instances share both, each with a static part of its own.
 package limits
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -1,229 +1,238 @@
-// Package membership knows which instances of the system and which targets are
-// live or leaving. It merges the platform's list, which lags, with what the
-// instances and targets say themselves.
+// Package membership keeps track of the instances of the system: which of them
+// are ready for callers, and how many share the budgets.
 package membership
 
 import (
+	"cmp"
+	"net/netip"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
+)
+
+// State is the state that an instance reports of itself.
+type State int
 
-	"rhubarbrelay/timeline"
+// The states of an instance.
+const (
+	Starting State = iota
+	Ready
+	Leaving
 )
 
+// Instance describes one instance.
+type Instance struct {
+	ID   string
+	Zone string
+	// Incarnation is the Unix time in milliseconds at which the process started.
+	Incarnation   int64
+	CallerAddress netip.AddrPort
+	PeerAddress   netip.AddrPort
+	AdminAddress  netip.AddrPort
+	State         State
+	ConfigVersion int64
+}
+
 const (
-	// SuspicionTimeout is how long a suspected instance has to refute.
-	SuspicionTimeout = 5 * time.Second
-	// heardTimeout is how long a direct message outweighs the instance's
-	// removal from the list. It equals the time without a heartbeat after
-	// which a session is dialled again.
-	heardTimeout = 3 * time.Second
-	// deadRetention is how long dead instances stay known, so that they are
-	// found again when a partition heals. Regions lose each other for an hour.
-	deadRetention = 2 * time.Hour
-	// maxRecords and maxTargets bound the memory that reports can fill. The
-	// design scale has 1,000 targets and fewer instances.
-	maxRecords = 4096
-	maxTargets = 8192
-	// maxPending bounds the local changes that wait to be sent to the peers.
-	maxPending = 1024
+	// HeartbeatInterval is the time between two heartbeats to an instance of
+	// the same zone.
+	HeartbeatInterval = 500 * time.Millisecond
+	// FarHeartbeatInterval applies to instances of other zones, whose addresses
+	// callers get only when their own zone has too few.
+	FarHeartbeatInterval = 2 * time.Second
+	// missedHeartbeats is the number of heartbeats without which an instance
+	// counts as dead.
+	missedHeartbeats = 2.6
+	// forgetAfter is the time after which a dead instance no longer counts for
+	// the budgets.
+	forgetAfter = time.Minute
 )
 
-// Directory holds the instances and the leaving targets that this instance
-// knows. It is safe for concurrent use.
+// member is what is known of another instance.
+type member struct {
+	instance Instance
+	heardAt  time.Time // zero when it was only listed
+	listedAt time.Time
+}
+
+// Directory holds the instances. It is safe for concurrent use.
 type Directory struct {
-	now       func() time.Time
-	suspicion time.Duration
-	clock     *timeline.Clock
-	revision  atomic.Uint64
-	changes   chan struct{}
+	clock    func() time.Time
+	onChange func()
 
 	mu      sync.RWMutex
 	self    Instance
-	records map[string]*record
-	listed  map[string]listing
-	targets targetStates
-	pending News
-	// overflowed is set when a change found no room in pending.
-	overflowed bool
-	// subscribers is replaced, never changed in place.
-	subscribers []func()
+	members map[string]*member
 }
 
 // Option changes a Directory under construction.
 type Option func(*Directory)
 
-// WithClock sets the clock that stamps the signals of targets.
-func WithClock(c *timeline.Clock) Option {
-	return func(d *Directory) { d.clock = c }
-}
-
-// WithNow sets the source of the local time.
-func WithNow(now func() time.Time) Option {
-	return func(d *Directory) { d.now = now }
-}
+// WithClock sets the source of the time.
+func WithClock(clock func() time.Time) Option { return func(d *Directory) { d.clock = clock } }
 
-// WithSuspicionTimeout sets how long a suspected instance has to refute.
-func WithSuspicionTimeout(timeout time.Duration) Option {
-	return func(d *Directory) { d.suspicion = timeout }
-}
+// WithOnChange sets a function that is called after an instance appeared,
+// changed its state or was forgotten, without a lock held.
+func WithOnChange(fn func()) Option { return func(d *Directory) { d.onChange = fn } }
 
-// NewDirectory returns a directory that knows only the instance itself.
+// NewDirectory returns a directory that knows only this instance.
 func NewDirectory(self Instance, opts ...Option) *Directory {
-	d := &Directory{
-		now:       time.Now,
-		suspicion: SuspicionTimeout,
-		changes:   make(chan struct{}, 1),
-		self:      self,
-		records:   map[string]*record{},
-		listed:    map[string]listing{},
-		targets:   newTargetStates(),
-	}
-	// A sequence of 0 stands for an instance that has not reported itself.
-	d.self.Sequence = max(1, self.Sequence)
+	d := &Directory{self: self, clock: time.Now, onChange: func() {}, members: map[string]*member{}}
 	for _, opt := range opts {
 		opt(d)
 	}
-	if d.clock == nil {
-		d.clock = timeline.NewClock(d.now)
-	}
 	return d
 }
 
-// ApplyNews merges reports from peers and returns those that changed what this
-// instance knows, which are the ones to pass on. The order of reports and
-// their repetition make no difference. A claim that this instance is suspect
-// or dead is refuted with a higher sequence.
-func (d *Directory) ApplyNews(news News) News {
-	var fresh News
-	d.change(func() bool {
-		changed := false
-		for _, in := range news.Instances {
-			isFresh, differs := d.applyInstance(in)
-			if isFresh {
-				fresh.Instances = append(fresh.Instances, in)
-			}
-			changed = changed || differs
-		}
-		for _, t := range news.Targets {
-			before := d.targets.leaving(t.Address)
-			if d.targets.apply(t) {
-				d.clock.Observe(t.Stamp)
-				fresh.Targets = append(fresh.Targets, t)
-			}
-			changed = changed || before != d.targets.leaving(t.Address)
-		}
-		return changed
-	})
-	return fresh
+// Self returns this instance.
+func (d *Directory) Self() Instance {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.self
 }
 
-// Heard merges what an instance said of itself directly, in a hello or a
-// heartbeat, and returns whether that was new.
-func (d *Directory) Heard(in Instance) bool {
-	if d.heardAgain(in) {
-		return false
-	}
-	fresh := false
-	d.change(func() bool {
-		var changed bool
-		fresh, changed = d.applyInstance(in)
-		if r := d.records[in.ID]; r != nil && r.info.Incarnation == in.Incarnation {
-			r.heardAt = d.now()
-		}
-		return changed
-	})
-	return fresh
+// SetState changes the state of this instance.
+func (d *Directory) SetState(state State) {
+	d.mu.Lock()
+	d.self.State = state
+	d.mu.Unlock()
+	d.onChange()
 }
 
-// heardAgain handles the usual heartbeat, which repeats the last report,
-// without comparing the whole view.
-func (d *Directory) heardAgain(in Instance) bool {
+// SetConfigVersion changes the configuration version of this instance.
+func (d *Directory) SetConfigVersion(version int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := d.records[in.ID]
-	if r == nil || r.info != in {
+	d.self.ConfigVersion = version
+}
+
+// List adds an instance that registered itself but was not heard yet.
+func (d *Directory) List(in Instance) {
+	d.mu.Lock()
+	m := d.members[in.ID]
+	changed := in.ID != d.self.ID && (m == nil || in.Incarnation > m.instance.Incarnation)
+	if changed {
+		in.State = Starting
+		d.members[in.ID] = &member{instance: in, listedAt: d.clock()}
+	}
+	d.mu.Unlock()
+	if changed {
+		d.onChange()
+	}
+}
+
+// Hear notes a packet of another instance. It returns whether the instance was
+// unknown before.
+func (d *Directory) Hear(in Instance) (unknown bool) {
+	d.mu.Lock()
+	if in.ID == d.self.ID {
+		d.mu.Unlock()
+		return false
+	}
+	m := d.members[in.ID]
+	// The time of day may have been set back between two starts, so that a lower
+	// incarnation counts once the known one is silent.
+	if m != nil && in.Incarnation < m.instance.Incarnation && d.alive(m) {
+		d.mu.Unlock()
 		return false
 	}
-	r.heardAt = d.now()
-	return true
+	unknown = m == nil || m.heardAt.IsZero() || in.Incarnation != m.instance.Incarnation
+	if !unknown && m.instance.State == Leaving {
+		in.State = Leaving // an earlier packet that arrived late
+	}
+	changed := unknown || m.instance.State != in.State || !d.alive(m)
+	d.members[in.ID] = &member{instance: in, heardAt: d.clock(), listedAt: d.clock()}
+	d.mu.Unlock()
+	if changed {
+		d.onChange()
+	}
+	return unknown
 }
 
-// applyInstance merges a report. It returns whether the report was new and
-// whether the view changed by it.
-func (d *Directory) applyInstance(in Instance) (fresh, changed bool) {
-	if in.ID == "" {
-		return false, false
+// alive returns whether the instance was heard recently.
+func (d *Directory) alive(m *member) bool {
+	interval := HeartbeatInterval
+	if m.instance.Zone != d.self.Zone {
+		interval = FarHeartbeatInterval
 	}
-	if in.ID == d.self.ID {
-		d.refute(in)
-		return false, false
+	return !m.heardAt.IsZero() && d.clock().Sub(m.heardAt) < time.Duration(missedHeartbeats*float64(interval))
+}
+
+// Ready returns the instances that take callers, this one included, by ID.
+func (d *Directory) Ready() []Instance {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var ready []Instance
+	if d.self.State == Ready {
+		ready = append(ready, d.self)
 	}
-	r := d.records[in.ID]
-	if r == nil {
-		if len(d.records) >= maxRecords {
-			return false, false
+	for _, m := range d.members {
+		if m.instance.State == Ready && d.alive(m) {
+			ready = append(ready, m.instance)
 		}
-		r = &record{}
-		d.records[in.ID] = r
 	}
-	before := *r
-	seen := d.stateWithList(r)
-	r.merge(in, d.now())
-	if l := d.listed[in.ID]; l.leaving && l.incarnation == 0 {
-		l.incarnation = r.info.Incarnation
-		d.listed[in.ID] = l
+	slices.SortFunc(ready, byID)
+	return ready
+}
+
+// Peers returns the other instances to send packets to, dead ones included.
+func (d *Directory) Peers() []Instance {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	peers := make([]Instance, 0, len(d.members))
+	for _, m := range d.members {
+		peers = append(peers, m.instance)
 	}
-	before.suspectedAt = r.suspectedAt
-	return before != *r, differ(seen, d.stateWithList(r))
+	slices.SortFunc(peers, byID)
+	return peers
 }
 
-// SetSelf changes the state of this instance. Leaving is final.
-func (d *Directory) SetSelf(state State) {
-	d.change(func() bool {
-		if d.self.State == Leaving || d.self.State == state {
-			return false
-		}
-		d.self.State = state
-		d.self.Sequence++
-		d.enqueue(News{Instances: []Instance{d.self}})
-		return true
-	})
+// Count returns the number of instances that may hold a part of a budget.
+func (d *Directory) Count() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return 1 + len(d.members)
 }
 
-// Subscribe calls the function after every change. No lock is held during the
-// call.
-func (d *Directory) Subscribe(fn func()) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.subscribers = append(slices.Clone(d.subscribers), fn)
+// Rank returns the number of living instances before this one, by ID.
+func (d *Directory) Rank() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	rank := 0
+	for id, m := range d.members {
+		if id < d.self.ID && m.instance.State == Ready && d.alive(m) {
+			rank++
+		}
+	}
+	return rank
 }
 
-// changeAll runs a function that may change any part of the view. It compares
-// the whole view, which is too costly for each report of a peer.
-func (d *Directory) changeAll(fn func()) {
-	d.change(func() bool {
-		before := d.fingerprint()
-		fn()
-		return before != d.fingerprint()
-	})
+// Newer returns a living instance with a configuration above the version.
+func (d *Directory) Newer(version int64) (Instance, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for _, m := range d.members {
+		if m.instance.ConfigVersion > version && d.alive(m) {
+			return m.instance, true
+		}
+	}
+	return Instance{}, false
 }
 
-// change runs the function under the lock and notifies the subscribers when
-// the function returns that the view differs.
-func (d *Directory) change(fn func() bool) {
+// Forget drops the instances that have been silent for long.
+func (d *Directory) Forget() {
 	d.mu.Lock()
-	changed := fn()
-	if changed {
-		d.revision.Add(1)
+	dropped := false
+	for id, m := range d.members {
+		if d.clock().Sub(m.listedAt) > forgetAfter {
+			delete(d.members, id)
+			dropped = true
+		}
 	}
-	subscribers := d.subscribers
 	d.mu.Unlock()
-	if !changed {
-		return
-	}
-	for _, notify := range subscribers {
-		notify()
+	if dropped {
+		d.onChange()
 	}
 }
+
+func byID(a, b Instance) int { return cmp.Compare(a.ID, b.ID) }
--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,107 @@
+package peer
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"rhubarbrelay/membership"
+	"rhubarbrelay/peer/peerpb"
+	"rhubarbrelay/targets"
+)
+
+// EncodeInstance writes the description of an instance.
+func EncodeInstance(in membership.Instance) ([]byte, error) { return proto.Marshal(instanceToWire(in)) }
+
+// DecodeInstance reads the description of an instance. The error wraps
+// ErrMalformed.
+func DecodeInstance(data []byte) (membership.Instance, error) {
+	var m peerpb.Instance
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return membership.Instance{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return instanceFromWire(&m)
+}
+
+func instanceToWire(in membership.Instance) *peerpb.Instance {
+	return &peerpb.Instance{
+		Id: in.ID, Zone: in.Zone, Incarnation: in.Incarnation,
+		CallerAddress: in.CallerAddress.String(), PeerAddress: in.PeerAddress.String(), AdminAddress: in.AdminAddress.String(),
+		State: peerpb.State(in.State + 1), ConfigVersion: in.ConfigVersion,
+	}
+}
+
+func instanceFromWire(m *peerpb.Instance) (membership.Instance, error) {
+	in := membership.Instance{
+		ID: m.GetId(), Zone: m.GetZone(), Incarnation: m.GetIncarnation(), ConfigVersion: m.GetConfigVersion(),
+	}
+	switch m.GetState() {
+	case peerpb.State_STATE_STARTING:
+		in.State = membership.Starting
+	case peerpb.State_STATE_READY:
+		in.State = membership.Ready
+	case peerpb.State_STATE_LEAVING:
+		in.State = membership.Leaving
+	default:
+		return in, fmt.Errorf("%w: state %s of instance %q", ErrMalformed, m.GetState(), in.ID)
+	}
+	for _, f := range []struct {
+		text string
+		to   *netip.AddrPort
+	}{{m.GetCallerAddress(), &in.CallerAddress}, {m.GetPeerAddress(), &in.PeerAddress}, {m.GetAdminAddress(), &in.AdminAddress}} {
+		address, err := netip.ParseAddrPort(f.text)
+		if err != nil {
+			return in, fmt.Errorf("%w: address of instance %q: %w", ErrMalformed, in.ID, err)
+		}
+		*f.to = address
+	}
+	if in.ID == "" {
+		return in, fmt.Errorf("%w: instance without ID", ErrMalformed)
+	}
+	return in, nil
+}
+
+func newsToWire(n News) *peerpb.TargetNews {
+	m := &peerpb.TargetNews{FromOffset: n.From, ToOffset: n.To, OutageEndedMs: n.SinceOutage.Milliseconds()}
+	for _, c := range n.Changes {
+		w := &peerpb.Target{Id: c.ID}
+		if t := c.Target; t != nil {
+			w.Born, w.Service, w.Address, w.Zone, w.Version = t.Born, t.Service, t.Address.String(), t.Zone, t.Version
+			w.Slots, w.Sequence, w.ColdMs = int32(t.Slots), t.Sequence, t.Cold.Milliseconds()
+			w.State = peerpb.TargetState_TARGET_STATE_READY
+			if t.State == targets.Draining {
+				w.State = peerpb.TargetState_TARGET_STATE_DRAINING
+			}
+		}
+		m.Changes = append(m.Changes, w)
+	}
+	return m
+}
+
+func newsFromWire(m *peerpb.TargetNews) (News, error) {
+	n := News{
+		From: m.GetFromOffset(), To: m.GetToOffset(),
+		SinceOutage: time.Duration(m.GetOutageEndedMs()) * time.Millisecond,
+	}
+	for _, w := range m.GetChanges() {
+		c := targets.Change{ID: w.GetId()}
+		if w.GetState() != peerpb.TargetState_TARGET_STATE_UNSPECIFIED {
+			address, err := netip.ParseAddrPort(w.GetAddress())
+			if err != nil {
+				return News{}, fmt.Errorf("%w: address of target %q: %w", ErrMalformed, c.ID, err)
+			}
+			c.Target = &targets.Target{
+				ID: c.ID, Born: w.GetBorn(), Service: w.GetService(), Address: address, Zone: w.GetZone(),
+				Version: w.GetVersion(), Slots: int(w.GetSlots()), Sequence: w.GetSequence(),
+				Cold: time.Duration(w.GetColdMs()) * time.Millisecond,
+			}
+			if w.GetState() == peerpb.TargetState_TARGET_STATE_DRAINING {
+				c.Target.State = targets.Draining
+			}
+		}
+		n.Changes = append(n.Changes, c)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/registry/config_follower.go
@@ -0,0 +1,162 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"rhubarbrelay/config"
+	"rhubarbrelay/platform"
+)
+
+// longPoll is how long a read waits for a new configuration.
+const longPoll = 25 * time.Second
+
+// ConfigFollower keeps the newest configuration. The version never goes back.
+type ConfigFollower struct {
+	store  Store
+	logger log.Interface
+	apply  func(*config.Document)
+
+	current atomic.Pointer[config.Document]
+	failing atomic.Bool
+	// readAt is the start of the last read that found everything newer.
+	readAt atomic.Pointer[time.Time]
+	// interrupt ends the read in progress.
+	interrupt atomic.Pointer[context.CancelFunc]
+
+	mu  sync.Mutex // guards the order of versions
+	raw []byte     // the document in force, as it was published
+}
+
+// NewConfigFollower returns a follower that calls apply with each new version.
+func NewConfigFollower(store Store, logger log.Interface, apply func(*config.Document)) *ConfigFollower {
+	return &ConfigFollower{store: store, logger: logger, apply: apply}
+}
+
+// Current returns the configuration in force, nil when none is known yet.
+func (f *ConfigFollower) Current() *config.Document { return f.current.Load() }
+
+// Raw returns the text of the configuration in force.
+func (f *ConfigFollower) Raw() []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.raw
+}
+
+// Failing returns whether the last call of the store failed.
+func (f *ConfigFollower) Failing() bool { return f.failing.Load() }
+
+// ReadAge returns the time since the start of the last read of the newest
+// configuration.
+func (f *ConfigFollower) ReadAge() time.Duration {
+	if at := f.readAt.Load(); at != nil {
+		return time.Since(*at)
+	}
+	return time.Duration(1<<63 - 1)
+}
+
+// Refresh ends a read that waits, so that the newest configuration is read at
+// once.
+func (f *ConfigFollower) Refresh() {
+	if cancel := f.interrupt.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
+// Run follows the store until the context ends.
+func (f *ConfigFollower) Run(ctx context.Context) error {
+	from := int64(unknownOffset)
+	var pause backoff
+	for ctx.Err() == nil {
+		reading, cancel := context.WithCancel(ctx)
+		f.interrupt.Store(&cancel)
+		next, err := f.read(reading, from)
+		interrupted := reading.Err() != nil
+		cancel()
+		switch {
+		case ctx.Err() != nil:
+		case interrupted:
+			from = unknownOffset
+		case errors.Is(err, platform.ErrExpired):
+			f.logger.WithField("from", from).Info("history of the configuration has expired, reading the newest one")
+			from = unknownOffset
+		case err != nil:
+			f.note(err)
+			pause.wait(ctx)
+		default:
+			f.note(nil)
+			pause.reset()
+			from = next
+		}
+	}
+	return nil
+}
+
+// note logs a lost or regained store once.
+func (f *ConfigFollower) note(err error) {
+	failed := err != nil
+	if f.failing.Swap(failed) == failed {
+		return
+	}
+	if failed {
+		f.logger.WithError(err).Warn("configuration cannot be read from the store")
+		return
+	}
+	f.logger.Info("configuration can be read from the store again")
+}
+
+func (f *ConfigFollower) read(ctx context.Context, from int64) (int64, error) {
+	if from == unknownOffset {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		began := time.Now()
+		batch, err := f.store.Newest(ctx, platform.ConfigTopic)
+		if err != nil {
+			return 0, err
+		}
+		f.take(batch.Records)
+		f.readAt.Store(&began)
+		return batch.Next, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, longPoll+callTimeout)
+	defer cancel()
+	batch, err := f.store.Read(ctx, platform.ConfigTopic, from, longPoll)
+	if err != nil {
+		return 0, err
+	}
+	f.take(batch.Records)
+	return batch.Next, nil
+}
+
+func (f *ConfigFollower) take(records []platform.Record) {
+	for _, r := range records {
+		if r.Key == platform.ConfigKey && r.Value != nil {
+			f.Offer(r.Value, "store")
+		}
+	}
+}
+
+// Offer puts a published document into force if it is valid and newer than the
+// present one.
+func (f *ConfigFollower) Offer(raw []byte, source string) {
+	document, err := platform.DecodeDocument(raw)
+	if err != nil {
+		f.logger.WithError(err).WithField("source", source).Error("configuration rejected, the last good one stays in force")
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now := f.current.Load(); now != nil && document.Version <= now.Version {
+		return
+	}
+	f.raw = append([]byte(nil), raw...)
+	f.apply(document)
+	f.current.Store(document)
+	f.logger.WithField("version", document.Version).WithField("routes", len(document.Routes)).WithField("source", source).
+		Info("configuration in force")
+}
--- /dev/null
+++ b/registry/target_follower.go
@@ -0,0 +1,282 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"rhubarbrelay/peer"
+	"rhubarbrelay/platform"
+	"rhubarbrelay/targets"
+)
+
+const (
+	// readInterval is the time between two reads of the registry, by the
+	// instance that ranks first.
+	readInterval = 700 * time.Millisecond
+	// rankStep delays the read of each further rank, which becomes needless when
+	// the news of an earlier rank arrive. maxReadDelay bounds the sum.
+	rankStep     = 70 * time.Millisecond
+	maxReadDelay = 1200 * time.Millisecond
+	// outageMemory is how long the end of an outage is passed on.
+	outageMemory = 3 * time.Second
+	// minOutage is the age of the state from which a failed read counts as an
+	// outage, in which entries may have lapsed.
+	minOutage = 1500 * time.Millisecond
+)
+
+// Spreader passes news of the registry on to the other instances. The offsets
+// are those of the changes.
+type Spreader interface {
+	Spread(news peer.News, offsets []int64)
+}
+
+// TargetFollower keeps the directory of targets up to date. One instance reads
+// the registry and passes the changes on; an instance that hears no news in
+// time, or misses some, reads for itself.
+type TargetFollower struct {
+	store     Store
+	directory *targets.Directory
+	spreader  Spreader
+	rank      func() int
+	logger    log.Interface
+	clock     func() time.Time
+
+	mu sync.Mutex
+	// next is the offset from which the state is not known.
+	next    int64
+	freshAt time.Time // the time as of which the state holds
+	// heard receives a value when news made a read needless, and wanted when a
+	// read is needed at once.
+	heard       chan struct{}
+	wanted      chan struct{}
+	failing     bool
+	outageEnded time.Time
+}
+
+// NewTargetFollower returns a follower. The rank is the number of living
+// instances that read before this one.
+func NewTargetFollower(
+	store Store, directory *targets.Directory, spreader Spreader, rank func() int, logger log.Interface,
+) *TargetFollower {
+	return &TargetFollower{
+		store: store, directory: directory, spreader: spreader, rank: rank, logger: logger, clock: time.Now,
+		next: unknownOffset, heard: make(chan struct{}, 1), wanted: make(chan struct{}, 1),
+	}
+}
+
+// Age returns the time since which changes may be missing.
+func (f *TargetFollower) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.freshAt.IsZero() {
+		return time.Duration(1<<63 - 1)
+	}
+	return f.clock().Sub(f.freshAt)
+}
+
+// Failing returns whether the last read failed.
+func (f *TargetFollower) Failing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failing
+}
+
+// Refresh asks for a read at once.
+func (f *TargetFollower) Refresh() { signal(f.wanted) }
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows the registry until the context ends.
+func (f *TargetFollower) Run(ctx context.Context) error {
+	var pause backoff
+	for ctx.Err() == nil {
+		err := f.read(ctx)
+		f.directory.Expire()
+		switch {
+		case ctx.Err() != nil:
+		case errors.Is(err, platform.ErrExpired):
+			f.logger.Info("history of the registry has expired, reading all entries")
+			f.setNext(unknownOffset)
+		case err != nil:
+			f.note(err)
+			pause.wait(ctx)
+		default:
+			f.note(nil)
+			pause.reset()
+			f.await(ctx)
+		}
+	}
+	return nil
+}
+
+func (f *TargetFollower) setNext(next int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next = next
+}
+
+// await returns when the next read is due: later for each rank, and later again
+// with each news.
+func (f *TargetFollower) await(ctx context.Context) {
+	for ctx.Err() == nil {
+		delay := min(maxReadDelay, readInterval+time.Duration(f.rank())*rankStep)
+		timer := time.NewTimer(max(0, delay-f.Age()))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+			return
+		case <-f.wanted:
+			timer.Stop()
+			return
+		case <-f.heard:
+		}
+		timer.Stop()
+	}
+}
+
+// note logs a lost or regained registry once.
+func (f *TargetFollower) note(err error) {
+	f.mu.Lock()
+	failed := err != nil
+	changed := f.failing != failed
+	f.failing = failed
+	f.mu.Unlock()
+	if !changed {
+		return
+	}
+	if failed {
+		f.logger.WithError(err).Warn("registry of targets cannot be read")
+		return
+	}
+	f.logger.Info("registry of targets can be read again")
+}
+
+// read reads the changes since the last read, or all entries.
+func (f *TargetFollower) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	f.mu.Lock()
+	from, began := f.next, f.clock()
+	outage := f.failing && began.Sub(f.freshAt) > minOutage && from != unknownOffset
+	f.mu.Unlock()
+	if from == unknownOffset {
+		batch, err := f.store.Newest(ctx, platform.TargetTopic)
+		if err != nil {
+			return err
+		}
+		f.endOutage(outage)
+		f.directory.Replace(f.entries(batch.Records))
+		f.advance(batch.Next, began)
+		return nil
+	}
+	batch, err := f.store.Read(ctx, platform.TargetTopic, from, 0)
+	if err != nil {
+		return err
+	}
+	f.endOutage(outage)
+	effective := f.directory.Apply(f.changes(batch.Records))
+	f.advance(batch.Next, began)
+	f.spreader.Spread(peer.News{From: from, To: batch.Next, Changes: effective, SinceOutage: f.sinceOutage()},
+		offsetsOf(effective, batch.Records))
+	return nil
+}
+
+// endOutage notes that the registry answers again.
+func (f *TargetFollower) endOutage(ended bool) {
+	if !ended {
+		return
+	}
+	f.mu.Lock()
+	f.outageEnded = f.clock()
+	f.mu.Unlock()
+	f.directory.NoteOutageEnd()
+}
+
+func (f *TargetFollower) sinceOutage() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	since := f.clock().Sub(f.outageEnded)
+	if f.outageEnded.IsZero() || since > outageMemory {
+		return 0
+	}
+	return max(time.Millisecond, since)
+}
+
+func (f *TargetFollower) advance(next int64, asOf time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next = next
+	if asOf.After(f.freshAt) {
+		f.freshAt = asOf
+	}
+}
+
+// HearNews applies what another instance read. News that begin after what is
+// known do not make the state fresh: something between is missing.
+func (f *TargetFollower) HearNews(news peer.News) {
+	if news.SinceOutage > 0 {
+		f.directory.NoteOutageEnd()
+	}
+	f.directory.Apply(news.Changes)
+	f.mu.Lock()
+	known := f.next != unknownOffset && news.From <= f.next
+	if known {
+		f.next = max(f.next, news.To)
+		f.freshAt = f.clock()
+	}
+	f.mu.Unlock()
+	if known {
+		signal(f.heard)
+	}
+}
+
+func (f *TargetFollower) entries(records []platform.Record) []targets.Target {
+	all := make([]targets.Target, 0, len(records))
+	for _, c := range f.changes(records) {
+		if c.Target != nil {
+			all = append(all, *c.Target)
+		}
+	}
+	return all
+}
+
+// changes decodes records. A malformed entry names no target, like a removed
+// one.
+func (f *TargetFollower) changes(records []platform.Record) []targets.Change {
+	all := make([]targets.Change, 0, len(records))
+	for _, r := range records {
+		c := targets.Change{ID: r.Key}
+		if r.Value != nil {
+			t, err := platform.DecodeTarget(r.Key, r.Value)
+			if err != nil {
+				f.logger.WithError(err).WithField("target", r.Key).Warn("entry of the registry names no target")
+			}
+			c.Target = t
+		}
+		all = append(all, c)
+	}
+	return all
+}
+
+// offsetsOf returns the offset of each change.
+func offsetsOf(changes []targets.Change, records []platform.Record) []int64 {
+	offsets := make([]int64, 0, len(changes))
+	i := 0
+	for _, c := range changes {
+		for records[i].Key != c.ID {
+			i++
+		}
+		offsets = append(offsets, records[i].Offset)
+		i++
+	}
+	return offsets
+}
--- a/relay/body.go
+++ b/relay/body.go
@@ -6,8 +6,6 @@
 	"slices"
 
 	"github.com/valyala/fasthttp"
-
-	"rhubarbrelay/header"
 )
 
 // firstBody is the space, in bytes, for a body of which nothing has arrived.
@@ -32,8 +30,6 @@
 	if stream == nil {
 		return nil
 	}
-	// The repeat of a request that ran may be cut as well.
-	c.mayHaveRun = len(req.Header.Peek(header.IdempotencyKey)) > 0
 	length := req.Header.ContentLength()
 	var err error
 	c.body, err = readAll(c.body[:0], stream, s.http.MaxRequestBodySize)
@@ -42,11 +38,8 @@
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
-		f := failureOfRead(err)
-		f.hangUp = true
-		return f
+		return failureOfRead(err).hangingUp()
 	}
-	c.mayHaveRun = false
 	req.SetBodyRaw(c.body)
 	return nil
 }
--- /dev/null
+++ b/relay/desk.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/valyala/fasthttp"
+
+	"rhubarbrelay/platform"
+)
+
+// Planner chooses the addresses that a caller in a zone should connect to.
+type Planner interface {
+	Plan(zone string) []netip.AddrPort
+}
+
+// Desk answers callers that ask where to connect, and the platform's checks
+// whether the instance is ready.
+type Desk struct {
+	planner Planner
+	ttl     atomic.Int64 // nanoseconds
+	ready   func() bool
+	logger  log.Interface
+	http    *fasthttp.Server
+}
+
+// NewDesk returns a desk whose answers may be kept for ttl.
+func NewDesk(planner Planner, ttl time.Duration, ready func() bool, logger log.Interface) *Desk {
+	d := &Desk{planner: planner, ready: ready, logger: logger}
+	d.SetTTL(ttl)
+	d.http = &fasthttp.Server{
+		Handler: d.handle, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: discardLogger{},
+		ReadTimeout: DefaultReadTimeout, WriteTimeout: DefaultWriteTimeout, IdleTimeout: DefaultIdleTimeout,
+	}
+	return d
+}
+
+// SetTTL changes how long callers may keep an answer.
+func (d *Desk) SetTTL(ttl time.Duration) { d.ttl.Store(int64(ttl)) }
+
+// Serve accepts connections until the listener closes.
+func (d *Desk) Serve(l net.Listener) error { return d.http.Serve(l) }
+
+// Shutdown stops listening.
+func (d *Desk) Shutdown() error { return d.http.Shutdown() }
+
+func (d *Desk) handle(ctx *fasthttp.RequestCtx) {
+	if platform.IsReadinessCheck(&ctx.Request) {
+		if !d.ready() {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+		return
+	}
+	question, ok := platform.ReadEntryQuestion(&ctx.Request)
+	if !ok {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	if err := platform.WriteEntryAnswer(&ctx.Response, d.planner.Plan(question.Zone), time.Duration(d.ttl.Load())); err != nil {
+		d.logger.WithError(err).Error("entry answer cannot be encoded")
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+	}
+}
--- a/relay/header.go
+++ b/relay/header.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"rhubarbrelay/header"
+	"rhubarbrelay/platform"
 )
 
 // The refusals of malformed headers. fasthttp accepts each of these requests;
@@ -125,27 +125,16 @@
 // isRemoved returns whether a header of a request never reaches a target.
 func isRemoved(lower []byte) bool {
 	switch string(lower) {
-	case "connection", "keep-alive", "te", "upgrade", "expect",
-		"rhubarbrelay-outcome", "rhubarbrelay-reason", "rhubarbrelay-state",
-		"rhubarbrelay-in-flight", "rhubarbrelay-attempt":
+	case "connection", "keep-alive", "te", "upgrade", "expect":
 		return true
 	}
-	return false
+	return platform.IsInternalRequest(string(lower))
 }
 
 // noteControl notes the headers that the relay acts on.
 func (in *inspection) noteControl(lower []byte) error {
-	switch string(lower) {
-	case "rhubarbrelay-service":
-		return in.control(0)
-	case "rhubarbrelay-request-id":
-		return in.control(1)
-	case "rhubarbrelay-deadline":
-		return in.control(2)
-	case "rhubarbrelay-idempotent":
-		return in.control(3)
-	case "idempotency-key":
-		return in.control(4)
+	if i := slices.Index(platform.ControlHeaders, string(lower)); i >= 0 {
+		return in.control(uint(i))
 	}
 	return nil
 }
@@ -220,8 +209,7 @@
 			in.strip = append(in.strip, name)
 			in.stripListed(value)
 		case fasthttp.HeaderKeepAlive, fasthttp.HeaderTrailer, fasthttp.HeaderUpgrade, "Te",
-			fasthttp.HeaderTransferEncoding,
-			header.Outcome, header.Reason, header.State, header.InFlight, header.Attempt:
+			fasthttp.HeaderTransferEncoding:
 			in.strip = append(in.strip, name)
 		case fasthttp.HeaderSetCookie: // kept apart and in order by fasthttp
 		default:
--- a/relay/listener.go
+++ b/relay/listener.go
@@ -12,8 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"rhubarbrelay/header"
-	"rhubarbrelay/timeline"
+	"rhubarbrelay/platform"
 )
 
 const (
@@ -90,8 +89,7 @@
 }
 
 // refuseConnection answers the first request of a connection above the limit
-// and closes the connection. Without reading the request, it cannot be excluded
-// that it repeats one that ran.
+// and closes the connection.
 func (s *Server) refuseConnection(conn net.Conn, read bool) {
 	defer func() { _ = conn.Close() }()
 	if err := conn.SetDeadline(time.Now().Add(refusalTimeout)); err != nil {
@@ -101,28 +99,14 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	var c call
-	defer s.endPanic(req, resp, &c)
-	outcome := header.OutcomeUnknown
+	defer s.endPanic(resp, &c)
 	if read && req.Header.Read(bufio.NewReaderSize(conn, maxRequestHeader)) == nil {
-		if len(req.Header.Peek(header.IdempotencyKey)) == 0 {
-			outcome = header.OutcomeNotRun
-		}
 		resp.SkipBody = req.Header.IsHead()
-		if given := req.Header.Peek(header.RequestID); len(given) <= maxRequestID {
-			c.id = string(given)
+		if id := platform.RequestID(&req.Header); len(id) <= maxRequestID {
+			c.id = string(id)
 		}
 	}
-	f := overloaded(refusedConnections, "instance has too many connections of callers")
-	f.hangUp = true
-	writeFailure(resp, f, outcome)
-	s.counters.refuse(f, outcome)
-	s.counters.answered(resp)
-	if c.id != "" {
-		resp.Header.Set(header.RequestID, c.id)
-	}
-	if s.recorder != nil && s.refusals.Allow() {
-		s.record(timeline.RequestRefused, &c, "", f.reason)
-	}
+	s.fail(resp, &c, overloaded(refusedConnections, "instance has too many connections of callers", startRetryAfter).hangingUp())
 	if _, err := resp.WriteTo(conn); err != nil || !read {
 		return
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -2,59 +2,43 @@
 
 import (
 	"bytes"
-	"encoding/hex"
-	"math/rand/v2"
-	"net/netip"
-	"strconv"
-	"strings"
+	"context"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"rhubarbrelay/config"
-	"rhubarbrelay/header"
-	"rhubarbrelay/idempotency"
+	"rhubarbrelay/platform"
 	"rhubarbrelay/routing"
+	"rhubarbrelay/targets"
 )
 
 const (
-	// maxRequestID bounds the request id that a caller may choose, in bytes.
+	// maxRequestID bounds the request ID that a caller may choose, in bytes.
 	maxRequestID = 128
 	// maxKeptBody bounds the buffers, in bytes, that are kept for later bodies:
-	// idle callers must not hold the memory of their
-	// largest bodies.
+	// idle callers must not hold the memory of their largest bodies.
 	maxKeptBody = 64 << 10
 )
 
 // call is a request on its way through the relay.
 type call struct {
 	id         string
-	service    *config.Service
+	document   *config.Document
+	route      *config.Route
+	service    string
 	dispatcher *routing.Dispatcher
 	arrival    time.Time
-	deadline   time.Time
-	idempotent bool
-	long       bool
-	// class groups requests whose durations are alike.
-	class string
-	// key is set for non-idempotent requests that carry one.
-	key   idempotency.Key
-	keyed bool
-	// forwarded marks a request that another instance passed on.
-	forwarded bool
-	// mayHaveRun is set while an attempt, or a request with the same key, may
-	// have run.
+	// deadline is the time of the final answer: what the caller waits, and the
+	// timeout of the route if that is shorter.
+	deadline time.Time
+	// mayHaveRun is set while a try may have run.
 	mayHaveRun bool
-	// dispatched is set before the first byte may leave for a target or for
-	// the owner of the key.
-	dispatched bool
-	// slot is the last one that the call got. It may be released already.
-	slot    *routing.Slot
-	attempt int
-	tried   []netip.AddrPort
-	found   inspection
-	body    []byte
-	caller  callerContext
+	sent       int // tries of which a byte may have left
+	tried      []targets.Incarnation
+	found      inspection
+	body       []byte
+	last       *try
 }
 
 // reset clears the call for reuse and keeps a buffer of usual size.
@@ -67,11 +51,11 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.inProgress.Add(1)
+	defer s.inProgress.Add(-1)
 	ctx.Response.ReleaseBody(maxKeptBody)
-	c := s.calls.Get().(*call)
-	c.caller.conn = ctx.Conn()
-	s.serve(&ctx.Request, &ctx.Response, c)
-	s.counters.answered(&ctx.Response)
+	c := s.calls.Get().(*call) //nolint:errcheck,forcetypeassert // The pool holds nothing else.
+	s.serve(ctx, c)
 	ctx.Request.ResetBody() // it uses the call's buffer
 	c.reset()
 	s.calls.Put(c)
@@ -85,18 +69,18 @@
 func (s *Server) handleExpect(ctx *fasthttp.RequestCtx) (status int) {
 	var c call
 	status = fasthttp.StatusInternalServerError // after a panic
-	defer s.endPanic(&ctx.Request, &ctx.Response, &c)
+	defer s.endPanic(&ctx.Response, &c)
 	f := s.admit(&ctx.Request, &c)
 	if f == nil {
 		return fasthttp.StatusContinue
 	}
 	s.fail(&ctx.Response, &c, f)
-	s.counters.answered(&ctx.Response)
 	return f.status
 }
 
-func (s *Server) serve(req *fasthttp.Request, resp *fasthttp.Response, c *call) {
-	defer s.endPanic(req, resp, c)
+func (s *Server) serve(ctx *fasthttp.RequestCtx, c *call) {
+	req, resp := &ctx.Request, &ctx.Response
+	defer s.endPanic(resp, c)
 	resp.SkipBody = req.Header.IsHead()
 	f := s.readBody(req, c)
 	if f == nil {
@@ -106,32 +90,20 @@
 		s.fail(resp, c, f)
 		return
 	}
-	if c.service == nil {
-		s.handleReserved(req, resp, c)
-		return
-	}
 	prepare(req, c)
-	if c.keyed {
-		s.serveKeyed(req, resp, c)
-		return
-	}
-	s.dispatch(req, resp, c)
+	watch := watchCaller(ctx.Conn())
+	defer watch.stop()
+	s.dispatch(watch, req, resp, c)
 }
 
-// admit checks a request and fills in the call. The call's service stays nil
-// for a reserved path.
+// admit checks a request and fills in the call.
 func (s *Server) admit(req *fasthttp.Request, c *call) *failure {
 	c.arrival = time.Now()
 	if err := c.found.inspect(req.Header.RawHeaders()); err != nil {
-		f := notRun(fasthttp.StatusBadRequest, err.Error())
-		f.hangUp = true
-		return f
+		return notRun(fasthttp.StatusBadRequest, err.Error()).hangingUp()
 	}
 	if c.found.announced > s.http.MaxRequestBodySize {
-		c.mayHaveRun = len(req.Header.Peek(header.IdempotencyKey)) > 0
-		f := failureOfRead(fasthttp.ErrBodyTooLarge)
-		f.hangUp = true
-		return f
+		return failureOfRead(fasthttp.ErrBodyTooLarge).hangingUp()
 	}
 	if f := c.identify(req); f != nil {
 		return f
@@ -142,142 +114,102 @@
 	if req.Header.IsConnect() {
 		return notRun(fasthttp.StatusMethodNotAllowed, "method CONNECT is not relayed")
 	}
-	if bytes.HasPrefix(req.URI().Path(), []byte(header.ReservedPrefix)) {
-		return nil
-	}
-	if f := c.readKey(req); f != nil {
-		return f
-	}
-	service := s.serviceOf(req)
-	if service == nil {
-		return notRun(fasthttp.StatusNotFound, "unknown service")
-	}
-	c.dispatcher = s.dispatchers.Dispatcher(service.Name)
-	if c.dispatcher == nil {
-		return notRun(fasthttp.StatusNotFound, "unknown service")
-	}
-	c.service = service
-	return c.setTerms(req)
+	return s.findRoute(req, c)
 }
 
-// identify takes the caller's request id or makes one.
+// identify takes the caller's request ID.
 func (c *call) identify(req *fasthttp.Request) *failure {
-	given := req.Header.Peek(header.RequestID)
-	if len(given) > maxRequestID {
-		return notRun(fasthttp.StatusBadRequest, "request id is longer than "+strconv.Itoa(maxRequestID)+" bytes")
-	}
-	if len(given) > 0 {
-		c.id = string(given)
-		return nil
-	}
-	var random [16]byte
-	high, low := rand.Uint64(), rand.Uint64()
-	for i := range 8 {
-		random[i], random[8+i] = byte(high>>(8*i)), byte(low>>(8*i))
-	}
-	c.id = hex.EncodeToString(random[:])
+	id := platform.RequestID(&req.Header)
+	switch {
+	case len(id) == 0:
+		return notRun(fasthttp.StatusBadRequest, "request has no ID")
+	case len(id) > maxRequestID:
+		return notRun(fasthttp.StatusBadRequest, "request ID is too long")
+	}
+	c.id = string(id)
 	return nil
 }
 
-// readKey parses the idempotency key. From here until the deduplication table
-// decides, a request with the same key may have run. A malformed key counts
-// only for non-idempotent requests.
-func (c *call) readKey(req *fasthttp.Request) *failure {
-	text := req.Header.Peek(header.IdempotencyKey)
-	if len(text) == 0 {
-		return nil
-	}
-	key, err := idempotency.Parse(string(text))
-	if err == nil {
-		c.key, c.keyed, c.mayHaveRun = key, true, true
-	}
-	return nil
-}
-
-// serviceOf finds the service by its header, else by the host.
-func (s *Server) serviceOf(req *fasthttp.Request) *config.Service {
-	services := s.fleet.Fleet().Services
-	if name := req.Header.Peek(header.Service); len(name) > 0 {
-		return services[string(name)]
+// findRoute finds the route, the service and the deadline of a request. What
+// the instance knows must be recent: an old configuration may lack the route.
+func (s *Server) findRoute(req *fasthttp.Request, c *call) *failure {
+	if s.freshness != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), freshWait)
+		defer cancel()
+		if !s.freshness.Await(ctx) {
+			return overloaded(refusedStale, "instance was paused and has not read its state again", startRetryAfter)
+		}
 	}
-	host := req.Host()
-	if colon := bytes.LastIndexByte(host, ':'); colon >= 0 {
-		host = host[:colon]
+	c.document = s.config.Current()
+	if c.document == nil {
+		return overloaded(refusedStale, "instance has no configuration yet", startRetryAfter)
 	}
-	if service, ok := services[string(host)]; ok {
-		return service
+	if limit := c.document.Limits.MaxBodyBytes; limit > 0 && len(c.body) > limit {
+		return failureOfRead(fasthttp.ErrBodyTooLarge)
 	}
-	return services[strings.ToLower(string(host))]
-}
-
-// setTerms sets the deadline and the marks of the call.
-func (c *call) setTerms(req *fasthttp.Request) *failure {
-	var route config.Route
-	if len(c.service.Routes) > 0 {
-		route = c.service.Match(string(req.Header.Method()), string(req.URI().Path()))
+	c.route = c.document.Match(string(req.Host()), pathOf(req))
+	if c.route == nil {
+		return notRun(fasthttp.StatusNotFound, "no route matches")
 	}
-	c.long = route.Long
-	c.class = classOf(req, route)
-	c.idempotent = !c.forwarded && isIdempotent(req, route)
-	if f := c.checkKey(req); f != nil {
-		return f
-	}
-	timeout := c.service.Deadline
-	if route.Deadline > 0 {
-		timeout = route.Deadline
-	}
-	if text := req.Header.Peek(header.Deadline); len(text) > 0 {
-		own, err := time.ParseDuration(string(text))
-		if err != nil {
-			return notRun(fasthttp.StatusBadRequest, "deadline is not a duration such as 250ms")
+	c.deadline = c.arrival.Add(c.route.Timeout)
+	if wait, ok := platform.CallerWait(&req.Header); ok {
+		if wait == 0 {
+			return overloaded(refusedDeadline, "deadline has passed", startRetryAfter)
 		}
-		if own <= 0 {
-			return notRun(fasthttp.StatusGatewayTimeout, "deadline has passed").because(refusedDeadline)
+		if d := c.arrival.Add(wait); d.Before(c.deadline) {
+			c.deadline = d
 		}
-		timeout = min(timeout, own)
 	}
-	c.deadline = c.arrival.Add(timeout)
+	c.service = s.splits.next(c.route)
+	c.dispatcher = s.dispatchers.Dispatcher(c.service)
+	if c.dispatcher == nil {
+		return overloaded(refusedNoTarget, "service is not known", startRetryAfter)
+	}
 	return nil
 }
 
-// classOf returns the method with the prefix of the route, or with the first
-// part of the path where no route matches.
-func classOf(req *fasthttp.Request, route config.Route) string {
-	prefix := route.PathPrefix
-	if prefix == "" {
-		path := req.URI().Path()
-		if end := bytes.IndexByte(path[min(1, len(path)):], '/'); end >= 0 {
-			path = path[:end+1]
-		}
-		prefix = string(path)
+const (
+	// freshWait bounds the wait for a recent view.
+	freshWait = 300 * time.Millisecond
+	// startRetryAfter is when a request should come back that this instance
+	// could not judge.
+	startRetryAfter = 200 * time.Millisecond
+)
+
+// pathOf returns the path of the request target as it was sent.
+func pathOf(req *fasthttp.Request) string {
+	uri := originForm(req.Header.RequestURI())
+	if end := bytes.IndexAny(uri, "?#"); end >= 0 {
+		uri = uri[:end]
 	}
-	return string(req.Header.Method()) + " " + prefix
+	return string(uri)
 }
 
-// checkKey drops the key of an idempotent request, which needs none, and
-// refuses a malformed key on any other.
-func (c *call) checkKey(req *fasthttp.Request) *failure {
-	if c.idempotent {
-		c.keyed, c.mayHaveRun = false, false
-		return nil
-	}
-	if !c.keyed && len(req.Header.Peek(header.IdempotencyKey)) > 0 {
-		return notRun(fasthttp.StatusBadRequest, "idempotency key is not <prefix>~<issue time in Unix ms>~<random>")
+// prepare removes what must not leave the relay and sets what all tries share.
+func prepare(req *fasthttp.Request, c *call) {
+	h := &req.Header
+	c.found.stripRequest(h)
+	h.SetProtocol("HTTP/1.1")
+	h.SetNoDefaultContentType(true)
+	h.SetRequestURIBytes(originForm(h.RequestURI()))
+	if body := req.Body(); len(body) > 0 || h.ContentLength() != 0 && !h.IsGet() && !h.IsHead() {
+		h.SetContentLength(len(body))
 	}
-	return nil
 }
 
-// isIdempotent returns whether a request may be sent more than once. The
-// operator's mark on the route wins, then the caller's, then the method.
-func isIdempotent(req *fasthttp.Request, route config.Route) bool {
-	if route.Idempotency != config.Unmarked {
-		return route.Idempotency == config.Idempotent
+// originForm returns the path and query of a request target in absolute form as
+// they are, which fasthttp's URI would normalise.
+func originForm(uri []byte) []byte {
+	if len(uri) > 0 && (uri[0] == '/' || uri[0] == '*') {
+		return uri
+	}
+	_, rest, _ := bytes.Cut(uri, []byte("://"))
+	start := bytes.IndexAny(rest, "/?")
+	if start < 0 {
+		return []byte("/")
 	}
-	switch string(req.Header.Peek(header.Idempotent)) {
-	case "true":
-		return true
-	case "false":
-		return false
+	if rest[start] == '/' {
+		return rest[start:]
 	}
-	return req.Header.IsGet() || req.Header.IsHead() || req.Header.IsOptions()
+	return append([]byte("/"), rest[start:]...)
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -1,5 +1,5 @@
-// Package relay serves callers: it answers entry lookups and passes requests
-// on to targets.
+// Package relay serves callers: it passes their requests on to targets and
+// answers every one of them truthfully.
 package relay
 
 import (
@@ -14,17 +14,18 @@
 	"golang.org/x/time/rate"
 
 	"rhubarbrelay/config"
-	"rhubarbrelay/entry"
-	"rhubarbrelay/idempotency"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/timeline"
-	"rhubarbrelay/upstream"
 )
 
 // Limits of the callers' listener.
 const (
-	DefaultMaxRequestBody = 4 << 20 // bytes
-	DefaultIdleTimeout    = time.Minute
+	// DefaultMaxRequestBody bounds the body of a request, in bytes, where the
+	// configuration states no lower limit.
+	DefaultMaxRequestBody = 64 << 20
+	// DefaultIdleTimeout is longer than callers keep idle connections, so that
+	// they and not the instance close them.
+	DefaultIdleTimeout = time.Minute
 	// DefaultReadTimeout bounds the time that a caller may take to send a
 	// request, so that slow senders do not hold memory.
 	DefaultReadTimeout = 10 * time.Second
@@ -32,17 +33,19 @@
 	// answer, for the same reason.
 	DefaultWriteTimeout = 10 * time.Second
 	// maxRequestHeader bounds the header of a request, in bytes.
-	maxRequestHeader = 8 << 10
+	maxRequestHeader = 17 << 10
 	// DefaultMaxConnections bounds the connections of callers.
-	DefaultMaxConnections = 16 << 10
+	DefaultMaxConnections = 2000
 	// refusalEvents bounds the recorded refusals per second: an overload must
 	// not push all other events out of the timeline.
 	refusalEvents = 10
+	// servedLines bounds the log lines per second of requests that went well.
+	servedLines = 50
 )
 
-// Fleet gives the configuration in force.
-type Fleet interface {
-	Fleet() *config.Fleet
+// Config gives the configuration in force, nil when none is known yet.
+type Config interface {
+	Current() *config.Document
 }
 
 // Dispatchers gives the dispatcher of a service, nil when there is none.
@@ -50,50 +53,30 @@
 	Dispatcher(service string) *routing.Dispatcher
 }
 
-// Planner makes entry answers.
-type Planner interface {
-	Plan(service *config.Service, zone string) entry.Answer
-}
-
-// Targets takes note of what targets say of themselves.
-type Targets interface {
-	AnnounceTarget(target config.Target, draining bool)
-}
-
 // Recorder keeps events for the timeline.
 type Recorder interface {
 	Record(event timeline.Event)
 }
 
-// Freshness tells whether the instance's view is fresh. An instance that was
-// paused must revalidate its view before it sends to a target.
+// Freshness waits until what the instance knows of the system is recent enough
+// to act on. It returns false when that is not the case in time.
 type Freshness interface {
-	Fresh() bool
-}
-
-// Forwarder passes a request to the instance that owns its idempotency key and
-// returns the answer, both as HTTP/1.1 messages. Any error means that the
-// request may have run there.
-type Forwarder interface {
-	Forward(ctx context.Context, instance string, incarnation int64, request []byte) ([]byte, error)
+	Await(ctx context.Context) bool
 }
 
 // Server serves callers.
 type Server struct {
-	fleet       Fleet
+	config      Config
 	dispatchers Dispatchers
-	pools       *upstream.Pools
-	planner     Planner
-	targets     Targets
-	recorder    Recorder
 	freshness   Freshness
-	forwarder   Forwarder
-	memory      *idempotency.Memory
-	allowRetry  func(*routing.Dispatcher) bool
-	refusals    *rate.Limiter
+	recorder    Recorder
 	logger      log.Interface
+	splits      splits
+	refusals    *rate.Limiter
+	served      *rate.Limiter
 	counters    counters
 	closing     atomic.Bool
+	inProgress  atomic.Int64
 	calls       sync.Pool // of *call
 	http        *fasthttp.Server
 	// maxConnections bounds the connections of callers.
@@ -103,58 +86,29 @@
 // Option changes a Server under construction.
 type Option func(*Server)
 
-// WithRecorder records retries, refusals, unknown outcomes and forwards.
-func WithRecorder(recorder Recorder) Option {
-	return func(s *Server) { s.recorder = recorder }
-}
+// WithRecorder records retries, refusals and unknown outcomes.
+func WithRecorder(recorder Recorder) Option { return func(s *Server) { s.recorder = recorder } }
 
-// WithLogger sets the logger of panics.
-func WithLogger(logger log.Interface) Option {
-	return func(s *Server) { s.logger = logger }
-}
+// WithLogger sets the logger of requests and panics.
+func WithLogger(logger log.Interface) Option { return func(s *Server) { s.logger = logger } }
 
-// WithFreshness holds requests back while the instance's view is not fresh.
+// WithFreshness holds requests back while the instance's view is too old.
 func WithFreshness(freshness Freshness) Option {
 	return func(s *Server) { s.freshness = freshness }
 }
 
-// WithMemory sets the deduplication table of this instance. Without it, every
-// request with an idempotency key belongs to another instance.
-func WithMemory(memory *idempotency.Memory) Option {
-	return func(s *Server) { s.memory = memory }
-}
-
-// WithForwarder sets the way to the instances that own other keys. Without it,
-// requests with such keys get the outcome unknown.
-func WithForwarder(forwarder Forwarder) Option {
-	return func(s *Server) { s.forwarder = forwarder }
-}
-
-// WithMaxRequestBody bounds the body of a request, in bytes.
-func WithMaxRequestBody(size int) Option {
-	return func(s *Server) { s.http.MaxRequestBodySize = size }
-}
-
 // WithMaxConnections bounds the connections of callers.
-func WithMaxConnections(n int) Option {
-	return func(s *Server) { s.maxConnections = n }
-}
-
-// WithReadTimeout bounds the time that a caller may take to send a request.
-func WithReadTimeout(timeout time.Duration) Option {
-	return func(s *Server) { s.http.ReadTimeout = timeout }
-}
+func WithMaxConnections(n int) Option { return func(s *Server) { s.maxConnections = n } }
 
 // NewServer returns a server of the callers' listener.
-func NewServer(
-	fleet Fleet, dispatchers Dispatchers, pools *upstream.Pools, planner Planner, targets Targets, opts ...Option,
-) *Server {
+func NewServer(config Config, dispatchers Dispatchers, opts ...Option) *Server {
 	s := &Server{
-		fleet: fleet, dispatchers: dispatchers, pools: pools, planner: planner, targets: targets,
-		allowRetry: (*routing.Dispatcher).AllowRetry, maxConnections: DefaultMaxConnections,
+		config: config, dispatchers: dispatchers, maxConnections: DefaultMaxConnections,
 		logger:   log.Log,
 		refusals: rate.NewLimiter(refusalEvents, refusalEvents),
+		served:   rate.NewLimiter(servedLines, servedLines),
 		calls:    sync.Pool{New: func() any { return &call{} }},
+		counters: newCounters(),
 	}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
@@ -167,6 +121,7 @@
 		WriteTimeout:          DefaultWriteTimeout,
 		IdleTimeout:           DefaultIdleTimeout,
 		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
 		NoDefaultContentType:  true,
 		SecureErrorLogMessage: true,
 		CloseOnShutdown:       true,
@@ -199,8 +154,11 @@
 	return s.http.Serve(limited)
 }
 
-// SetClosing sets whether every answer asks the caller to close its connection.
-func (s *Server) SetClosing(closing bool) { s.closing.Store(closing) }
+// SetClosing makes every answer ask the caller to close its connection.
+func (s *Server) SetClosing() { s.closing.Store(true) }
+
+// InProgress returns the number of requests that were read and not answered.
+func (s *Server) InProgress() int64 { return s.inProgress.Load() }
 
 // Shutdown stops listening and waits for the requests in progress.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -1,110 +1,100 @@
 package relay
 
 import (
+	"sync"
 	"sync/atomic"
+	"time"
 
-	"github.com/valyala/fasthttp"
-
-	"rhubarbrelay/header"
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// refusal is the cause of an answer with the outcome not_run.
+// refusal is the cause of an answer that promises that the request has not run.
 type refusal int
 
 // The causes of refusals.
 const (
-	refusedInput refusal = iota // the request is malformed, unknown or too late by itself
-	refusedQueueFull
+	refusedInput refusal = iota // the request is malformed or unknown
 	refusedTooLate
 	refusedNoTarget
 	refusedStale
 	refusedConnections
-	refusedNoConnection
 	refusedUnreachable
 	refusedShed
 	refusedDeadline
 	refusedCallerClosed
-	refusedKeys
 	refusedInternal
 	refusals // the number of causes
 )
 
-// Stats counts what the server did since its start. Entry lookups do not count.
-// A request that was forwarded counts at both instances.
-type Stats struct {
-	// Requests is the sum of the requests answered with each outcome.
-	Requests uint64
-	Run      uint64
-	NotRun   uint64
-	Unknown  uint64
-	Retries  uint64 // further attempts
-	// Forwarded counts the requests passed to the owners of their keys.
-	Forwarded uint64
-	Panics    uint64
-	Refused   Refusals
+// refusalNames are the names of the causes in metrics.
+var refusalNames = [refusals]string{
+	"input", "too_late", "no_target", "stale", "connections", "unreachable", "shed", "deadline", "caller_closed", "internal",
 }
 
-// Refusals counts the requests that this instance answered with not_run, by
-// cause.
-type Refusals struct {
-	Input        uint64 // malformed, unknown or unreadable requests
-	QueueFull    uint64
-	TooLate      uint64 // no target in time
-	NoTarget     uint64
-	Stale        uint64 // the instance was paused
-	Connections  uint64 // limit of the callers' connections
-	NoConnection uint64 // limit of the connections to the target
-	Unreachable  uint64 // target cannot be reached
-	Shed         uint64 // refused by the target
-	Deadline     uint64
-	CallerClosed uint64
-	Keys         uint64 // table of idempotency keys full
-	Internal     uint64 // panics and failures of the instance
+// Latencies in microseconds that the histogram can hold.
+const (
+	lowestLatency  = 10
+	highestLatency = 120_000_000
+	latencyDigits  = 2
+)
+
+// Stats counts what the server did since its start.
+type Stats struct {
+	// Run counts the answers of targets that were passed on.
+	Run uint64
+	// Unknown counts the failures of requests that may have run.
+	Unknown uint64
+	Retries uint64
+	Hedges  uint64
+	Panics  uint64
+	// Refused counts the requests that have not run, by cause.
+	Refused map[string]uint64
+	// Latencies are quantiles of the time until a target's answer was passed on.
+	Latencies map[string]time.Duration
 }
 
-// counters are the counters of Stats. A request that runs at once adds to one
-// of them.
+// counters are the counters of Stats.
 type counters struct {
-	run, notRun, unknown       atomic.Uint64
-	retries, forwarded, panics atomic.Uint64
-	refused                    [refusals]atomic.Uint64
+	run, unknown, retries, hedges, panics atomic.Uint64
+	refused                               [refusals]atomic.Uint64
+
+	mu        *sync.Mutex
+	latencies *hdrhistogram.Histogram
+}
+
+func newCounters() counters {
+	return counters{mu: &sync.Mutex{}, latencies: hdrhistogram.New(lowestLatency, highestLatency, latencyDigits)}
 }
 
-// answered counts an answer by its outcome. An entry answer has none.
-func (c *counters) answered(resp *fasthttp.Response) {
-	switch string(resp.Header.Peek(header.Outcome)) {
-	case header.OutcomeRun:
-		c.run.Add(1)
-	case header.OutcomeNotRun:
-		c.notRun.Add(1)
-	case header.OutcomeUnknown:
+// refuse counts a failure by its cause if the request has not run.
+func (c *counters) refuse(f *failure) {
+	if !f.notRun {
 		c.unknown.Add(1)
+		return
 	}
+	c.refused[f.cause].Add(1)
 }
 
-// refuse counts a failure by its cause if it was answered with not_run.
-func (c *counters) refuse(f *failure, outcome string) {
-	if outcome == header.OutcomeNotRun {
-		c.refused[f.cause].Add(1)
-	}
+func (c *counters) observe(latency time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.latencies.RecordValue(min(highestLatency, latency.Microseconds())) // always within the range
 }
 
 // Stats returns what the server did.
 func (s *Server) Stats() Stats {
 	c := &s.counters
 	stats := Stats{
-		Run: c.run.Load(), NotRun: c.notRun.Load(), Unknown: c.unknown.Load(),
-		Retries: c.retries.Load(), Forwarded: c.forwarded.Load(), Panics: c.panics.Load(),
-		Refused: Refusals{
-			Input: c.refused[refusedInput].Load(), QueueFull: c.refused[refusedQueueFull].Load(),
-			TooLate: c.refused[refusedTooLate].Load(), NoTarget: c.refused[refusedNoTarget].Load(),
-			Stale: c.refused[refusedStale].Load(), Connections: c.refused[refusedConnections].Load(),
-			NoConnection: c.refused[refusedNoConnection].Load(), Unreachable: c.refused[refusedUnreachable].Load(),
-			Shed: c.refused[refusedShed].Load(), Deadline: c.refused[refusedDeadline].Load(),
-			CallerClosed: c.refused[refusedCallerClosed].Load(),
-			Keys:         c.refused[refusedKeys].Load(), Internal: c.refused[refusedInternal].Load(),
-		},
+		Run: c.run.Load(), Unknown: c.unknown.Load(), Retries: c.retries.Load(), Hedges: c.hedges.Load(),
+		Panics: c.panics.Load(), Refused: make(map[string]uint64, refusals), Latencies: map[string]time.Duration{},
+	}
+	for cause := range refusals {
+		stats.Refused[refusalNames[cause]] = c.refused[cause].Load()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, quantile := range map[string]float64{"p50": 50, "p90": 90, "p99": 99, "max": 100} {
+		stats.Latencies[name] = time.Duration(c.latencies.ValueAtQuantile(quantile)) * time.Microsecond
 	}
-	stats.Requests = stats.Run + stats.NotRun + stats.Unknown
 	return stats
 }
--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -2,200 +2,240 @@
 
 import (
 	"math/rand/v2"
-	"net/netip"
 	"sync"
 	"time"
 
 	"rhubarbrelay/config"
 	"rhubarbrelay/limits"
+	"rhubarbrelay/platform"
+	"rhubarbrelay/targets"
+	"rhubarbrelay/upstream"
 )
 
-// reviewInterval is the time between two looks at a queue that no release
-// serves: estimates that keep a target from being chosen age with time.
-const reviewInterval = time.Millisecond
+const (
+	// connectionUse is the part of a target's connections that the instances
+	// use together: a target lowers its limit while its queue is long.
+	connectionUse = 0.7
+	// minConnections is the least that an instance needs to ask a target while
+	// another request is in progress there.
+	minConnections = 3
+	// defaultConnections applies where the service states no limit.
+	defaultConnections = 64
+)
 
-// Dispatcher gives a service's requests to its targets. It is safe for
-// concurrent use; each dispatcher has a lock of its own and holds it only for
-// a decision, never while a request waits.
+// Dispatcher gives the requests of one service to its targets. It is safe for
+// concurrent use; its lock is held for a decision only, never while a request
+// or a probe is in progress.
 type Dispatcher struct {
-	clock    func() time.Time
-	recorder Recorder
-	share    *limits.Share
-	retries  *limits.RetryBudget
-
-	mu         sync.Mutex
-	random     *rand.Rand
-	service    *config.Service
-	baseline   chooser
-	targets    []*target
-	byAddress  map[netip.AddrPort]*target // removed ones too, while in use
-	leaving    map[netip.AddrPort]bool
-	available  []*target
-	free       []*target // available, with room below the limit
-	ejected    []*target
-	slots      int // of available targets
-	inFlight   int
-	longHeld   int
-	queue      queue
-	generation uint64 // of the configured targets
-	durations  durations
-	reports    reportTrust
-	reviewing  bool
-	stats      Stats
+	terms   Terms
+	clock   func() time.Time
+	retries *limits.RetryBudget
+	pool    func(upstream.Destination, int) *upstream.Pool
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	service   *config.Service
+	instances int
+	targets   map[targets.Incarnation]*target
+	queue     queue
+	durations durations
+	finished  float64 // requests finished per second, smoothed
+	finishAt  time.Time
+	stats     Stats
 }
 
-// NewDispatcher returns the dispatcher of a service.
-func NewDispatcher(service *config.Service, opts ...Option) *Dispatcher {
+// Option changes a Dispatcher under construction.
+type Option func(*Dispatcher)
+
+// WithClock sets the source of the time.
+func WithClock(clock func() time.Time) Option { return func(d *Dispatcher) { d.clock = clock } }
+
+// WithPools sets what opens the connections to a target, at most as many as
+// given.
+func WithPools(open func(upstream.Destination, int) *upstream.Pool) Option {
+	return func(d *Dispatcher) { d.pool = open }
+}
+
+// WithRandom sets the source of random draws.
+func WithRandom(random *rand.Rand) Option { return func(d *Dispatcher) { d.random = random } }
+
+// NewDispatcher returns the dispatcher of a service without targets.
+func NewDispatcher(service *config.Service, terms Terms, instances int, opts ...Option) *Dispatcher {
 	d := &Dispatcher{
-		clock:     time.Now,
-		retries:   limits.NewRetryBudget(service.RetryPercent),
-		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		service:   service,
-		byAddress: map[netip.AddrPort]*target{},
-		leaving:   map[netip.AddrPort]bool{},
-		durations: newDurations(),
+		terms: terms, clock: time.Now, service: service, instances: max(1, instances),
+		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		pool:    func(to upstream.Destination, limit int) *upstream.Pool { return upstream.NewPool(to, limit) },
+		targets: map[targets.Incarnation]*target{},
 	}
 	for _, opt := range opts {
 		opt(d)
 	}
-	d.update(service, false)
+	d.retries = limits.NewRetryBudget(terms.Retries, d.instances, d.clock)
 	return d
 }
 
-// Update puts a new version of the service into force. Slots already given
-// stay valid, and waiting requests wait for the new targets.
-func (d *Dispatcher) Update(service *config.Service) { d.update(service, true) }
-
-func (d *Dispatcher) update(service *config.Service, running bool) {
+// Update puts a new version of the service and the number of instances into
+// force.
+func (d *Dispatcher) Update(service *config.Service, instances int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !running || service.Policy != d.service.Policy {
-		d.baseline = newChooser(service.Policy)
-	}
+	moved := service.HealthPath != d.service.HealthPath
 	d.service = service
-	d.retries.SetPercent(service.RetryPercent)
-	previous := d.targets
-	d.generation++
-	d.targets = make([]*target, 0, len(service.Targets))
-	for _, c := range service.Targets {
-		d.put(c, running)
-	}
-	for _, t := range previous {
-		if t.generation != d.generation {
-			d.retire(t)
+	d.instances = max(1, instances)
+	d.retries.SetInstances(d.instances)
+	for _, t := range d.targets {
+		t.probes.SetInstances(d.terms.ProbesPerSecond, d.instances)
+		if moved {
+			t.pool.Close()
+			t.pool = d.open(t.info)
+			continue
 		}
+		t.pool.SetLimit(d.connectionLimit())
 	}
-	d.rebuild()
 }
 
-// put adds a configured target, with the state that it already has.
-func (d *Dispatcher) put(c config.Target, running bool) {
-	t, known := d.byAddress[c.Address]
-	if !known {
-		t = newTarget(c)
-		d.byAddress[c.Address] = t
+// SetTerms changes the settings of the dispatcher.
+func (d *Dispatcher) SetTerms(terms Terms) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.terms = terms
+	d.retries.SetTerms(terms.Retries)
+	for _, t := range d.targets {
+		t.probes.SetInstances(terms.ProbesPerSecond, d.instances)
 	}
-	if t.generation == d.generation {
-		return
+}
+
+// SetTargets replaces the targets of the service. Requests in progress at
+// targets that are no longer listed go on.
+func (d *Dispatcher) SetTargets(all []*targets.Target) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	listed := make(map[targets.Incarnation]bool, len(all))
+	for _, info := range all {
+		listed[info.Incarnation()] = true
+		t := d.targets[info.Incarnation()]
+		if t == nil {
+			t = &target{
+				pool: d.open(info), warmAt: now.Add(info.Cold),
+				probes: limits.NewProbeBudget(d.terms.ProbesPerSecond, d.instances),
+			}
+			d.targets[info.Incarnation()] = t
+		}
+		t.info = info
+	}
+	for which, t := range d.targets {
+		if !listed[which] {
+			t.pool.Close()
+			delete(d.targets, which)
+		}
 	}
-	returned := !known || t.removed || t.config.Drained && !c.Drained
-	t.generation = d.generation
-	t.removed = false
-	t.leaving = d.leaving[c.Address]
-	t.config = c
-	t.concurrency.SetSlots(max(1, c.Slots))
-	if running && returned {
-		t.concurrency.Restart(d.clock())
+	d.queue.wakeFirst()
+}
+
+func (d *Dispatcher) open(info *targets.Target) *upstream.Pool {
+	return d.pool(upstream.Destination{Address: info.Address, HealthPath: d.service.HealthPath}, d.connectionLimit())
+}
+
+// connectionLimit returns this instance's part of the connections to a target.
+func (d *Dispatcher) connectionLimit() int {
+	limit := d.service.MaxConnections
+	if limit <= 0 {
+		limit = defaultConnections
 	}
-	d.targets = append(d.targets, t)
+	return max(minConnections, int(connectionUse*float64(limit)/float64(d.instances)))
 }
 
-// retire takes a target out of the service. Its state stays while requests are
-// in flight, so that they count when the target comes back.
-func (d *Dispatcher) retire(t *target) {
-	t.removed = true
-	if len(t.slots) == 0 {
-		delete(d.byAddress, t.address())
+// AllowRetry returns whether the budget of the service allows one more try of
+// a request, and spends it if so.
+func (d *Dispatcher) AllowRetry() bool {
+	if d.retries.Allow() {
+		return true
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stats.RetriesDenied++
+	return false
 }
 
-// SetLeaving says whether the target leaves the fleet. A leaving target gets
-// no new work.
-func (d *Dispatcher) SetLeaving(address netip.AddrPort, leaving bool) {
+// Stats returns the counters of the dispatcher.
+func (d *Dispatcher) Stats() Stats {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.leaving[address] == leaving {
-		return
+	s := d.stats
+	s.Waiting = d.queue.len()
+	s.Targets = len(d.targets)
+	for _, t := range d.targets {
+		s.InFlight += len(t.flights)
 	}
-	if leaving {
-		d.leaving[address] = true
-	} else {
-		delete(d.leaving, address)
+	return s
+}
+
+// Close closes the connections to the targets after their exchanges.
+func (d *Dispatcher) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range d.targets {
+		t.pool.Close()
 	}
-	t, ok := d.byAddress[address]
-	if !ok || t.removed {
+}
+
+func (d *Dispatcher) release(l *Lease, outcome Outcome, reply platform.Reply) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l.released {
 		return
 	}
-	t.leaving = leaving
-	if !leaving {
-		t.concurrency.Restart(d.clock())
+	l.released = true
+	now := d.clock()
+	t := l.target
+	t.land(l)
+	if reply.HasLoad {
+		t.report(reply.Load, now)
 	}
-	d.rebuild()
+	d.learn(l, outcome, now)
+	d.queue.wakeFirst()
 }
 
-// rebuild lists the targets that may get work, after a change of them.
-func (d *Dispatcher) rebuild() {
-	for _, t := range d.free {
-		t.index = -1
-	}
-	d.free = d.free[:0]
-	d.available = d.available[:0]
-	d.ejected = d.ejected[:0]
-	d.slots = 0
-	for _, t := range d.targets {
-		if !t.available() {
-			continue
-		}
-		d.available = append(d.available, t)
-		d.slots += t.config.Slots
-		if t.ejection.State() != limits.In {
-			d.ejected = append(d.ejected, t)
-		}
-		d.refresh(t)
-	}
-	if len(d.available) == 0 {
-		d.refuseWaiting(ErrNoTarget)
+func (d *Dispatcher) learn(l *Lease, outcome Outcome, now time.Time) {
+	t := l.target
+	switch outcome {
+	case Succeeded:
+		duration := now.Sub(l.start)
+		t.succeed(now)
+		t.observe(float64(duration)/(float64(l.expected)*l.slowdown), now)
+		d.durations.observe(l.route, l.expected, time.Duration(float64(duration)/l.slowdown))
+		d.countFinish(now)
+	case Failed:
+		d.stats.Failures++
+		t.fail(failureWeight, now)
+	case TimedOut:
+		d.stats.Failures++
+		t.fail(failureWeight, now)
+		t.observe(maxRatio, now)
+	case Shed:
+		d.stats.Sheds++
+		t.fail(shedWeight, now)
+	case Unreachable:
+		d.stats.Failures++
+		t.retreat(now)
+	case Outrun:
+		t.observe(float64(now.Sub(l.start))/(float64(l.expected)*l.slowdown), now)
+	case Gone:
+		t.gone = true
+	case Unused:
 	}
-	d.pump(d.clock())
 }
 
-// refresh puts the target into the list of free targets or takes it out.
-func (d *Dispatcher) refresh(t *target) {
-	free := t.available() && len(t.slots) < t.limit()
-	switch {
-	case free && t.index < 0:
-		t.index = len(d.free)
-		d.free = append(d.free, t)
-	case !free && t.index >= 0:
-		last := len(d.free) - 1
-		d.free[t.index] = d.free[last]
-		d.free[t.index].index = t.index
-		d.free[last] = nil
-		d.free = d.free[:last]
-		t.index = -1
-	}
+// countFinish updates the rate of finished requests.
+func (d *Dispatcher) countFinish(now time.Time) {
+	d.finished = d.finished*fade(now.Sub(d.finishAt), finishWindow) + 1/finishWindow.Seconds()
+	d.finishAt = now
 }
 
-// AllowRetry returns whether the retry budget of the service allows one more
-// attempt, and takes it from the budget if so.
-func (d *Dispatcher) AllowRetry() bool {
-	allowed := d.retries.Allow()
+// Service returns the service in force.
+func (d *Dispatcher) Service() *config.Service {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if allowed {
-		d.stats.RetriesAllowed++
-	} else {
-		d.stats.RetriesDenied++
-	}
-	return allowed
+	return d.service
 }
--- a/routing/durations.go
+++ b/routing/durations.go
@@ -3,86 +3,37 @@
 import "time"
 
 const (
-	// longFactor is the duration, in medians of the service, from which a class
-	// counts as long.
-	longFactor = 10
-	// minClassSamples is the number of requests after which a class is judged.
-	minClassSamples = 5
-	// maxClasses bounds the memory for classes.
-	maxClasses = 256
-	// medianStep is the relative change of the median with each sample.
-	medianStep = 0.02
-	// averageWeight is the weight of a sample in the averages of the service.
-	averageWeight = 0.01
-	// defaultDuration, in seconds, stands in until the first answer.
-	defaultDuration = 0.005
+	// durationWeight is the weight of a new duration in the estimate.
+	durationWeight = 0.05
+	// durationSpread bounds one duration to this multiple of the estimate, so
+	// that few long requests do not move it far.
+	durationSpread = 3.0
+	// objectiveShare is the part of the objective that work takes as long as
+	// nothing was measured.
+	objectiveShare = 0.35
+	maxRoutes      = 4096
 )
 
-// durations learns how long the requests of a service run.
+// durations estimates how long the work of each route takes on a target that is
+// neither slow nor crowded.
 type durations struct {
-	samples int
-	median  float64 // seconds, of all requests
-	typical float64 // seconds, average of short requests
-	mean    float64 // seconds, average of all requests
-	classes map[string]*classDuration
+	estimates map[string]time.Duration
 }
 
-type classDuration struct {
-	samples int
-	average float64 // seconds
-}
-
-func newDurations() durations {
-	return durations{
-		median: defaultDuration, typical: defaultDuration, mean: defaultDuration,
-		classes: map[string]*classDuration{},
+func (d *durations) expect(r *Request) time.Duration {
+	if e, ok := d.estimates[r.Route]; ok {
+		return e
 	}
+	return max(time.Millisecond, time.Duration(objectiveShare*float64(r.Objective)))
 }
 
-// observe counts a request that ran.
-func (d *durations) observe(class string, long bool, latency time.Duration) {
-	seconds := max(latency.Seconds(), 1e-6)
-	d.samples++
-	if d.samples == 1 {
-		d.median, d.typical, d.mean = seconds, seconds, seconds
-	}
-	weight := max(averageWeight, 1/float64(d.samples))
-	d.mean += weight * (seconds - d.mean)
-	if seconds > d.median {
-		d.median *= 1 + medianStep
-	} else {
-		d.median *= 1 - medianStep
+func (d *durations) observe(route string, expected, duration time.Duration) {
+	if d.estimates == nil {
+		d.estimates = map[string]time.Duration{}
 	}
-	if !long {
-		d.typical += weight * (min(seconds, longFactor*d.median) - d.typical)
-	}
-	d.observeClass(class, seconds)
-}
-
-func (d *durations) observeClass(class string, seconds float64) {
-	if class == "" {
-		return
+	if len(d.estimates) >= maxRoutes {
+		clear(d.estimates)
 	}
-	c, ok := d.classes[class]
-	if !ok {
-		if len(d.classes) >= maxClasses {
-			return
-		}
-		c = &classDuration{}
-		d.classes[class] = c
-	}
-	c.samples++
-	c.average += max(1/float64(c.samples), 0.1) * (seconds - c.average)
-}
-
-// long returns whether requests of the class ran many times longer than the
-// service's median.
-func (d *durations) long(class string) bool {
-	c, ok := d.classes[class]
-	return ok && c.samples >= minClassSamples && c.average > longFactor*d.median
-}
-
-// longAge returns the time in flight from which a request counts as long.
-func (d *durations) longAge() time.Duration {
-	return time.Duration(longFactor * d.median * float64(time.Second))
+	bounded := min(duration, time.Duration(durationSpread*float64(expected)))
+	d.estimates[route] = expected + time.Duration(durationWeight*float64(bounded-expected))
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -1,125 +1,89 @@
 // Package routing decides which target runs a request, and when: it keeps the
-// waiting requests of a service and the state of its targets.
+// waiting requests of a service and what is known of its targets.
+//
+// A load report is old after a few milliseconds, so the dispatcher asks a few
+// targets for their load at the moment of the decision and sends the request on
+// the connection of the best answer.
 package routing
 
 import (
 	"errors"
-	"net/netip"
 	"time"
 
-	"rhubarbrelay/config"
+	"rhubarbrelay/limits"
+	"rhubarbrelay/targets"
 )
 
 // The refusals of Acquire. Each means that the request was not run.
 var (
-	ErrQueueFull = errors.New("too many requests are waiting")
-	ErrTooLate   = errors.New("no target becomes free before the deadline")
-	ErrNoTarget  = errors.New("no target is available")
+	// ErrTooLate means that no target became free in the time that the request
+	// may wait.
+	ErrTooLate = errors.New("no target becomes free in time")
+	// ErrNoTarget means that the service has no target that could be asked.
+	ErrNoTarget = errors.New("no target is available")
 )
 
-// Call is a request that asks for a target.
-type Call struct {
-	// Arrival and Deadline bound the wait; the earliest deadline goes first.
+// Request is a request that asks for a target.
+type Request struct {
+	// Route names the requests whose durations are alike.
+	Route    string
 	Arrival  time.Time
 	Deadline time.Time
-	// Long marks requests that run many times longer than the others.
-	Long bool
-	// Class names the route of the request. Durations are learned per class;
-	// without a class, only Long marks long work.
-	Class string
-	// Exclude lists targets that an earlier attempt of the request tried. A
-	// call without any is a first attempt and adds to the retry budget.
-	Exclude []netip.AddrPort
+	// Objective is the time since Arrival in which an answer is useful.
+	Objective time.Duration
+	Priority  int
+	// Exclude lists the targets that earlier tries used.
+	Exclude []targets.Incarnation
+	// Repeat marks a further try, which does not wait.
+	Repeat bool
 }
 
-// Status is the result of an attempt as the target's state sees it.
-type Status int
+// Outcome is the result of a try as the target's state sees it.
+type Outcome int
 
-// The statuses of an attempt.
+// The outcomes of a try.
 const (
 	// Succeeded is a whole answer that is not an error of the target.
-	Succeeded Status = iota
+	Succeeded Outcome = iota
 	// Failed is an error answer of the target or an exchange that broke.
 	Failed
 	// Shed is a refusal of a request that the target states not to have run.
 	Shed
 	// Unreachable is a connection that could not be opened.
 	Unreachable
-	// TimedOut is an answer that did not come before the deadline.
+	// TimedOut is an answer that did not come in time.
 	TimedOut
-	// Unused is a slot given back without an attempt.
+	// Gone is an answer by another target at the address.
+	Gone
+	// Outrun is a try that another target answered before.
+	Outrun
+	// Unused is a lease given back without a try, or one that the caller ended.
 	Unused
 )
 
-// NoReport is the Reported value of an answer without a load report.
-const NoReport = -1
-
-// Result describes a finished attempt.
-type Result struct {
-	Status Status
-	// Latency is the time between sending and the whole answer.
-	Latency time.Duration
-	// Reported is the number of requests in flight at the target, as its
-	// answer reports it, or NoReport.
-	Reported int
-	// Long repeats the mark of the call, or what the duration showed.
-	Long bool
-}
-
-// TargetView is the state of one target for operators.
-type TargetView struct {
-	Target   config.Target
-	InFlight int
-	// Others is the estimate of the requests in flight from other instances.
-	Others  int
-	Limit   int
-	Leaving bool
-	Ejected bool
-	// Latency is the recent latency of short requests.
-	Latency time.Duration
-	// Reason is ReasonNone if the target gets all its slots.
-	Reason Reason
+// Terms are the settings of the dispatchers.
+type Terms struct {
+	// Zone is the zone of this instance, whose targets are preferred.
+	Zone string
+	// Retries bounds the further tries of a service, over all instances.
+	Retries limits.RetryTerms
+	// ProbesPerSecond bounds the probes of a target, over all instances.
+	ProbesPerSecond float64
 }
 
-// Reason says why a target gets less work than its slots allow.
-type Reason string
-
-// The reasons of a TargetView, in the order in which it names the first that
-// applies.
-const (
-	ReasonNone      Reason = ""
-	ReasonDrained   Reason = "drained"
-	ReasonLeaving   Reason = "leaving"
-	ReasonEjected   Reason = "ejected"
-	ReasonTrial     Reason = "trial"
-	ReasonSlowStart Reason = "slow_start"
-	ReasonLimited   Reason = "limited"
-	ReasonSlow      Reason = "slow"
-	ReasonBusy      Reason = "busy"
-)
-
-// String returns the reason as the administration API shows it.
-func (r Reason) String() string { return string(r) }
-
-// Stats counts what a dispatcher did. The first group only grows; the second
-// is the present state.
+// Stats counts what a dispatcher did.
 type Stats struct {
-	Acquired       uint64
-	Queued         uint64
-	RefusedFull    uint64
-	RefusedUnfair  uint64
-	RefusedEarly   uint64 // the expected wait was too long
-	RefusedWaited  uint64 // the longest wait was over
-	RefusedNone    uint64 // no target was available
-	Canceled       uint64
-	RetriesAllowed uint64
-	RetriesDenied  uint64
-	Ejections      uint64
-	Returns        uint64
-	Failures       uint64
-	Sheds          uint64
-
-	Waiting  int
-	InFlight int
-	LongHeld int
+	Acquired      uint64
+	Waited        uint64 // acquired after a wait
+	RefusedEarly  uint64 // the expected wait was too long
+	RefusedLate   uint64 // the longest wait was over
+	RefusedNone   uint64 // no target was known
+	RetriesDenied uint64
+	Probes        uint64
+	ProbeFailures uint64
+	Failures      uint64
+	Sheds         uint64
+	Waiting       int
+	InFlight      int
+	Targets       int
 }
--- /dev/null
+++ b/routing/scan.go
@@ -0,0 +1,292 @@
+package routing
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"time"
+
+	"rhubarbrelay/platform"
+	"rhubarbrelay/targets"
+	"rhubarbrelay/upstream"
+)
+
+const (
+	// probeWidth is the number of targets that are asked at a time, and
+	// probeRounds the number of times before the best answer so far is taken.
+	probeWidth  = 3
+	probeRounds = 3
+	// reportFresh is the age up to which a report is as good as an answer now.
+	reportFresh = 15 * time.Millisecond
+	// reportUsable is the age up to which a report says anything: targets slow
+	// down and recover within some hundred milliseconds.
+	reportUsable = 200 * time.Millisecond
+	// probeTimeout bounds the wait for the answers of one round.
+	probeTimeout = 25 * time.Millisecond
+	// probeDeadline bounds one probe; a later answer still updates the state.
+	probeDeadline = 400 * time.Millisecond
+	// goodSlowdown is the slowdown up to which a target is taken without asking
+	// others.
+	goodSlowdown = 1.5
+	// maxFailing is the failure rate up to which a target is taken without
+	// asking others.
+	maxFailing = 0.2
+	// foreignZone is what the bytes to another zone count, as a part of the
+	// expected duration.
+	foreignZone = 0.3
+	// failingCost is what a certain failure counts, in expected durations.
+	failingCost = 12.0
+	// jitter keeps instances from choosing the same targets at once, as a part
+	// of the expected duration.
+	jitter = 0.2
+)
+
+// candidate is a target that may get the request.
+type candidate struct {
+	target *target
+	score  float64 // expected duration as a multiple of the usual one
+	conn   *upstream.Conn
+}
+
+// scan looks for a target once. The second result is false when the service has
+// no target that could be asked. A patient request takes any target with a
+// free slot, since it has waited for a better one.
+func (d *Dispatcher) scan(r *Request, patient bool) (*Lease, bool) {
+	order, expected := d.candidates(r)
+	if len(order) == 0 {
+		return nil, false
+	}
+	asked := 0
+	var best candidate
+	for range probeRounds {
+		round := order[:min(probeWidth, len(order))]
+		order = order[len(round):]
+		if len(round) == 0 {
+			break
+		}
+		found, probes := d.ask(round)
+		asked += probes
+		best = d.better(r, best, found)
+		if best.target != nil && d.isGood(best.target) {
+			break
+		}
+	}
+	if best.target == nil {
+		return nil, true
+	}
+	if !patient && !d.worthTaking(r, best, expected) {
+		best.release()
+		return nil, true
+	}
+	return d.take(r, best, expected, asked), true
+}
+
+func (c candidate) release() {
+	if c.conn != nil {
+		c.conn.Release()
+	}
+}
+
+// candidates returns the usable targets, those that look best first.
+func (d *Dispatcher) candidates(r *Request) ([]candidate, time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	all := make([]candidate, 0, len(d.targets))
+	for which, t := range d.targets {
+		if !t.usable(now) || slices.Contains(r.Exclude, which) {
+			continue
+		}
+		all = append(all, candidate{target: t, score: d.score(t, now) + jitter*d.random.Float64()})
+	}
+	slices.SortFunc(all, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	return all, d.durations.expect(r)
+}
+
+// score returns how long the work of a request is expected to take on a target,
+// as a multiple of the usual duration, with what else speaks against it.
+func (d *Dispatcher) score(t *target, now time.Time) float64 {
+	score := t.slowdown(now, reportUsable) + failingCost*t.failing(now)
+	score += float64(t.occupied()) / float64(t.info.Slots) * jitter
+	if t.full() && t.reported(now, reportUsable) {
+		score += float64(1 + t.occupied() - t.info.Slots)
+	}
+	if t.info.Zone != d.terms.Zone {
+		score += foreignZone
+	}
+	return score
+}
+
+// isGood returns whether no better target is to be expected.
+func (d *Dispatcher) isGood(t *target) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	return t.slowdown(now, reportUsable) <= goodSlowdown && t.failing(now) <= maxFailing
+}
+
+// worthTaking returns whether the request should go to the target rather than
+// wait for a better one.
+func (d *Dispatcher) worthTaking(r *Request, c candidate, expected time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	if r.Repeat || d.isTolerable(c.target, now) {
+		return true
+	}
+	finish := now.Add(time.Duration(c.target.slowdown(now, reportUsable) * float64(expected)))
+	return !finish.After(r.Arrival.Add(r.Objective))
+}
+
+func (d *Dispatcher) isTolerable(t *target, now time.Time) bool {
+	return t.slowdown(now, reportUsable) <= goodSlowdown
+}
+
+// better returns the best of the candidates that may take the request, and
+// releases the connections of the others.
+func (d *Dispatcher) better(r *Request, best candidate, found []candidate) candidate {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	for _, c := range found {
+		c.score = d.score(c.target, now)
+		switch {
+		case !c.target.usable(now) || c.target.full():
+			c.release()
+		case best.target == nil || c.score < best.score:
+			best.release()
+			best = c
+		default:
+			c.release()
+		}
+	}
+	return best
+}
+
+// take gives the lease of the chosen target.
+func (d *Dispatcher) take(r *Request, c candidate, expected time.Duration, asked int) *Lease {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	t := c.target
+	l := &Lease{
+		dispatcher: d, target: t, route: r.Route, start: now, conn: c.conn,
+		expected: expected, slowdown: t.slowdown(now, reportUsable),
+		Decision: Decision{
+			ReportAge: now.Sub(t.loadAt), Running: t.load.Running, Waiting: t.load.Waiting, Slots: t.info.Slots,
+			Slowdown: t.load.Slowdown, Probes: asked, Waited: now.Sub(r.Arrival),
+		},
+	}
+	if !t.hasLoad {
+		l.Decision.ReportAge = -1
+	}
+	t.flights = append(t.flights, l)
+	t.sent++
+	d.stats.Acquired++
+	if now.Sub(r.Arrival) > rescanInterval {
+		d.stats.Waited++
+	}
+	return l
+}
+
+// probeResult is the answer of one target.
+type probeResult struct {
+	target *target
+	conn   *upstream.Conn
+	ok     bool
+}
+
+// ask asks the targets for their load and returns those that answered in time,
+// and the number of probes. A target that was asked a moment ago or whose share
+// of probes is spent counts by its last report.
+func (d *Dispatcher) ask(round []candidate) (found []candidate, probes int) {
+	results := make(chan probeResult, len(round))
+	for _, c := range round {
+		if d.mustProbe(c.target) {
+			probes++
+			go func() { results <- d.probe(c.target) }()
+		} else {
+			found = append(found, c)
+		}
+	}
+	if probes == 0 {
+		return found, 0
+	}
+	timer := time.NewTimer(probeTimeout)
+	defer timer.Stop()
+	for i := range probes {
+		select {
+		case r := <-results:
+			if r.ok {
+				found = append(found, candidate{target: r.target, conn: r.conn})
+			}
+		case <-timer.C:
+			go returnConns(results, probes-i)
+			return found, probes
+		}
+	}
+	return found, probes
+}
+
+// returnConns gives the connections of late answers back.
+func returnConns(results <-chan probeResult, n int) {
+	for range n {
+		if r := <-results; r.conn != nil {
+			r.conn.Release()
+		}
+	}
+}
+
+// mustProbe returns whether the target has to be asked, and spends the probe.
+func (d *Dispatcher) mustProbe(t *target) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	if d.service.HealthPath == "" || t.reported(now, reportFresh) || !t.probes.Allow(now) {
+		return false
+	}
+	d.stats.Probes++
+	return true
+}
+
+// probe asks one target. The result has no connection when it cannot be used.
+func (d *Dispatcher) probe(t *target) probeResult {
+	deadline := time.Now().Add(probeDeadline)
+	conn, err := t.pool.Take(deadline)
+	if err != nil {
+		d.noteProbe(t, platform.Reply{}, false, err)
+		return probeResult{target: t}
+	}
+	reply, healthy, err := conn.Probe(deadline)
+	ok := d.noteProbe(t, reply, healthy, err)
+	if err != nil || !ok {
+		conn.Release()
+		return probeResult{target: t}
+	}
+	return probeResult{target: t, conn: conn, ok: true}
+}
+
+// noteProbe learns from a probe and returns whether the target may get a
+// request.
+func (d *Dispatcher) noteProbe(t *target, reply platform.Reply, healthy bool, err error) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	switch {
+	case errors.Is(err, upstream.ErrNoConnection), errors.Is(err, upstream.ErrClosed):
+		return false
+	case err != nil:
+		d.stats.ProbeFailures++
+		t.retreat(now)
+		return false
+	case reply.Target != "" && reply.Target != t.info.ID:
+		t.gone = true
+		return false
+	case !healthy:
+		t.fail(shedWeight, now)
+	}
+	if reply.HasLoad {
+		t.report(reply.Load, now)
+	}
+	return t.info.State == targets.Ready
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -4,47 +4,97 @@
 	"sync"
 
 	"rhubarbrelay/config"
+	"rhubarbrelay/targets"
 )
 
-// Table holds the dispatcher of each service of a fleet.
+// Registry lists the targets of a service.
+type Registry interface {
+	Of(service string) []*targets.Target
+}
+
+// Table holds the dispatchers of all services. It is safe for concurrent use.
 type Table struct {
+	terms    Terms
+	registry Registry
+	opts     []Option
+
 	mu          sync.RWMutex
+	instances   int
 	dispatchers map[string]*Dispatcher
-	options     []Option
 }
 
-// NewTable returns a table without services. The options apply to each of its
-// dispatchers.
-func NewTable(opts ...Option) *Table {
-	return &Table{dispatchers: map[string]*Dispatcher{}, options: opts}
+// NewTable returns a table without services. The options apply to every
+// dispatcher.
+func NewTable(terms Terms, registry Registry, opts ...Option) *Table {
+	return &Table{terms: terms, registry: registry, opts: opts, instances: 1, dispatchers: map[string]*Dispatcher{}}
+}
+
+// Dispatcher returns the dispatcher of a service, nil when there is none.
+func (t *Table) Dispatcher(service string) *Dispatcher {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.dispatchers[service]
 }
 
-// Update makes the table match the fleet. Requests that wait for a service
-// that is gone are refused with ErrNoTarget.
-func (t *Table) Update(fleet *config.Fleet) {
+// Update puts the services of a configuration into force.
+func (t *Table) Update(services map[string]*config.Service) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	next := make(map[string]*Dispatcher, len(fleet.Services))
-	for name, service := range fleet.Services {
-		d, ok := t.dispatchers[name]
-		if ok {
-			d.Update(service)
-		} else {
-			d = NewDispatcher(service, t.options...)
+	for name, service := range services {
+		d := t.dispatchers[name]
+		if d != nil {
+			d.Update(service, t.instances)
+			continue
 		}
-		next[name] = d
+		d = NewDispatcher(service, t.terms, t.instances, t.opts...)
+		d.SetTargets(t.registry.Of(name))
+		t.dispatchers[name] = d
 	}
 	for name, d := range t.dispatchers {
-		if _, ok := next[name]; !ok {
-			d.Update(config.NewService(name))
+		if services[name] == nil {
+			d.Close()
+			delete(t.dispatchers, name)
 		}
 	}
-	t.dispatchers = next
 }
 
-// Dispatcher returns the dispatcher of the service, nil when there is none.
-func (t *Table) Dispatcher(service string) *Dispatcher {
+// SetInstances changes the number of instances that share the budgets.
+func (t *Table) SetInstances(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n == t.instances {
+		return
+	}
+	t.instances = n
+	for _, d := range t.dispatchers {
+		d.Update(d.Service(), n)
+	}
+}
+
+// SetTerms changes the settings of all dispatchers.
+func (t *Table) SetTerms(terms Terms) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.terms = terms
+	for _, d := range t.dispatchers {
+		d.SetTerms(terms)
+	}
+}
+
+// RefreshTargets reads the targets of a service anew.
+func (t *Table) RefreshTargets(service string) {
+	if d := t.Dispatcher(service); d != nil {
+		d.SetTargets(t.registry.Of(service))
+	}
+}
+
+// Stats returns the counters of every service.
+func (t *Table) Stats() map[string]Stats {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.dispatchers[service]
+	all := make(map[string]Stats, len(t.dispatchers))
+	for name, d := range t.dispatchers {
+		all[name] = d.Stats()
+	}
+	return all
 }
--- a/routing/target.go
+++ b/routing/target.go
@@ -2,192 +2,162 @@
 
 import (
 	"math"
-	"net/netip"
 	"time"
 
-	"rhubarbrelay/config"
 	"rhubarbrelay/limits"
+	"rhubarbrelay/platform"
+	"rhubarbrelay/targets"
+	"rhubarbrelay/upstream"
 )
 
 const (
-	// evidenceWindow is the time constant, in typical durations, after which
-	// finished requests no longer count for a target's speed. 1 sees false
-	// slowness, 4 detects late.
-	evidenceWindow = 2.0
-	// priorRequests is the weight of the expected speed, in finished requests.
-	priorRequests = 0.5
-	// slowRatio is the speed, relative to the service's typical duration, from
-	// which a target counts as slow.
-	slowRatio = 2.0
-	// slowMemory is the time constant with which a slow target is expected to
-	// be normal again. It exceeds the 100 ms for which neighbours disturb a
-	// target: with 15 instances, 50 ms gave a p99 higher by a tenth.
-	slowMemory = 200 * time.Millisecond
-	// slowTrialInterval spaces the single requests that show whether a slow
-	// target has recovered.
-	slowTrialInterval = 20 * time.Millisecond
-	// reportMemory is the time constant, in typical durations, with which a load
-	// report ages when targets are compared. A long memory helps an instance
-	// that sees few answers of each target. Reports only compare targets; they
-	// never make a request wait, since a stale one would hold back free slots.
-	reportMemory = 64.0
-	// forgottenAfter is the age, in time constants, from which an estimate
-	// counts as zero. Exponentials are most of the cost of a decision.
-	forgottenAfter = 8
+	// nearlyFull is the part of a target's slots from which its work takes
+	// longer, by crowdedFactor.
+	nearlyFull    = 0.8
+	crowdedFactor = 1.7
+	// slownessMemory is the time constant with which a measured slowness fades.
+	slownessMemory = 3 * time.Second
+	// slownessWeight is the weight of a new measurement.
+	slownessWeight = 0.3
+	// maxRatio bounds one measurement: a long request is not a slow target.
+	maxRatio = 4.0
+	// overdueRatio is the age of a request in flight, as a multiple of its
+	// expected duration, from which the target counts as slow.
+	overdueRatio = 3.0
+	// failureMemory is the time constant with which failures fade.
+	failureMemory = 4 * time.Second
+	failureWeight = 0.5
+	shedWeight    = 0.3
+	// firstBackoff is how long an unreachable target is left out. It doubles
+	// with each failure up to maxBackoff.
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 2 * time.Second
+	// coldFactor is how much slower a target is that has just started.
+	coldFactor = 2.0
 )
 
-// target is the state of one target on this instance.
+// target is the state of one target. The dispatcher's lock guards it.
 type target struct {
-	config     config.Target
-	index      int    // position in Dispatcher.free, or -1
-	generation uint64 // of the service version that last named it
-	removed    bool
-	leaving    bool
-
-	slots []*Slot // in flight
-	long  int     // of these, long
-	// longCheck is the time from which a short request in flight may have run
-	// so long that it counts as long.
-	longCheck time.Time
-
-	concurrency *limits.Concurrency
-	ejection    limits.Ejection
-
-	others   float64 // at othersAt
-	othersAt time.Time
-
-	// finished and exposure estimate the speed: the number of short requests
-	// that finished, and the time that short requests spent in flight, both
-	// decayed up to evidenceAt.
-	finished   float64
-	exposure   float64 // typical durations
-	evidenceAt time.Time
-
-	slowness    float64 // ratio - 1 when last seen slow, at slowAt
-	slowAt      time.Time
-	slowTrialAt time.Time
-	lastAnswer  time.Time
+	info   *targets.Target
+	pool   *upstream.Pool
+	probes *limits.ProbeBudget
+	// warmAt is the time at which the target's cold start is over.
+	warmAt time.Time
+	// gone is set when another target answered at the address.
+	gone bool
+
+	flights []*Lease
+	// load is the newest report; sent counts the requests sent since.
+	load    platform.Load
+	loadAt  time.Time
+	hasLoad bool
+	sent    int
+
+	slowness float64 // measured duration over expected duration, less 1
+	slowAt   time.Time
+	failure  float64 // 0 to 1
+	failedAt time.Time
+	// avoidUntil ends the backoff of an unreachable target.
+	avoidUntil time.Time
+	backoff    time.Duration
 }
 
-func newTarget(c config.Target) *target {
-	return &target{config: c, index: -1, concurrency: limits.NewConcurrency(max(1, c.Slots))}
+func (t *target) usable(now time.Time) bool {
+	return t.info.State == targets.Ready && !t.gone && !now.Before(t.avoidUntil)
 }
 
-func (t *target) address() netip.AddrPort { return t.config.Address }
-
-// available returns whether the target may get new work at all.
-func (t *target) available() bool { return !t.removed && !t.leaving && !t.config.Drained }
+// reported returns the newest report if it is younger than the age.
+func (t *target) reported(now time.Time, age time.Duration) bool {
+	return t.hasLoad && now.Sub(t.loadAt) <= age
+}
 
-// limit returns the number of requests that may be in flight from here.
-func (t *target) limit() int {
-	switch t.ejection.State() {
-	case limits.Ejected:
-		return 0
-	case limits.Trial:
-		return 1
-	default:
-		return t.concurrency.Limit()
+// occupied returns the estimated number of requests at the target.
+func (t *target) occupied() int {
+	if !t.hasLoad {
+		return len(t.flights)
 	}
+	return max(len(t.flights), t.load.Running+t.load.Waiting+t.sent)
 }
 
-// longLimit returns the number of long requests that the target may run.
-func (t *target) longLimit() int { return max(1, t.config.Slots/2) }
+// full returns whether one more request would have to wait at the target.
+func (t *target) full() bool { return t.occupied() >= t.info.Slots }
+
+// crowded returns whether one more request would slow the target down.
+func (t *target) crowded() bool {
+	return t.info.Slots > 1 && float64(t.occupied()+1) > nearlyFull*float64(t.info.Slots)
+}
 
-// othersNow returns the estimate of the requests from other instances, aged
-// with the time constant in seconds.
-func (t *target) othersNow(now time.Time, memory float64) float64 {
-	if t.others == 0 {
-		return 0
+// slowdown returns how much longer than usual work takes on the target.
+func (t *target) slowdown(now time.Time, age time.Duration) float64 {
+	factor := 1 + t.slowness*fade(now.Sub(t.slowAt), slownessMemory)
+	for _, l := range t.flights {
+		if l.expected > 0 {
+			if ratio := float64(now.Sub(l.start)) / float64(l.expected); ratio > overdueRatio {
+				factor = max(factor, min(maxRatio, ratio))
+			}
+		}
+	}
+	if t.reported(now, age) && t.load.Slowdown > 0 {
+		factor *= t.load.Slowdown
+	}
+	if t.crowded() {
+		factor *= crowdedFactor
 	}
-	age := now.Sub(t.othersAt).Seconds() / memory
-	if age > forgottenAfter {
-		return 0
+	if now.Before(t.warmAt) {
+		factor *= coldFactor
 	}
-	return t.others * math.Exp(-age)
+	return factor
 }
 
-// observe counts a finished short request.
-func (t *target) observe(typical float64, now time.Time) {
-	t.advance(typical, now)
-	t.finished++
+func (t *target) failing(now time.Time) float64 {
+	return t.failure * fade(now.Sub(t.failedAt), failureMemory)
 }
 
-// advance moves the evidence to the time. It must run before the number of
-// short requests in flight changes.
-func (t *target) advance(typical float64, now time.Time) {
-	elapsed := now.Sub(t.evidenceAt).Seconds() / typical
-	if elapsed <= 0 {
-		return
-	}
-	factor := 0.0
-	if elapsed < forgottenAfter*evidenceWindow {
-		factor = math.Exp(-elapsed / evidenceWindow)
-	}
-	t.finished *= factor
-	t.exposure = t.exposure*factor + float64(len(t.slots)-t.long)*evidenceWindow*(1-factor)
-	t.evidenceAt = now
+// observe learns from the duration of a whole answer.
+func (t *target) observe(ratio float64, now time.Time) {
+	ratio = min(ratio, maxRatio)
+	before := t.slowness * fade(now.Sub(t.slowAt), slownessMemory)
+	t.slowness = max(0, before+slownessWeight*(ratio-1-before))
+	t.slowAt = now
 }
 
-// ratio returns the estimated duration of a short request on this target over
-// the typical one of the service.
-//
-// It divides the time that short requests spent in flight by the number that
-// finished. Requests that have not come back count from their first moment, so
-// that a target that has become slow shows before its answers do.
-func (t *target) ratio(typical float64, now time.Time) float64 {
-	t.advance(typical, now)
-	expected := 1.0
-	if t.slowness > 0 && now.Sub(t.slowAt) < forgottenAfter*slowMemory {
-		expected += t.slowness * math.Exp(-now.Sub(t.slowAt).Seconds()/slowMemory.Seconds())
-	}
-	observed := (priorRequests + t.exposure) / (priorRequests + t.finished)
-	if observed >= slowRatio {
-		t.slowness = observed - 1
-		t.slowAt = now
-	}
-	return (priorRequests*expected + t.exposure) / (priorRequests + t.finished)
+func (t *target) fail(weight float64, now time.Time) {
+	before := t.failing(now)
+	t.failure = before + weight*(1-before)
+	t.failedAt = now
 }
 
-// hold counts a slot that is given out.
-func (t *target) hold(s *Slot) {
-	s.position = len(t.slots)
-	t.slots = append(t.slots, s)
-	if s.long {
-		t.long++
-	}
+func (t *target) succeed(now time.Time) {
+	t.failure = t.failing(now) * (1 - failureWeight)
+	t.failedAt = now
+	t.backoff = 0
 }
 
-// markLong marks the requests that have been in flight for the age as long and
-// returns their number. It marks none while the target finishes nothing else,
-// because then the target is slow, not the request long.
-func (t *target) markLong(age time.Duration, now time.Time) int {
-	if now.Before(t.longCheck) || len(t.slots) == t.long || t.finished < 1 {
-		return 0
-	}
-	marked := 0
-	t.longCheck = now.Add(age)
-	for _, s := range t.slots {
-		switch due := s.start.Add(age); {
-		case s.long:
-		case !due.After(now):
-			s.long = true
-			marked++
-		case due.Before(t.longCheck):
-			t.longCheck = due
+// retreat leaves the target out for a while.
+func (t *target) retreat(now time.Time) {
+	t.backoff = min(maxBackoff, max(firstBackoff, 2*t.backoff))
+	t.avoidUntil = now.Add(t.backoff)
+}
+
+func (t *target) report(load platform.Load, now time.Time) {
+	t.load, t.loadAt, t.hasLoad, t.sent = load, now, true, 0
+}
+
+func (t *target) land(l *Lease) {
+	for i, f := range t.flights {
+		if f == l {
+			last := len(t.flights) - 1
+			t.flights[i] = t.flights[last]
+			t.flights[last] = nil
+			t.flights = t.flights[:last]
+			return
 		}
 	}
-	t.long += marked
-	return marked
 }
 
-// drop takes back a slot.
-func (t *target) drop(s *Slot) {
-	last := len(t.slots) - 1
-	t.slots[s.position] = t.slots[last]
-	t.slots[s.position].position = s.position
-	t.slots[last] = nil
-	t.slots = t.slots[:last]
-	if s.long {
-		t.long--
+func fade(age, memory time.Duration) float64 {
+	if age <= 0 {
+		return 1
 	}
+	return math.Exp(-float64(age) / float64(memory))
 }
--- a/settings/reader.go
+++ b/settings/reader.go
@@ -187,21 +187,31 @@
 	if !ok {
 		return netip.AddrPort{}
 	}
-	k := setting{section, key}
-	a, ok := r.parseAddress(k, text)
-	if ok && key == "listen" {
-		r.noteListener(k, text, a)
+	a, _ := r.parseAddress(setting{section, key}, text)
+	return a
+}
+
+// listener reads the address of a TCP listener, of which there is one each.
+func (r *reader) listener(section, key string) netip.AddrPort {
+	a := r.address(section, key)
+	if a.IsValid() {
+		r.noteListener(setting{section, key}, a.String(), a)
 	}
 	return a
 }
 
-func (r *reader) optionalAddress(section, key string, fallback netip.AddrPort) netip.AddrPort {
+// number reads a number of at least 0 that may have a fraction.
+func (r *reader) number(section, key string, fallback, most float64) float64 {
 	text, ok := r.optional(section, key)
 	if !ok {
 		return fallback
 	}
-	a, _ := r.parseAddress(setting{section, key}, text)
-	return a
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(n >= 0 && n <= most) {
+		r.problem(setting{section, key}, text, fmt.Sprintf("not a number from 0 to %g", most))
+		return fallback
+	}
+	return n
 }
 
 func (r *reader) addresses(section, key string) []netip.AddrPort {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,24 +16,34 @@
 
 // Defaults of the settings.
 const (
-	DefaultMaxInstances   = 20
-	DefaultEntryTTL       = 5 * time.Second
-	DefaultStopMargin     = 2 * time.Second
-	DefaultMaxRequestBody = 8 * mebibyte
-	DefaultMaxConnections = 10_000
-	DefaultLogLevel       = "info"
-	DefaultLogFormat      = FormatText
+	DefaultEntryTTL        = 2 * time.Second
+	DefaultGrace           = 6 * time.Second
+	DefaultMaxConnections  = 2000
+	DefaultDrainDelay      = 2 * time.Second
+	DefaultRetryRatio      = 0.2
+	DefaultRetrySlack      = 20.0
+	DefaultRetryWindow     = 10 * time.Second
+	DefaultProbesPerSecond = 60.0
+	DefaultMemory          = 256 * mebibyte
+	DefaultLogLevel        = "info"
+	DefaultLogFormat       = FormatText
 )
 
 // Bounds of the settings.
 const (
 	minEntryTTL       = 10 * time.Millisecond
 	maxEntryTTL       = 5 * time.Minute
-	maxStopMargin     = 10 * time.Minute
-	maxMaxInstances   = 1000
-	minMaxRequestBody = kibibyte
-	maxMaxRequestBody = gibibyte
+	minGrace          = time.Second
+	maxGrace          = 10 * time.Minute
+	minDrainDelay     = 100 * time.Millisecond
+	maxDrainDelay     = 10 * time.Minute
+	minWindow         = time.Second
+	maxWindow         = time.Hour
+	minMemory         = 32 * mebibyte
+	maxMemory         = 1024 * gibibyte
 	maxMaxConnections = 1_000_000
+	maxRatio          = 10
+	maxRate           = 1_000_000
 	// minTokenLength keeps tokens out of reach of guessing over the network.
 	minTokenLength = 16
 )
@@ -50,38 +60,39 @@
 	Callers  Callers
 	Peers    Peers
 	Admin    Admin
-	Platform Platform
+	Store    Store
+	Budgets  Budgets
 	Stop     Stop
 	Log      Log
 }
 
 // Instance names the instance and its place.
 type Instance struct {
-	ID   string
-	Zone string
+	ID     string
+	Zone   string
+	Region string
+	// Memory bounds the memory of the process, in bytes.
+	Memory int
 }
 
-// Callers configures the callers' listener.
+// Callers configures the callers' listeners.
 type Callers struct {
+	// Listen is the address for requests.
 	Listen netip.AddrPort
+	// Entry is the address that answers where to connect.
+	Entry netip.AddrPort
+	// Ready is the address that answers whether the instance is ready.
+	Ready netip.AddrPort
 	// EntryTTL is how long callers may keep an entry answer.
 	EntryTTL time.Duration
-	// MaxRequestBody bounds the body of a request, in bytes.
-	MaxRequestBody int
 	// MaxConnections bounds the open connections of callers.
 	MaxConnections int
 }
 
-// Peers configures the sessions with other instances.
+// Peers configures the exchange with other instances.
 type Peers struct {
 	Listen netip.AddrPort
-	// Advertise is the address that other instances connect to, where it
-	// differs from Listen.
-	Advertise netip.AddrPort
-	// MaxInstances bounds the instances that run at once, replacements
-	// included. Connection limits and the measuring budget are divided by it.
-	MaxInstances int
-	// Seeds are peers to ask when the platform's list cannot be read.
+	// Seeds are addresses of other instances, to be asked at the start.
 	Seeds []netip.AddrPort
 }
 
@@ -93,15 +104,28 @@
 	Token string
 }
 
-// Platform configures the platform's client.
-type Platform struct {
+// Store configures the client of the platform's store.
+type Store struct {
 	Address netip.AddrPort
 }
 
+// Budgets bounds what the instances together may spend on targets.
+type Budgets struct {
+	// DrainDelay is the time in which a leaving target must get no new request.
+	DrainDelay time.Duration
+	// RetryRatio is the number of further tries per request of a service, and
+	// RetrySlack the number beyond it, within any RetryWindow.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// ProbesPerSecond bounds the probes of one target.
+	ProbesPerSecond float64
+}
+
 // Stop configures the graceful stop.
 type Stop struct {
-	// Margin is added to the entry TTL before the instance stops listening.
-	Margin time.Duration
+	// Grace is the time after which the process is killed.
+	Grace time.Duration
 }
 
 // Log configures the log output.
@@ -136,24 +160,29 @@
 
 // settings reads every key.
 func (r *reader) settings() *Settings {
-	peers := r.address("peers", "listen")
 	return &Settings{
-		Instance: Instance{ID: r.name("instance", "id"), Zone: r.name("instance", "zone")},
+		Instance: Instance{
+			ID: r.name("instance", "id"), Zone: r.name("instance", "zone"), Region: r.name("instance", "region"),
+			Memory: r.size("instance", "memory", DefaultMemory, minMemory, maxMemory),
+		},
 		Callers: Callers{
-			Listen:         r.address("callers", "listen"),
+			Listen:         r.listener("callers", "listen"),
+			Entry:          r.listener("callers", "entry"),
+			Ready:          r.listener("callers", "ready"),
 			EntryTTL:       r.duration("callers", "entry_ttl", DefaultEntryTTL, minEntryTTL, maxEntryTTL),
-			MaxRequestBody: r.size("callers", "max_request_body", DefaultMaxRequestBody, minMaxRequestBody, maxMaxRequestBody),
 			MaxConnections: r.integer("callers", "max_connections", DefaultMaxConnections, 1, maxMaxConnections),
 		},
-		Peers: Peers{
-			Listen:       peers,
-			Advertise:    r.optionalAddress("peers", "advertise", peers),
-			MaxInstances: r.integer("peers", "max_instances", DefaultMaxInstances, 1, maxMaxInstances),
-			Seeds:        r.addresses("peers", "seeds"),
+		Peers: Peers{Listen: r.address("peers", "listen"), Seeds: r.addresses("peers", "seeds")},
+		Admin: Admin{Listen: r.listener("admin", "listen"), Token: r.token("admin", "token")},
+		Store: Store{Address: r.address("store", "address")},
+		Budgets: Budgets{
+			DrainDelay:      r.duration("budgets", "drain_delay", DefaultDrainDelay, minDrainDelay, maxDrainDelay),
+			RetryRatio:      r.number("budgets", "retry_ratio", DefaultRetryRatio, maxRatio),
+			RetrySlack:      r.number("budgets", "retry_slack", DefaultRetrySlack, maxRate),
+			RetryWindow:     r.duration("budgets", "retry_window", DefaultRetryWindow, minWindow, maxWindow),
+			ProbesPerSecond: r.number("budgets", "probes_per_second", DefaultProbesPerSecond, maxRate),
 		},
-		Admin:    Admin{Listen: r.address("admin", "listen"), Token: r.token("admin", "token")},
-		Platform: Platform{Address: r.address("platform", "address")},
-		Stop:     Stop{Margin: r.duration("stop", "margin", DefaultStopMargin, 0, maxStopMargin)},
+		Stop: Stop{Grace: r.duration("stop", "grace", DefaultGrace, minGrace, maxGrace)},
 		Log: Log{
 			Level:  r.choice("log", "level", DefaultLogLevel, "debug", "info", "warn", "error"),
 			Format: r.choice("log", "format", DefaultLogFormat, FormatText, FormatJSON),
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -6,219 +6,279 @@
 	"errors"
 	"fmt"
 	"net"
-	"sync"
+	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
-	"rhubarbrelay/header"
+	"rhubarbrelay/platform"
 )
 
 const (
 	// headerBuffer bounds the header of an answer, in bytes.
 	headerBuffer = 8 << 10
 	writeBuffer  = 4 << 10
-	// maxInterim bounds the 1xx answers that precede an answer.
+	// maxInterim bounds the 1xx answers and the answers to other requests that
+	// precede an answer.
 	maxInterim = 8
-	// cancelInterval is the time between two questions to a Canceler.
-	cancelInterval = 20 * time.Millisecond
+	// concurrentBody is the size of a body, in bytes, from which the answer is
+	// read while the request is written: a target may answer before it has
+	// read the whole body.
+	concurrentBody = 8 << 10
+	// idleMargin keeps the pool from using a connection that the target is
+	// about to close.
+	idleMargin = 1500 * time.Millisecond
 )
 
-// conn is one connection with its buffers. It belongs to one exchange at a time.
-type conn struct {
-	net.Conn
+// Conn is one connection to a target. It belongs to one exchange at a time.
+type Conn struct {
+	raw      net.Conn
+	socket   syscall.RawConn // nil if the connection is not a socket
 	reader   *bufio.Reader
 	writer   *bufio.Writer
-	raw      syscall.RawConn // nil if the connection is not a socket
+	pool     *Pool
 	lastUsed time.Time
-	reused   bool
+	maxIdle  time.Duration
 	// sent is the number of bytes of the current request that the kernel took.
 	sent int
-
-	cancellation cancellation
-
-	quiet bool
-	peek  [1]byte
-	probe func(fd uintptr) bool
+	// spoilt means that the connection must not be used again.
+	spoilt bool
 }
 
-func newConn(c net.Conn) *conn {
-	n := &conn{Conn: c, reader: bufio.NewReaderSize(c, headerBuffer)}
-	n.writer = bufio.NewWriterSize(countingWriter{n}, writeBuffer)
-	if socket, ok := c.(syscall.Conn); ok {
-		if raw, err := socket.SyscallConn(); err == nil {
-			n.raw = raw
+func newConn(raw net.Conn, pool *Pool) *Conn {
+	c := &Conn{
+		raw: raw, pool: pool, reader: bufio.NewReaderSize(raw, headerBuffer),
+		maxIdle: pool.maxIdle, lastUsed: time.Now(),
+	}
+	c.writer = bufio.NewWriterSize(countingWriter{c}, writeBuffer)
+	if socket, ok := raw.(syscall.Conn); ok {
+		if rc, err := socket.SyscallConn(); err == nil {
+			c.socket = rc
 		}
 	}
-	n.probe = n.probeSocket
-	return n
+	return c
 }
 
-// countingWriter counts the bytes handed to the kernel: a request of which
-// none was handed over cannot have run.
-type countingWriter struct{ conn *conn }
+// countingWriter counts the bytes handed to the kernel: a request of which none
+// was handed over cannot have run.
+type countingWriter struct{ conn *Conn }
 
 func (w countingWriter) Write(b []byte) (int, error) {
-	n, err := w.conn.Write(b)
+	n, err := w.conn.raw.Write(b)
 	w.conn.sent += n
 	return n, err
 }
 
+// Cancel ends the exchange in progress by closing the connection. It may be
+// called at any time.
+func (c *Conn) Cancel() { _ = c.raw.Close() }
+
+// Release gives the connection back to its pool, or closes it when it cannot be
+// used again.
+func (c *Conn) Release() { c.pool.release(c) }
+
 // isQuiet returns whether an idle connection is open and has nothing to read.
 // Bytes that arrive between two exchanges belong to no request.
-func (c *conn) isQuiet() bool {
-	if c.reader.Buffered() > 0 || c.raw == nil {
+func (c *Conn) isQuiet() bool {
+	if c.reader.Buffered() > 0 || c.socket == nil {
 		return false
 	}
-	c.quiet = false
-	if err := c.raw.Read(c.probe); err != nil {
-		return false
-	}
-	return c.quiet
-}
-
-func (c *conn) probeSocket(fd uintptr) bool {
-	_, _, err := syscall.Recvfrom(int(fd), c.peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	c.quiet = errors.Is(err, syscall.EAGAIN)
-	return true
+	quiet := false
+	err := c.socket.Read(func(fd uintptr) bool {
+		var peek [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
 }
 
-// cancellation closes the connection of an exchange that is cancelled. Its timer
-// is armed at most once per interval, not per exchange, since arming and
-// stopping it would slow down short exchanges.
-type cancellation struct {
-	mu       sync.Mutex
-	canceler Canceler // nil between exchanges
-	canceled bool
-	armed    bool
-	timer    *time.Timer
+// setUserTimeout bounds the time that sent bytes may stay unacknowledged, so
+// that a connection whose path lost its state fails.
+func setUserTimeout(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+		})
+		return errors.Join(err, failed)
+	}
 }
 
-// watch asks the canceler at intervals until unwatch.
-func (c *conn) watch(canceler Canceler) {
-	if canceler == nil {
-		return
+// Probe asks the target for its health and load. The answer says whether the
+// target is healthy. The error wraps ErrUnknown; the connection is then spoilt.
+func (c *Conn) Probe(deadline time.Time) (reply platform.Reply, healthy bool, err error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	platform.NewProbe(req, c.pool.host, c.pool.destination.HealthPath)
+	if err := c.exchange(req, resp, deadline); err != nil {
+		return platform.Reply{}, false, err
 	}
-	w := &c.cancellation
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.canceler = canceler
-	switch {
-	case w.armed:
-	case w.timer == nil:
-		w.timer = time.AfterFunc(cancelInterval, c.askCanceler)
-	default:
-		w.timer.Reset(cancelInterval)
+	reply = platform.ReadReply(&resp.Header)
+	if _, named := platform.AnswersRequest(&resp.Header, nil); named || reply.Sealed {
+		c.spoilt = true
+		return platform.Reply{}, false, fmt.Errorf("%w: %w", ErrUnknown, errForeignAnswer)
 	}
-	w.armed = true
+	c.noteUse(resp)
+	return reply, resp.StatusCode() == fasthttp.StatusOK, nil
 }
 
-// unwatch returns whether the connection was closed.
-func (c *conn) unwatch() bool {
-	w := &c.cancellation
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.canceler = nil
-	return w.canceled
+// Exchange sends the request once and reads the whole answer until the
+// deadline. The error wraps ErrNotSent or ErrUnknown.
+func (c *Conn) Exchange(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
+	if err := c.exchange(req, resp, deadline); err != nil {
+		return err
+	}
+	c.noteUse(resp)
+	return nil
 }
 
-func (c *conn) askCanceler() {
-	w := &c.cancellation
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.armed = false
-	if w.canceler == nil {
-		return
+// noteUse keeps what an answer says about the connection.
+func (c *Conn) noteUse(resp *fasthttp.Response) {
+	c.lastUsed = time.Now()
+	if resp.ConnectionClose() || c.reader.Buffered() > 0 {
+		c.spoilt = true
 	}
-	if w.canceler.Canceled() {
-		w.canceled = true
-		_ = c.Close()
+	_, text, ok := bytes.Cut(resp.Header.Peek(fasthttp.HeaderKeepAlive), []byte("timeout="))
+	if !ok {
 		return
 	}
-	w.armed = true
-	w.timer.Reset(cancelInterval)
-}
-
-// setUserTimeout bounds the time that sent bytes may stay unacknowledged, so
-// that a connection whose path lost its state fails.
-func setUserTimeout(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var failed error
-		err := raw.Control(func(fd uintptr) {
-			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-		})
-		return errors.Join(err, failed)
+	text, _, _ = bytes.Cut(text, []byte(","))
+	if seconds, err := strconv.Atoi(string(bytes.TrimSpace(text))); err == nil {
+		c.maxIdle = time.Duration(seconds)*time.Second - idleMargin
 	}
 }
 
-// exchange sends the request and reads the whole answer.
-func (c *conn) exchange(req *fasthttp.Request, resp *fasthttp.Response, maxAnswer int) error {
+func (c *Conn) exchange(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
 	c.sent = 0
+	if err := c.raw.SetDeadline(deadline); err != nil {
+		c.spoilt = true
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	if len(req.Body()) >= concurrentBody {
+		return c.exchangeConcurrently(req, resp)
+	}
 	if err := c.send(req); err != nil {
+		c.spoilt = true
 		if c.sent == 0 {
 			return fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 		return fmt.Errorf("%w: %w", ErrUnknown, err)
 	}
-	if err := c.receive(req, resp, maxAnswer); err != nil {
-		return fmt.Errorf("%w: %w", ErrUnknown, err)
-	}
-	return nil
+	return c.receive(req, resp)
 }
 
-// send writes the request. It bypasses Request.Write where the request names
-// its host and path already, since that method rewrites the path and refuses a
-// GET with a body.
-func (c *conn) send(req *fasthttp.Request) error {
-	uri := req.Header.RequestURI()
-	if len(req.Header.Host()) == 0 || len(uri) == 0 || uri[0] != '/' && uri[0] != '*' {
-		if err := req.Write(c.writer); err != nil {
-			return err
+// exchangeConcurrently reads the answer while the request is written. After an
+// answer that came before the end of the request the connection is closed: the
+// target would take what follows for the rest of the body.
+func (c *Conn) exchangeConcurrently(req *fasthttp.Request, resp *fasthttp.Response) error {
+	written := make(chan error, 1)
+	go func() { written <- c.send(req) }()
+	err := c.receive(req, resp)
+	select {
+	case sendErr := <-written:
+		if sendErr != nil {
+			c.spoilt = true
 		}
-		return c.writer.Flush()
-	}
-	body := req.Body()
-	if len(body) > 0 || !req.Header.IsGet() && !req.Header.IsHead() {
-		req.Header.SetContentLength(len(body))
+		return err
+	default:
+		c.spoilt = true
+		c.Cancel()
+		<-written
+		return err
 	}
+}
+
+// send writes the request. It bypasses Request.Write, which rewrites the path
+// and refuses a GET with a body.
+func (c *Conn) send(req *fasthttp.Request) error {
 	if err := req.Header.Write(c.writer); err != nil {
 		return err
 	}
-	if _, err := c.writer.Write(body); err != nil {
+	if _, err := c.writer.Write(req.Body()); err != nil {
 		return err
 	}
 	return c.writer.Flush()
 }
 
-// receive reads one whole answer whose end is proven.
-func (c *conn) receive(req *fasthttp.Request, resp *fasthttp.Response, maxAnswer int) error {
+// receive reads one whole answer to the request.
+func (c *Conn) receive(req *fasthttp.Request, resp *fasthttp.Response) error {
+	id := platform.RequestID(&req.Header)
+	for range maxInterim {
+		if err := c.receiveOne(req, resp); err != nil {
+			c.spoilt = true
+			return fmt.Errorf("%w: %w", ErrUnknown, err)
+		}
+		same, named := platform.AnswersRequest(&resp.Header, id)
+		if same || !named {
+			return c.check(resp, same)
+		}
+		if len(id) == 0 { // a probe; its caller refuses the answer
+			return nil
+		}
+		// A second answer to an earlier request; the own one may follow.
+		c.spoilt = true
+	}
+	return fmt.Errorf("%w: %w", ErrUnknown, errForeignAnswer)
+}
+
+// check refuses an answer that is not certainly the target's to this request.
+// Only failures may come without the ID of the request.
+func (c *Conn) check(resp *fasthttp.Response, same bool) error {
+	success := resp.StatusCode() < fasthttp.StatusMultipleChoices
+	switch {
+	case len(resp.Header.Peek(fasthttp.HeaderContentEncoding)) > 0:
+		c.spoilt = true
+		return fmt.Errorf("%w: %w", ErrUnknown, errEncoded)
+	case success && !same && platform.ReadReply(&resp.Header).Sealed:
+		c.spoilt = true
+		return fmt.Errorf("%w: %w", ErrUnknown, errForeignAnswer)
+	}
+	return nil
+}
+
+func (c *Conn) receiveOne(req *fasthttp.Request, resp *fasthttp.Response) error {
 	resp.Reset()
 	resp.SkipBody = req.Header.IsHead()
 	if err := c.receiveHeader(resp); err != nil {
 		return err
 	}
-	if hasBody(resp) {
-		if err := c.receiveBody(resp, maxAnswer); err != nil {
-			return err
-		}
+	if !hasBody(resp) {
+		return nil
+	}
+	err := resp.ReadBody(c.reader, c.pool.maxAnswer)
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return errAnswerTooLarge
+	case err != nil:
+		return err
 	}
-	echo := resp.Header.Peek(header.RequestID)
-	if len(echo) > 0 && !bytes.Equal(echo, req.Header.Peek(header.RequestID)) {
-		return errForeignAnswer
+	switch resp.Header.ContentLength() {
+	case lengthChunked:
+		return resp.Header.ReadTrailer(c.reader)
+	case lengthUntilClose:
+		c.spoilt = true
 	}
 	return nil
 }
 
-func (c *conn) receiveHeader(resp *fasthttp.Response) error {
+// The content lengths by which fasthttp marks bodies without a stated length.
+const (
+	lengthChunked    = -1
+	lengthUntilClose = -2
+)
+
+func (c *Conn) receiveHeader(resp *fasthttp.Response) error {
 	for range maxInterim {
 		if err := resp.Header.Read(c.reader); err != nil {
 			return err
 		}
 		status := resp.StatusCode()
 		if status == fasthttp.StatusSwitchingProtocols {
-			return errSwitchedProtocol
+			return errSwitched
 		}
 		if status >= fasthttp.StatusOK {
 			return nil
@@ -227,29 +287,7 @@
 	return errManyInterim
 }
 
-func (c *conn) receiveBody(resp *fasthttp.Response, maxAnswer int) error {
-	length := resp.Header.ContentLength()
-	if length < 0 && !isChunked(resp) {
-		return errNoProvenEnd
-	}
-	err := resp.ReadBody(c.reader, maxAnswer)
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		return errAnswerTooLarge
-	}
-	if err != nil {
-		return err
-	}
-	if isChunked(resp) {
-		return resp.Header.ReadTrailer(c.reader)
-	}
-	return nil
-}
-
 func hasBody(resp *fasthttp.Response) bool {
 	status := resp.StatusCode()
 	return !resp.SkipBody && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
 }
-
-// isChunked returns whether the answer is in chunks; fasthttp gives it the
-// content length -1, and -2 when only the close of the connection ends it.
-func isChunked(resp *fasthttp.Response) bool { return resp.Header.ContentLength() == -1 }
