--- a/relay/answer.go
+++ b/relay/answer.go
@@ -193,7 +193,7 @@
 		d := t.lease.Decision
 		f["target"], f["waited"], f["probes"] = t.lease.Target().ID, d.Waited.Round(time.Microsecond).String(), d.Probes
 		f["report_age"], f["running"], f["waiting"] = d.ReportAge.Round(time.Microsecond).String(), d.Running, d.Waiting
-		f["slowdown"] = d.Slowdown
+		f["slowdown"], f["target_zone"] = d.Slowdown, t.lease.Target().Zone
 	}
 	return f
 }
--- a/routing/scan.go
+++ b/routing/scan.go
@@ -45,9 +45,22 @@
 type candidate struct {
 	target *target
 	score  float64 // expected duration as a multiple of the usual one
+	tier   tier
 	conn   *upstream.Conn
 }
 
+// tier orders the candidates before their score does.
+type tier int
+
+const (
+	nearTier tier = iota // in the zone of this instance
+	farTier
+	doubtfulTier // known to be slow, full or failing
+)
+
+// doubtfulScore is the score from which a target is asked after all others.
+const doubtfulScore = 2.5
+
 // scan looks for a target once. The second result is false when the service has
 // no target that could be asked. A patient request takes any target with a
 // free slot, since it has waited for a better one.
@@ -97,12 +110,25 @@
 		if !t.usable(now) || slices.Contains(r.Exclude, which) {
 			continue
 		}
-		all = append(all, candidate{target: t, score: d.score(t, now) + jitter*d.random.Float64()})
+		score := d.score(t, now) + jitter*d.random.Float64()
+		all = append(all, candidate{target: t, score: score, tier: d.tier(t, score)})
 	}
-	slices.SortFunc(all, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	slices.SortFunc(all, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.score, b.score))
+	})
 	return all, d.durations.expect(r)
 }
 
+func (d *Dispatcher) tier(t *target, score float64) tier {
+	switch {
+	case score >= doubtfulScore:
+		return doubtfulTier
+	case t.info.Zone != d.terms.Zone:
+		return farTier
+	}
+	return nearTier
+}
+
 // score returns how long the work of a request is expected to take on a target,
 // as a multiple of the usual duration, with what else speaks against it.
 func (d *Dispatcher) score(t *target, now time.Time) float64 {
--- a/routing/target.go
+++ b/routing/target.go
@@ -18,9 +18,9 @@
 	// slownessMemory is the time constant with which a measured slowness fades.
 	slownessMemory = 3 * time.Second
 	// slownessWeight is the weight of a new measurement.
-	slownessWeight = 0.3
+	slownessWeight = 0.2
 	// maxRatio bounds one measurement: a long request is not a slow target.
-	maxRatio = 4.0
+	maxRatio = 3.0
 	// overdueRatio is the age of a request in flight, as a multiple of its
 	// expected duration, from which the target counts as slow.
 	overdueRatio = 3.0
