routing: keep targets below the load at which they slow down, late requests last

Cause: under overload every request waited until it was late, since the queue knew no objective, and targets were filled to their last slot, where their work takes 1.7 times as long and they finish less in all. Change: a target gets at most four fifths of its slots; a waiting request that can no longer meet its objective goes behind those that can; a target that has just reported room is taken without asking others.

--- a/limits/probe_budget.go
+++ b/limits/probe_budget.go
@@ -10,8 +10,8 @@
 	// probeUse is the part of the allowance that is spent.
 	probeUse = 0.8
 	// probeBurst is the number of probes of one target that a quiet period
-	// saves up: requests come in clumps.
-	probeBurst = 10
+	// saves up: the allowance is an average, and requests come in clumps.
+	probeBurst = 40
 )
 
 // ProbeBudget is one instance's part of the probes of one target. It is safe
--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -53,13 +53,13 @@
 		return nil, err
 	}
 	defer d.exit(w)
-	for scans := 0; ; scans++ {
+	for {
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
 		last := r.Repeat || !d.clock().Before(limit)
-		if d.mayScan(w) {
-			l, known := d.scan(r, scans > 0)
+		if turn, late := d.turn(w); turn {
+			l, known := d.scan(r, late)
 			if l != nil {
 				return l, nil
 			}
@@ -88,7 +88,8 @@
 func (d *Dispatcher) enter(r *Request, limit time.Time) (*waiter, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	w := d.queue.add(r)
+	w := newWaiter(r, d.durations.expect(r))
+	d.queue.add(w)
 	now := d.clock()
 	ahead := d.queue.position(w)
 	if ahead < scanners {
@@ -110,10 +111,13 @@
 	d.queue.remove(w)
 }
 
-func (d *Dispatcher) mayScan(w *waiter) bool {
+// turn returns whether the waiter is among those that look for a target, and
+// whether it is late.
+func (d *Dispatcher) turn(w *waiter) (turn, late bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.queue.position(w) < scanners
+	d.queue.review(w, d.clock())
+	return d.queue.position(w) < scanners, w.late
 }
 
 func (d *Dispatcher) lateCause() error {
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -16,7 +17,38 @@
 // waiter is a request that waits for a target.
 type waiter struct {
 	rank time.Time
-	wake chan struct{}
+	// lateAt is the time from which the request cannot be answered within its
+	// objective. It then waits behind all that can.
+	lateAt time.Time
+	late   bool
+	wake   chan struct{}
+}
+
+func newWaiter(r *Request, expected time.Duration) *waiter {
+	w := &waiter{
+		rank:   r.Arrival.Add(time.Duration(r.Priority) * urgency),
+		lateAt: r.Arrival.Add(r.Objective - time.Duration(timelyMargin*float64(expected))),
+		wake:   make(chan struct{}, 1),
+	}
+	if r.Objective <= 0 {
+		w.lateAt = r.Deadline
+	}
+	return w
+}
+
+// timelyMargin is the part of its expected duration that a request needs until
+// its objective to be in time.
+const timelyMargin = 1.2
+
+// before orders waiters: those in time first, then by rank.
+func (w *waiter) before(o *waiter) int {
+	if w.late != o.late {
+		if w.late {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(w.rank.Compare(o.rank), -1) // equal ones keep their order
 }
 
 // queue holds the waiting requests of a service in the order in which they look
@@ -25,16 +57,9 @@
 
 func (q *queue) len() int { return len(q.waiters) }
 
-func (q *queue) add(r *Request) *waiter {
-	w := &waiter{rank: r.Arrival.Add(time.Duration(r.Priority) * urgency), wake: make(chan struct{}, 1)}
-	i, _ := slices.BinarySearchFunc(q.waiters, w, func(a, b *waiter) int {
-		if a.rank.After(b.rank) {
-			return 1
-		}
-		return -1 // equal ones keep their order
-	})
+func (q *queue) add(w *waiter) {
+	i, _ := slices.BinarySearchFunc(q.waiters, w, func(a, b *waiter) int { return -b.before(a) })
 	q.waiters = slices.Insert(q.waiters, i, w)
-	return w
 }
 
 func (q *queue) position(w *waiter) int { return slices.Index(q.waiters, w) }
@@ -46,6 +71,16 @@
 	q.wakeFirst()
 }
 
+// review moves a waiter that has become late behind those in time.
+func (q *queue) review(w *waiter, now time.Time) {
+	if w.late || now.Before(w.lateAt) {
+		return
+	}
+	q.remove(w)
+	w.late = true
+	q.add(w)
+}
+
 // wakeFirst lets the first waiting requests look for a target.
 func (q *queue) wakeFirst() {
 	for _, w := range q.waiters[:min(scanners, len(q.waiters))] {
--- a/routing/scan.go
+++ b/routing/scan.go
@@ -62,15 +62,17 @@
 const doubtfulScore = 2.5
 
 // scan looks for a target once. The second result is false when the service has
-// no target that could be asked. A patient request takes any target with a
-// free slot, since it has waited for a better one.
-func (d *Dispatcher) scan(r *Request, patient bool) (*Lease, bool) {
+// no target that could be asked. A late request takes any target with room.
+func (d *Dispatcher) scan(r *Request, late bool) (*Lease, bool) {
 	order, expected := d.candidates(r)
 	if len(order) == 0 {
 		return nil, false
 	}
 	asked := 0
-	var best candidate
+	best := d.justReported(order)
+	if best.target != nil {
+		return d.take(r, best, expected, asked), true
+	}
 	for range probeRounds {
 		round := order[:min(probeWidth, len(order))]
 		order = order[len(round):]
@@ -87,13 +89,28 @@
 	if best.target == nil {
 		return nil, true
 	}
-	if !patient && !d.worthTaking(r, best, expected) {
+	if !late && !d.worthTaking(r, best, expected) {
 		best.release()
 		return nil, true
 	}
 	return d.take(r, best, expected, asked), true
 }
 
+// justReported returns the best near candidate whose report is as good as an
+// answer now, such as one that has just finished a request.
+func (d *Dispatcher) justReported(order []candidate) candidate {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	for _, c := range order {
+		t := c.target
+		if c.tier == nearTier && t.reported(now, reportFresh) && !t.full() && d.fast(t, now) {
+			return c
+		}
+	}
+	return candidate{}
+}
+
 func (c candidate) release() {
 	if c.conn != nil {
 		c.conn.Release()
@@ -135,7 +152,7 @@
 	score := t.slowdown(now, reportUsable) + failingCost*t.failing(now)
 	score += float64(t.occupied()) / float64(t.info.Slots) * jitter
 	if t.full() && t.reported(now, reportUsable) {
-		score += float64(1 + t.occupied() - t.info.Slots)
+		score += float64(1 + t.occupied() - t.room())
 	}
 	if t.info.Zone != d.terms.Zone {
 		score += foreignZone
@@ -147,7 +164,10 @@
 func (d *Dispatcher) isGood(t *target) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.clock()
+	return d.fast(t, d.clock())
+}
+
+func (d *Dispatcher) fast(t *target, now time.Time) bool {
 	return t.slowdown(now, reportUsable) <= goodSlowdown && t.failing(now) <= maxFailing
 }
 
@@ -157,17 +177,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock()
-	if r.Repeat || d.isTolerable(c.target, now) {
+	if r.Repeat || d.fast(c.target, now) {
 		return true
 	}
 	finish := now.Add(time.Duration(c.target.slowdown(now, reportUsable) * float64(expected)))
 	return !finish.After(r.Arrival.Add(r.Objective))
 }
 
-func (d *Dispatcher) isTolerable(t *target, now time.Time) bool {
-	return t.slowdown(now, reportUsable) <= goodSlowdown
-}
-
 // better returns the best of the candidates that may take the request, and
 // releases the connections of the others.
 func (d *Dispatcher) better(r *Request, best candidate, found []candidate) candidate {
--- a/routing/target.go
+++ b/routing/target.go
@@ -11,10 +11,9 @@
 )
 
 const (
-	// nearlyFull is the part of a target's slots from which its work takes
-	// longer, by crowdedFactor.
-	nearlyFull    = 0.8
-	crowdedFactor = 1.7
+	// nearlyFull is the part of a target's slots above which its work takes so
+	// much longer that it finishes less in all.
+	nearlyFull = 0.8
 	// slownessMemory is the time constant with which a measured slowness fades.
 	slownessMemory = 3 * time.Second
 	// slownessWeight is the weight of a new measurement.
@@ -79,13 +78,12 @@
 	return max(len(t.flights), t.load.Running+t.load.Waiting+t.sent)
 }
 
-// full returns whether one more request would have to wait at the target.
-func (t *target) full() bool { return t.occupied() >= t.info.Slots }
+// room returns the number of requests that the target runs without slowing
+// down.
+func (t *target) room() int { return max(1, int(nearlyFull*float64(t.info.Slots))) }
 
-// crowded returns whether one more request would slow the target down.
-func (t *target) crowded() bool {
-	return t.info.Slots > 1 && float64(t.occupied()+1) > nearlyFull*float64(t.info.Slots)
-}
+// full returns whether one more request would slow the target down.
+func (t *target) full() bool { return t.occupied() >= t.room() }
 
 // slowdown returns how much longer than usual work takes on the target.
 func (t *target) slowdown(now time.Time, age time.Duration) float64 {
@@ -100,9 +98,6 @@
 	if t.reported(now, age) && t.load.Slowdown > 0 {
 		factor *= t.load.Slowdown
 	}
-	if t.crowded() {
-		factor *= crowdedFactor
-	}
 	if now.Before(t.warmAt) {
 		factor *= coldFactor
 	}
