entry, routing: two instances of a zone take its callers, late requests stay in their zone

Cause: fifteen instances shared the probes of each target, so that under load half of the requests went to targets of unknown speed, a quarter of which are four times slow; and late requests paid for bytes to other zones. Change: entry answers name two instances of the caller's zone, the budget of probes is divided by those, and a late request stays in its zone if that has targets.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -29,6 +29,7 @@
 	logger    log.Interface
 	recorder  *timeline.Recorder
 	members   *membership.Directory
+	planner   *entry.Planner
 	mesh      *peer.Mesh
 	targets   *targets.Directory
 	table     *routing.Table
@@ -52,6 +53,7 @@
 		ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: time.Now().UnixMilli(),
 		CallerAddress: s.Callers.Listen, PeerAddress: s.Peers.Listen, AdminAddress: s.Admin.Listen,
 	}, membership.WithOnChange(d.noteMembers))
+	d.planner = entry.NewPlanner(d.members)
 	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger),
 		peer.WithOnNews(func(n peer.News) { d.registry.HearNews(n) }), peer.WithSeeds(seedsOf(s)))
 	d.config = registry.NewConfigFollower(store, logger, d.applyConfig)
@@ -60,7 +62,7 @@
 	d.freshness = newFreshness(d.registry, d.config, s.Budgets.DrainDelay, d.notePause)
 	d.relay = relay.NewServer(d.config, d.table, relay.WithRecorder(d.recorder), relay.WithLogger(logger),
 		relay.WithFreshness(d.freshness), relay.WithMaxConnections(s.Callers.MaxConnections))
-	d.desk = relay.NewDesk(entry.NewPlanner(d.members), s.Callers.EntryTTL, d.ready, logger)
+	d.desk = relay.NewDesk(d.planner, s.Callers.EntryTTL, d.ready, logger)
 	d.admin = admin.NewServer(d, d.recorder, s.Admin.Token, logger)
 	return d
 }
@@ -93,7 +95,9 @@
 
 func (d *Daemon) noteTargets(service string) { d.table.RefreshTargets(service) }
 
-func (d *Daemon) noteMembers() { d.table.SetInstances(d.members.Count()) }
+func (d *Daemon) noteMembers() {
+	d.table.SetSharing(routing.Sharing{Known: d.members.Count(), Active: d.planner.Active()})
+}
 
 // notePause records that the process was paused.
 func (d *Daemon) notePause(pause time.Duration) {
--- a/entry/planner.go
+++ b/entry/planner.go
@@ -17,6 +17,9 @@
 	// minAddresses is the number of instances of the caller's zone below which
 	// those of other zones are named as well.
 	minAddresses = 2
+	// PerZone is the number of instances of a zone that take its callers: the
+	// fewer there are, the more each knows of the targets' load.
+	PerZone = 2
 )
 
 // Directory lists the instances that take callers.
@@ -43,6 +46,7 @@
 			far = append(far, in.CallerAddress)
 		}
 	}
+	near = near[:min(len(near), PerZone)]
 	chosen := near
 	if len(near) < minAddresses {
 		chosen = append(chosen, far...)
@@ -53,3 +57,16 @@
 	rand.Shuffle(len(chosen), func(i, j int) { chosen[i], chosen[j] = chosen[j], chosen[i] })
 	return chosen[:min(len(chosen), MaxAddresses)]
 }
+
+// Active returns the number of instances that take callers by the present
+// answers.
+func (p *Planner) Active() int {
+	zones := map[string]int{}
+	active := 0
+	for _, in := range p.directory.Ready() {
+		if zones[in.Zone]++; zones[in.Zone] <= PerZone {
+			active++
+		}
+	}
+	return max(1, active)
+}
--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -35,7 +35,7 @@
 	mu        sync.Mutex
 	random    *rand.Rand
 	service   *config.Service
-	instances int
+	sharing   Sharing
 	targets   map[targets.Incarnation]*target
 	queue     queue
 	durations durations
@@ -60,9 +60,9 @@
 func WithRandom(random *rand.Rand) Option { return func(d *Dispatcher) { d.random = random } }
 
 // NewDispatcher returns the dispatcher of a service without targets.
-func NewDispatcher(service *config.Service, terms Terms, instances int, opts ...Option) *Dispatcher {
+func NewDispatcher(service *config.Service, terms Terms, sharing Sharing, opts ...Option) *Dispatcher {
 	d := &Dispatcher{
-		terms: terms, clock: time.Now, service: service, instances: max(1, instances),
+		terms: terms, clock: time.Now, service: service, sharing: sharing,
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pool:    func(to upstream.Destination, limit int) *upstream.Pool { return upstream.NewPool(to, limit) },
 		targets: map[targets.Incarnation]*target{},
@@ -70,21 +70,21 @@
 	for _, opt := range opts {
 		opt(d)
 	}
-	d.retries = limits.NewRetryBudget(terms.Retries, d.instances, d.clock)
+	d.retries = limits.NewRetryBudget(terms.Retries, sharing.Known, d.clock)
 	return d
 }
 
-// Update puts a new version of the service and the number of instances into
+// Update puts a new version of the service and the division of the budgets into
 // force.
-func (d *Dispatcher) Update(service *config.Service, instances int) {
+func (d *Dispatcher) Update(service *config.Service, sharing Sharing) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	moved := service.HealthPath != d.service.HealthPath
 	d.service = service
-	d.instances = max(1, instances)
-	d.retries.SetInstances(d.instances)
+	d.sharing = sharing
+	d.retries.SetInstances(sharing.Known)
 	for _, t := range d.targets {
-		t.probes.SetInstances(d.terms.ProbesPerSecond, d.instances)
+		t.probes.SetInstances(d.terms.ProbesPerSecond, d.sharing.Active)
 		if moved {
 			t.pool.Close()
 			t.pool = d.open(t.info)
@@ -101,7 +101,7 @@
 	d.terms = terms
 	d.retries.SetTerms(terms.Retries)
 	for _, t := range d.targets {
-		t.probes.SetInstances(terms.ProbesPerSecond, d.instances)
+		t.probes.SetInstances(terms.ProbesPerSecond, d.sharing.Active)
 	}
 }
 
@@ -118,7 +118,7 @@
 		if t == nil {
 			t = &target{
 				pool: d.open(info), warmAt: now.Add(info.Cold),
-				probes: limits.NewProbeBudget(d.terms.ProbesPerSecond, d.instances),
+				probes: limits.NewProbeBudget(d.terms.ProbesPerSecond, d.sharing.Active),
 			}
 			d.targets[info.Incarnation()] = t
 		}
@@ -143,7 +143,7 @@
 	if limit <= 0 {
 		limit = defaultConnections
 	}
-	return max(minConnections, int(connectionUse*float64(limit)/float64(d.instances)))
+	return max(minConnections, int(connectionUse*float64(limit)/float64(max(1, d.sharing.Known))))
 }
 
 // AllowRetry returns whether the budget of the service allows one more try of
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -71,6 +71,14 @@
 	ProbesPerSecond float64
 }
 
+// Sharing tells how many instances share the budgets.
+type Sharing struct {
+	// Known is the number of instances that may send requests to targets.
+	Known int
+	// Active is the number of those that entry answers name.
+	Active int
+}
+
 // Stats counts what a dispatcher did.
 type Stats struct {
 	Acquired      uint64
--- a/routing/scan.go
+++ b/routing/scan.go
@@ -68,6 +68,9 @@
 	if len(order) == 0 {
 		return nil, false
 	}
+	if late {
+		order = d.nearest(order)
+	}
 	asked := 0
 	best := d.justReported(order)
 	if best.target != nil {
@@ -136,6 +139,16 @@
 	return all, d.durations.expect(r)
 }
 
+// nearest returns the candidates of the own zone, or all if there are none: an
+// answer that comes late is not worth the bytes to another zone.
+func (d *Dispatcher) nearest(order []candidate) []candidate {
+	near := slices.DeleteFunc(slices.Clone(order), func(c candidate) bool { return c.target.info.Zone != d.terms.Zone })
+	if len(near) == 0 {
+		return order
+	}
+	return near
+}
+
 func (d *Dispatcher) tier(t *target, score float64) tier {
 	switch {
 	case score >= doubtfulScore:
--- a/routing/table.go
+++ b/routing/table.go
@@ -19,14 +19,14 @@
 	opts     []Option
 
 	mu          sync.RWMutex
-	instances   int
+	sharing     Sharing
 	dispatchers map[string]*Dispatcher
 }
 
 // NewTable returns a table without services. The options apply to every
 // dispatcher.
 func NewTable(terms Terms, registry Registry, opts ...Option) *Table {
-	return &Table{terms: terms, registry: registry, opts: opts, instances: 1, dispatchers: map[string]*Dispatcher{}}
+	return &Table{terms: terms, registry: registry, opts: opts, sharing: Sharing{Known: 1, Active: 1}, dispatchers: map[string]*Dispatcher{}}
 }
 
 // Dispatcher returns the dispatcher of a service, nil when there is none.
@@ -43,10 +43,10 @@
 	for name, service := range services {
 		d := t.dispatchers[name]
 		if d != nil {
-			d.Update(service, t.instances)
+			d.Update(service, t.sharing)
 			continue
 		}
-		d = NewDispatcher(service, t.terms, t.instances, t.opts...)
+		d = NewDispatcher(service, t.terms, t.sharing, t.opts...)
 		d.SetTargets(t.registry.Of(name))
 		t.dispatchers[name] = d
 	}
@@ -58,16 +58,16 @@
 	}
 }
 
-// SetInstances changes the number of instances that share the budgets.
-func (t *Table) SetInstances(n int) {
+// SetSharing changes how many instances share the budgets.
+func (t *Table) SetSharing(sharing Sharing) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if n == t.instances {
+	if sharing == t.sharing {
 		return
 	}
-	t.instances = n
+	t.sharing = sharing
 	for _, d := range t.dispatchers {
-		d.Update(d.Service(), n)
+		d.Update(d.Service(), sharing)
 	}
 }
 
