--- a/routing/scan.go
+++ b/routing/scan.go
@@ -34,6 +34,9 @@
 	// foreignZone is what the bytes to another zone count, as a part of the
 	// expected duration.
 	foreignZone = 0.3
+	// farRoom is the part of its room up to which a target of another zone takes
+	// requests.
+	farRoom = 0.7
 	// failingCost is what a certain failure counts, in expected durations.
 	failingCost = 12.0
 	// jitter keeps instances from choosing the same targets at once, as a part
@@ -206,7 +209,7 @@
 	for _, c := range found {
 		c.score = d.score(c.target, now)
 		switch {
-		case !c.target.usable(now) || c.target.full():
+		case !c.target.usable(now) || c.target.full() || !d.worthCrossing(c.target):
 			c.release()
 		case best.target == nil || c.score < best.score:
 			best.release()
@@ -218,6 +221,13 @@
 	return best
 }
 
+// worthCrossing returns whether a target of another zone has so much room that
+// its own zone does not need it. Otherwise instances of two crowded zones would
+// send their requests across to each other.
+func (d *Dispatcher) worthCrossing(t *target) bool {
+	return t.info.Zone == d.terms.Zone || float64(t.occupied()) < farRoom*float64(t.room())
+}
+
 // take gives the lease of the chosen target.
 func (d *Dispatcher) take(r *Request, c candidate, expected time.Duration, asked int) *Lease {
 	d.mu.Lock()
