Stand-ins of the store and of targets, tests of the adapter, targets and budgets

A model test of the retry budget found that a window of exactly its length could hold two allowances (99 further tries where 59 are allowed), since the span that was counted ended with a bucket that had only begun; the budget now counts one bucket more.

--- /dev/null
+++ b/config/document_test.go
@@ -0,0 +1,44 @@
+package config
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func route(host, prefix string) *Route {
+	return &Route{
+		Name: host + prefix, Host: host, PathPrefix: prefix, Timeout: time.Second, Attempts: 1,
+		Split: []Part{{Service: "s", Weight: 1}},
+	}
+}
+
+// Guards against a request that takes a shorter prefix, another host's route,
+// or a prefix that ends within a part of the path.
+func TestMatch(t *testing.T) {
+	d := &Document{
+		Version: 1, Services: map[string]*Service{"s": {Name: "s"}},
+		Routes: []*Route{route("a.example", "/"), route("a.example", "/x/"), route("a.example", "/x/y/"), route("b.example", "/z/")},
+	}
+	assert.NilError(t, d.Validate())
+	d.Index()
+	tests := []struct{ host, path, want string }{
+		{"a.example", "/x/y/1", "a.example/x/y/"},
+		{"a.example", "/x/y", "a.example/x/"},
+		{"a.example", "/xy/1", "a.example/"},
+		{"A.Example:8080", "/x/", "a.example/x/"},
+		{"b.example", "/z/1", "b.example/z/"},
+		{"b.example", "/z", ""},
+		{"b.example", "/x/1", ""},
+		{"c.example", "/x/1", ""},
+		{"a.example", "", ""},
+	}
+	for _, tt := range tests {
+		got := ""
+		if r := d.Match(tt.host, tt.path); r != nil {
+			got = r.Key()
+		}
+		assert.Equal(t, got, tt.want, "%s%s", tt.host, tt.path)
+	}
+}
--- /dev/null
+++ b/entry/planner_test.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/membership"
+)
+
+// fixed is a directory that does not change.
+type fixed struct {
+	self  membership.Instance
+	ready []membership.Instance
+}
+
+func (f fixed) Self() membership.Instance    { return f.self }
+func (f fixed) Ready() []membership.Instance { return f.ready }
+
+func instances(zones ...string) []membership.Instance {
+	var all []membership.Instance
+	for i, zone := range zones {
+		all = append(all, membership.Instance{
+			ID: fmt.Sprintf("n%02d", i), Zone: zone, State: membership.Ready,
+			CallerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
+		})
+	}
+	return all
+}
+
+// Guards against answers that name instances of the wrong zone, too few, or
+// none while there are some.
+func TestPlan(t *testing.T) {
+	tests := []struct {
+		name  string
+		zones []string
+		state membership.State
+		want  []int // the last parts of the addresses
+	}{
+		{"two of the own zone", []string{"a", "b", "a", "a", "b"}, membership.Ready, []int{0, 2}},
+		{"one of the own zone, all others", []string{"a", "b", "b", "c"}, membership.Ready, []int{0, 1, 2, 3}},
+		{"none of the own zone", []string{"b", "c"}, membership.Ready, []int{0, 1}},
+		{"alone and leaving", nil, membership.Leaving, []int{99}},
+		{"alone and starting", nil, membership.Starting, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			self := membership.Instance{State: tt.state, CallerAddress: netip.MustParseAddrPort("10.0.0.99:80")}
+			var got []int
+			for _, a := range NewPlanner(fixed{self, instances(tt.zones...)}).Plan("a") {
+				got = append(got, int(a.Addr().As4()[3]))
+			}
+			slices.Sort(got)
+			assert.DeepEqual(t, got, tt.want)
+		})
+	}
+}
+
+// Guards against a count of active instances that differs from what the answers
+// name.
+func TestActive(t *testing.T) {
+	assert.Equal(t, NewPlanner(fixed{ready: instances("a", "a", "a", "b", "c", "c", "c")}).Active(), 5)
+	assert.Equal(t, NewPlanner(fixed{}).Active(), 1)
+}
--- /dev/null
+++ b/limits/limits_test.go
@@ -0,0 +1,93 @@
+package limits
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against instances that together spend more further tries in any window
+// than the terms allow, however their requests come.
+func TestRetryBudgetOverAllInstances(t *testing.T) {
+	terms := RetryTerms{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_700_000_000, 0)
+		instances := rapid.IntRange(1, 15).Draw(t, "instances")
+		budgets := make([]*RetryBudget, instances)
+		for i := range budgets {
+			budgets[i] = NewRetryBudget(terms, instances, func() time.Time { return now })
+		}
+		var requests, tries []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, instances-1).Draw(t, "instance")]
+			if rapid.Bool().Draw(t, "request") {
+				b.Deposit()
+				requests = append(requests, now)
+			}
+			for b.Allow() {
+				tries = append(tries, now)
+			}
+			since := now.Add(-terms.Window)
+			allowed := terms.Ratio*float64(after(requests, since)) + terms.Slack
+			if spent := float64(after(tries, since)); spent > allowed {
+				t.Fatalf("%g further tries in a window that allows %g", spent, allowed)
+			}
+		}
+	})
+}
+
+func after(times []time.Time, since time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a budget that does not come back after a window.
+func TestRetryBudgetRecovers(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	b := NewRetryBudget(RetryTerms{Slack: 10, Window: time.Second}, 1, func() time.Time { return now })
+	first := spend(b)
+	assert.Assert(t, first > 0)
+	assert.Equal(t, spend(b), 0)
+	now = now.Add(1100 * time.Millisecond)
+	assert.Equal(t, spend(b), first)
+	b.SetInstances(10)
+	now = now.Add(1100 * time.Millisecond)
+	assert.Equal(t, spend(b), 0)
+}
+
+func spend(b *RetryBudget) int {
+	n := 0
+	for b.Allow() {
+		n++
+	}
+	return n
+}
+
+// Guards against instances that together probe a target more often than it
+// allows.
+func TestProbeBudgetOverAllInstances(t *testing.T) {
+	const perSecond, instances, seconds = 60.0, 6, 60
+	budgets := make([]*ProbeBudget, instances)
+	for i := range budgets {
+		budgets[i] = NewProbeBudget(perSecond, instances)
+	}
+	probes := 0
+	start := time.Now()
+	for ms := range 1000 * seconds {
+		for _, b := range budgets {
+			if b.Allow(start.Add(time.Duration(ms) * time.Millisecond)) {
+				probes++
+			}
+		}
+	}
+	assert.Assert(t, float64(probes) <= perSecond*seconds, "%d probes", probes)
+	assert.Assert(t, float64(probes) >= 0.7*perSecond*seconds, "%d probes", probes)
+}
--- a/limits/retry_budget.go
+++ b/limits/retry_budget.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// budgetBuckets divides the window of a RetryBudget.
-	budgetBuckets = 50
+	// budgetBuckets divides the span that a RetryBudget counts: the window and
+	// one bucket more, since the newest one has only begun.
+	budgetBuckets = 51
 	// budgetUse is the part of the allowance that an instance uses: callers
 	// that leave before they are counted must not lead over it.
 	budgetUse = 0.85
@@ -88,7 +89,7 @@
 
 // advance drops the buckets that have left the window.
 func (b *RetryBudget) advance() {
-	width := max(1, b.terms.Window/budgetBuckets)
+	width := max(1, b.terms.Window/(budgetBuckets-1))
 	now := b.clock().UnixNano() / int64(width)
 	if now <= b.current {
 		return
--- /dev/null
+++ b/standin/proxy_test.go
@@ -0,0 +1,87 @@
+package standin_test
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/standin"
+)
+
+// serveTarget starts a target on an address of its own.
+func serveTarget(t *testing.T, target *standin.Target) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- target.Serve(l) }()
+	t.Cleanup(func() {
+		assert.NilError(t, target.Close())
+		assert.NilError(t, <-served)
+	})
+	return l.Addr().String()
+}
+
+// post sends one request on the connection and returns the body.
+func post(c net.Conn, id string) (string, error) {
+	if _, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: t\r\nRhubarbrelay-Attempt-Id: %s\r\nContent-Length: 4\r\n\r\nbody", id); err != nil {
+		return "", err
+	}
+	var resp fasthttp.Response
+	err := resp.Read(bufio.NewReader(c))
+	return string(resp.Body()), err
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// Guards against a proxy that passes bytes which it should drop, or that lets
+// the end of a silent connection through.
+func TestProxyModes(t *testing.T) {
+	to := serveTarget(t, standin.NewTarget(standin.Describe("t-1", "s", "a", 1, netip.AddrPort{})))
+	// No other process chooses a port of this address.
+	free, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 16+rand.IntN(200), rand.IntN(256), 1+rand.IntN(254)))
+	assert.NilError(t, err)
+	address := free.Addr().String()
+	assert.NilError(t, free.Close())
+	p := standin.NewProxy(address, to)
+	mode := func(m string) { assert.NilError(t, p.SetMode(m)) }
+	defer mode(standin.ProxyRefuse)
+
+	mode(standin.ProxyPass)
+	open := dial(t, address)
+	_, err = post(open, "1")
+	assert.NilError(t, err)
+
+	mode(standin.ProxySilenceOpen)
+	_, err = post(dial(t, address), "2")
+	assert.NilError(t, err)
+	_, err = fmt.Fprint(open, "GET / HTTP/1.1\r\n\r\n")
+	assert.NilError(t, err)
+	assert.NilError(t, open.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+	_, err = open.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+
+	mode(standin.ProxyReset)
+	_, err = post(dial(t, address), "3")
+	assert.Assert(t, err != nil)
+	mode(standin.ProxyRefuse)
+	_, err = net.Dial("tcp", address)
+	assert.ErrorContains(t, err, "refused")
+	mode(standin.ProxyPass)
+	_, err = post(dial(t, address), "4")
+	assert.NilError(t, err)
+}
--- /dev/null
+++ b/standin/store.go
@@ -0,0 +1,312 @@
+// Package standin implements small stand-ins of the platform's store and of
+// targets for tests, the demo and the soak. They can be told to fail.
+package standin
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// maxPage bounds the records of one page of the newest ones.
+	maxPage = 500
+	// maxWait bounds a long poll.
+	maxWait = 30 * time.Second
+)
+
+// Faults are the failures that the store shows until they are changed.
+type Faults struct {
+	// Down answers 503 without effect, Throttled 429, and Full 507 to appends.
+	Down, Throttled, Full bool
+	// Silent never answers.
+	Silent bool
+	// LoseAnswers carries appends out and closes the connection.
+	LoseAnswers bool
+	// Delay passes before every answer.
+	Delay time.Duration
+	// Refused are the addresses of machines that get 503 while others are
+	// served.
+	Refused []string
+}
+
+// Store is the stand-in of the platform's log store. It knows keyed topics of
+// one partition, which are all that the project uses.
+type Store struct {
+	http *fasthttp.Server
+
+	mu     sync.Mutex
+	topics map[string]*topic
+	faults Faults
+	// changed is closed at each append and each change of the faults.
+	changed chan struct{}
+	calls   map[string]int
+	closed  bool
+}
+
+// topic is the log of one partition.
+type topic struct {
+	first   int64 // offset of the oldest record that is kept
+	records []record
+	newest  map[string]record
+}
+
+// record is one record with its offset.
+type record struct {
+	key    string
+	value  []byte
+	offset int64
+}
+
+func (t *topic) end() int64 { return t.first + int64(len(t.records)) }
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	s := &Store{topics: map[string]*topic{}, changed: make(chan struct{}), calls: map[string]int{}}
+	s.http = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, CloseOnShutdown: true}
+	return s
+}
+
+// Serve answers calls until the listener closes.
+func (s *Store) Serve(l net.Listener) error { return s.http.Serve(l) }
+
+// Close ends the calls that wait and stops serving.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	s.wake()
+	s.mu.Unlock()
+	return s.http.Shutdown()
+}
+
+// SetFaults changes the failures.
+func (s *Store) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+	s.wake()
+}
+
+// Calls returns the number of calls by path.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.calls)
+}
+
+// Expire drops the history of every topic. The newest record of each key stays.
+func (s *Store) Expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.topics {
+		t.first, t.records = t.end(), nil
+	}
+	s.wake()
+}
+
+// Put appends a record as an operator or a target does. A nil value drops the
+// key.
+func (s *Store) Put(name, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.append(s.topic(name), key, value)
+	s.wake()
+}
+
+// Newest returns the newest value of a key, nil when there is none.
+func (s *Store) Newest(name, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.topic(name).newest[key].value
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{newest: map[string]record{}}
+		s.topics[name] = t
+	}
+	return t
+}
+
+func (s *Store) append(t *topic, key string, value []byte) {
+	r := record{key: key, value: slices.Clone(value), offset: t.end()}
+	t.records = append(t.records, r)
+	if value == nil {
+		delete(t.newest, key)
+		return
+	}
+	t.newest[key] = r
+}
+
+func (s *Store) handle(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	path := string(ctx.Path())
+	s.calls[path]++
+	faults := s.faults
+	s.mu.Unlock()
+	if strings.HasPrefix(path, controlPrefix) {
+		s.control(ctx, path)
+		return
+	}
+	time.Sleep(faults.Delay)
+	switch {
+	case faults.Silent:
+		s.awaitChange()
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
+	case faults.Down, slices.Contains(faults.Refused, ctx.RemoteIP().String()):
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	case faults.Throttled:
+		ctx.SetStatusCode(fasthttp.StatusTooManyRequests)
+	default:
+		s.serve(ctx, path, faults)
+	}
+}
+
+func (s *Store) serve(ctx *fasthttp.RequestCtx, path string, faults Faults) {
+	name := string(ctx.QueryArgs().Peek("topic"))
+	switch path {
+	case "/-/log-append":
+		if faults.Full {
+			ctx.SetStatusCode(fasthttp.StatusInsufficientStorage)
+			return
+		}
+		s.handleAppend(ctx, name)
+		if faults.LoseAnswers {
+			ctx.HijackSetNoResponse(true)
+			ctx.Hijack(func(net.Conn) {})
+		}
+	case "/-/log-read":
+		s.handleRead(ctx, name)
+	case "/-/log-newest":
+		s.handleNewest(ctx, name)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+// awaitChange waits until the faults change or the store closes.
+func (s *Store) awaitChange() {
+	s.mu.Lock()
+	changed := s.changed
+	s.mu.Unlock()
+	<-changed
+}
+
+func (s *Store) handleAppend(ctx *fasthttp.RequestCtx, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	if at := ctx.QueryArgs().Peek("at"); len(at) > 0 && string(at) != strconv.FormatInt(t.end(), 10) {
+		ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
+		writeJSON(ctx, map[string]int64{"end-offset": t.end()})
+		return
+	}
+	first := t.end()
+	for body := ctx.PostBody(); len(body) > 4; {
+		length := int(binary.BigEndian.Uint32(body))
+		raw := body[4 : 4+length]
+		body = body[4+length:]
+		end := 1 + int(raw[0])
+		var value []byte
+		if end < len(raw) {
+			value = raw[end:]
+		}
+		s.append(t, string(raw[1:end]), value)
+	}
+	s.wake()
+	writeJSON(ctx, map[string]int64{"offset": first, "end-offset": t.end()})
+}
+
+func (s *Store) handleRead(ctx *fasthttp.RequestCtx, name string) {
+	from, err := strconv.ParseInt(string(ctx.QueryArgs().Peek("from")), 10, 64)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	wait := min(maxWait, time.Duration(ctx.QueryArgs().GetUintOrZero("wait-ms"))*time.Millisecond)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		t, changed := s.topic(name), s.changed
+		done := s.closed || wait == 0 || from != t.end() || s.faults.Down || s.faults.Silent
+		if done {
+			writeRecords(ctx, t, from)
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-timer.C:
+			wait = 0
+		}
+	}
+}
+
+func writeRecords(ctx *fasthttp.RequestCtx, t *topic, from int64) {
+	if from < t.first {
+		ctx.SetStatusCode(fasthttp.StatusGone)
+		writeJSON(ctx, map[string]int64{"first": t.first})
+		return
+	}
+	body := binary.BigEndian.AppendUint64(nil, uint64(t.end()))
+	body = binary.BigEndian.AppendUint64(body, uint64(t.first))
+	for _, r := range t.records[min(int64(len(t.records)), from-t.first):] {
+		body = binary.BigEndian.AppendUint32(body, uint32(1+len(r.key)+len(r.value)))
+		body = append(body, byte(len(r.key)))
+		body = append(append(body, r.key...), r.value...)
+	}
+	ctx.SetBody(body)
+}
+
+func (s *Store) handleNewest(ctx *fasthttp.RequestCtx, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	after := string(ctx.QueryArgs().Peek("after"))
+	type item struct {
+		Key    string `json:"key"`
+		Value  string `json:"value"`
+		Offset int64  `json:"offset"`
+	}
+	items, more := []item{}, false
+	for _, key := range slices.Sorted(maps.Keys(t.newest)) {
+		if after != "" && key <= after {
+			continue
+		}
+		if len(items) == maxPage {
+			more = true
+			break
+		}
+		r := t.newest[key]
+		items = append(items, item{key, base64.StdEncoding.EncodeToString(r.value), r.offset})
+	}
+	writeJSON(ctx, map[string]any{"items": items, "has-more": more, "end-offset": t.end()})
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, message any) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
