peer, registry: short heartbeats, one reader of the configuration for all

Change: heartbeats leave out what does not change; an instance that callers are not sent to beats every 3 s and in its zone only; only instances that read the registry wait for the configuration, the others hear the version from them.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -55,9 +55,9 @@
 	}, membership.WithOnChange(d.noteMembers))
 	d.planner = entry.NewPlanner(d.members)
 	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger),
-		peer.WithOnNews(func(n peer.News) { d.registry.HearNews(n) }), peer.WithSeeds(seedsOf(s)))
-	d.config = registry.NewConfigFollower(store, logger, d.applyConfig)
+		peer.WithOnNews(d.hearNews), peer.WithSeeds(seedsOf(s)), peer.WithActive(d.planner.IsActive))
 	d.registry = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, logger)
+	d.config = registry.NewConfigFollower(store, d.registry.Reads, logger, d.applyConfig)
 	d.announcer = registry.NewAnnouncer(store, d.members, logger)
 	d.freshness = newFreshness(d.registry, d.config, s.Budgets.DrainDelay, d.notePause)
 	d.relay = relay.NewServer(d.config, d.table, relay.WithRecorder(d.recorder), relay.WithLogger(logger),
@@ -90,6 +90,7 @@
 	d.table.Update(document.Services)
 	d.relay.ResetSplits()
 	d.members.SetConfigVersion(document.Version)
+	go d.mesh.Announce() // the others need not wait for the next heartbeat
 	d.recorder.Record(timeline.Event{Kind: timeline.ConfigInForce, Version: document.Version})
 }
 
@@ -105,6 +106,11 @@
 	d.logger.WithField("pause", pause.String()).Warn("process was paused, state is read again before it is used")
 }
 
+func (d *Daemon) hearNews(news peer.News) {
+	d.registry.HearNews(news)
+	d.config.Hint(news.Version)
+}
+
 // ready returns whether the instance takes callers.
 func (d *Daemon) ready() bool { return d.members.Self().State == membership.Ready }
 
--- a/entry/planner.go
+++ b/entry/planner.go
@@ -70,3 +70,18 @@
 	}
 	return max(1, active)
 }
+
+// IsActive returns whether the answers name this instance to the callers of its
+// zone.
+func (p *Planner) IsActive() bool {
+	self, before := p.directory.Self(), 0
+	for _, in := range p.directory.Ready() {
+		if in.ID == self.ID {
+			return before < PerZone
+		}
+		if in.Zone == self.Zone {
+			before++
+		}
+	}
+	return false
+}
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -34,12 +34,6 @@
 }
 
 const (
-	// HeartbeatInterval is the time between two heartbeats to an instance of
-	// the same zone.
-	HeartbeatInterval = 500 * time.Millisecond
-	// FarHeartbeatInterval applies to instances of other zones, whose addresses
-	// callers get only when their own zone has too few.
-	FarHeartbeatInterval = 2 * time.Second
 	// missedHeartbeats is the number of heartbeats without which an instance
 	// counts as dead.
 	missedHeartbeats = 2.6
@@ -53,6 +47,8 @@
 	instance Instance
 	heardAt  time.Time // zero when it was only listed
 	listedAt time.Time
+	// interval is the time between its heartbeats.
+	interval time.Duration
 }
 
 // Directory holds the instances. It is safe for concurrent use.
@@ -121,41 +117,48 @@
 	}
 }
 
-// Hear notes a packet of another instance. It returns whether the instance was
-// unknown before.
-func (d *Directory) Hear(in Instance) (unknown bool) {
+// Hear notes a packet of another instance, which announces the next one after
+// the interval. A packet without addresses continues what is known of its
+// incarnation. The result is false when nothing is known of that.
+func (d *Directory) Hear(in Instance, interval time.Duration) (known bool) {
 	d.mu.Lock()
-	if in.ID == d.self.ID {
+	m := d.members[in.ID]
+	complete := in.PeerAddress.IsValid()
+	switch {
+	case in.ID == d.self.ID:
+		d.mu.Unlock()
+		return true
+	case !complete && (m == nil || in.Incarnation != m.instance.Incarnation):
 		d.mu.Unlock()
 		return false
-	}
-	m := d.members[in.ID]
 	// The time of day may have been set back between two starts, so that a lower
 	// incarnation counts once the known one is silent.
-	if m != nil && in.Incarnation < m.instance.Incarnation && d.alive(m) {
+	case m != nil && in.Incarnation < m.instance.Incarnation && d.alive(m):
 		d.mu.Unlock()
-		return false
+		return true
+	}
+	same := m != nil && in.Incarnation == m.instance.Incarnation
+	if !complete {
+		state, version := in.State, in.ConfigVersion
+		in = m.instance
+		in.State, in.ConfigVersion = state, version
 	}
-	unknown = m == nil || m.heardAt.IsZero() || in.Incarnation != m.instance.Incarnation
-	if !unknown && m.instance.State == Leaving {
+	if same && m.instance.State == Leaving {
 		in.State = Leaving // an earlier packet that arrived late
 	}
-	changed := unknown || m.instance.State != in.State || !d.alive(m)
-	d.members[in.ID] = &member{instance: in, heardAt: d.clock(), listedAt: d.clock()}
+	changed := !same || m.instance.State != in.State || !d.alive(m)
+	now := d.clock()
+	d.members[in.ID] = &member{instance: in, heardAt: now, listedAt: now, interval: interval}
 	d.mu.Unlock()
 	if changed {
 		d.onChange()
 	}
-	return unknown
+	return true
 }
 
 // alive returns whether the instance was heard recently.
 func (d *Directory) alive(m *member) bool {
-	interval := HeartbeatInterval
-	if m.instance.Zone != d.self.Zone {
-		interval = FarHeartbeatInterval
-	}
-	return !m.heardAt.IsZero() && d.clock().Sub(m.heardAt) < time.Duration(missedHeartbeats*float64(interval))
+	return !m.heardAt.IsZero() && d.clock().Sub(m.heardAt) < time.Duration(missedHeartbeats*float64(m.interval))
 }
 
 // Ready returns the instances that take callers, this one included, by ID.
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -33,6 +33,13 @@
 	}
 }
 
+// heartbeatToWire leaves out what does not change in an incarnation.
+func heartbeatToWire(in membership.Instance) *peerpb.Instance {
+	return &peerpb.Instance{
+		Id: in.ID, Incarnation: in.Incarnation, State: peerpb.State(in.State + 1), ConfigVersion: in.ConfigVersion,
+	}
+}
+
 func instanceFromWire(m *peerpb.Instance) (membership.Instance, error) {
 	in := membership.Instance{
 		ID: m.GetId(), Zone: m.GetZone(), Incarnation: m.GetIncarnation(), ConfigVersion: m.GetConfigVersion(),
@@ -51,6 +58,9 @@
 		text string
 		to   *netip.AddrPort
 	}{{m.GetCallerAddress(), &in.CallerAddress}, {m.GetPeerAddress(), &in.PeerAddress}, {m.GetAdminAddress(), &in.AdminAddress}} {
+		if f.text == "" {
+			continue
+		}
 		address, err := netip.ParseAddrPort(f.text)
 		if err != nil {
 			return in, fmt.Errorf("%w: address of instance %q: %w", ErrMalformed, in.ID, err)
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -36,8 +36,17 @@
 	// datagrams get lost.
 	leavingRepeats  = 3
 	leavingInterval = 100 * time.Millisecond
+)
+
+// The times between the heartbeats of an instance. Callers are sent to few
+// instances, and only the death of those has to be noticed soon. Other zones
+// need to know them only for callers whose own zone has none.
+const (
+	activeInterval = 500 * time.Millisecond
+	farInterval    = 2 * time.Second
+	idleInterval   = 3 * time.Second
 	// forgetInterval is the time between two looks for instances to forget.
-	forgetEvery = 20 // heartbeats
+	forgetInterval = 10 * time.Second
 )
 
 // News holds the changes of the registry between two offsets of its log.
@@ -47,6 +56,8 @@
 	// SinceOutage is the time since the end of an outage of the registry, 0
 	// when there was none.
 	SinceOutage time.Duration
+	// Version is the configuration version of the sender.
+	Version int64
 }
 
 // Stats counts datagrams and their bytes.
@@ -62,6 +73,7 @@
 	logger    log.Interface
 	onNews    func(News)
 	seeds     []netip.AddrPort
+	active    func() bool
 
 	mu   sync.Mutex
 	conn *net.UDPConn // nil before Run
@@ -82,9 +94,12 @@
 // start when the store cannot be read.
 func WithSeeds(seeds []netip.AddrPort) Option { return func(m *Mesh) { m.seeds = seeds } }
 
+// WithActive sets what tells whether callers are sent to this instance.
+func WithActive(active func() bool) Option { return func(m *Mesh) { m.active = active } }
+
 // NewMesh returns a mesh that is not yet running.
 func NewMesh(directory *membership.Directory, clock *timeline.Clock, opts ...Option) *Mesh {
-	m := &Mesh{directory: directory, clock: clock, logger: log.Log, onNews: func(News) {}}
+	m := &Mesh{directory: directory, clock: clock, logger: log.Log, onNews: func(News) {}, active: func() bool { return true }}
 	for _, opt := range opts {
 		opt(m)
 	}
@@ -106,29 +121,46 @@
 	return group.Wait()
 }
 
-// beat sends heartbeats: to instances of the own zone at every tick, to others
-// less often.
+// beat sends heartbeats. An instance that callers are not sent to beats rarely,
+// and in its own zone only.
 func (m *Mesh) beat(ctx context.Context) error {
-	ticker := time.NewTicker(membership.HeartbeatInterval)
+	ticker := time.NewTicker(activeInterval)
 	defer ticker.Stop()
-	const farEvery = int(membership.FarHeartbeatInterval / membership.HeartbeatInterval)
 	m.Hello()
-	for tick := 1; ; tick++ {
+	var near, far, forgotten time.Duration
+	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
-		self := m.directory.Self()
-		m.sendTo(&peerpb.Packet{}, func(in membership.Instance) bool {
-			return in.Zone == self.Zone || tick%farEvery == 0
-		})
-		if tick%forgetEvery == 0 {
+		near, far, forgotten = near+activeInterval, far+activeInterval, forgotten+activeInterval
+		active, zone := m.active(), m.directory.Self().Zone
+		if active || near >= idleInterval {
+			near = 0
+			m.sendTo(m.heartbeat(active), func(in membership.Instance) bool { return in.Zone == zone })
+		}
+		if active && far >= farInterval {
+			far = 0
+			packet := m.heartbeat(active)
+			packet.IntervalMs = uint32(farInterval.Milliseconds())
+			m.sendTo(packet, func(in membership.Instance) bool { return in.Zone != zone })
+		}
+		if forgotten >= forgetInterval {
+			forgotten = 0
 			m.directory.Forget()
 		}
 	}
 }
 
+func (m *Mesh) heartbeat(active bool) *peerpb.Packet {
+	interval := idleInterval
+	if active {
+		interval = activeInterval
+	}
+	return &peerpb.Packet{Sender: heartbeatToWire(m.directory.Self()), IntervalMs: uint32(interval.Milliseconds())}
+}
+
 // Hello asks every known instance and the seeds for a packet.
 func (m *Mesh) Hello() {
 	hello := &peerpb.Packet{Hello: true}
@@ -164,10 +196,16 @@
 	everyone := func(membership.Instance) bool { return true }
 	for len(news.Changes) > newsChanges {
 		part := News{From: news.From, To: offsets[newsChanges], Changes: news.Changes[:newsChanges], SinceOutage: news.SinceOutage}
-		m.sendTo(&peerpb.Packet{News: newsToWire(part)}, everyone)
+		m.sendNews(part, everyone)
 		news.From, news.Changes, offsets = part.To, news.Changes[newsChanges:], offsets[newsChanges:]
 	}
-	m.sendTo(&peerpb.Packet{News: newsToWire(news)}, everyone)
+	m.sendNews(news, everyone)
+}
+
+func (m *Mesh) sendNews(news News, to func(membership.Instance) bool) {
+	packet := m.heartbeat(false)
+	packet.News = newsToWire(news)
+	m.sendTo(packet, to)
 }
 
 func (m *Mesh) sendTo(packet *peerpb.Packet, chosen func(membership.Instance) bool) {
@@ -186,7 +224,10 @@
 func (m *Mesh) send(packet *peerpb.Packet, to netip.AddrPort) { m.write(m.encode(packet), to) }
 
 func (m *Mesh) encode(packet *peerpb.Packet) []byte {
-	packet.Sender = instanceToWire(m.directory.Self())
+	if packet.Sender == nil {
+		packet.Sender = instanceToWire(m.directory.Self())
+		packet.IntervalMs = uint32(idleInterval.Milliseconds())
+	}
 	packet.Clock = uint64(m.clock.Now())
 	data, err := proto.Marshal(packet)
 	if err != nil {
@@ -225,14 +266,14 @@
 		}
 		m.packetsIn.Add(1)
 		m.bytesIn.Add(uint64(n))
-		if err := m.handle(buf[:n]); err != nil {
+		if err := m.handle(buf[:n], from); err != nil {
 			m.malformed.Add(1)
 			m.logger.WithError(err).WithField("from", from.String()).Warn("datagram of an instance was dropped")
 		}
 	}
 }
 
-func (m *Mesh) handle(data []byte) error {
+func (m *Mesh) handle(data []byte, from netip.AddrPort) error {
 	var packet peerpb.Packet
 	if err := proto.Unmarshal(data, &packet); err != nil {
 		return fmt.Errorf("%w: %w", ErrMalformed, err)
@@ -242,16 +283,17 @@
 		return err
 	}
 	m.clock.Observe(timeline.Stamp(packet.GetClock()))
-	unknown := m.directory.Hear(sender)
+	known := m.directory.Hear(sender, time.Duration(packet.GetIntervalMs())*time.Millisecond)
 	if packet.GetNews() != nil {
 		news, err := newsFromWire(packet.GetNews())
 		if err != nil {
 			return err
 		}
+		news.Version = sender.ConfigVersion
 		m.onNews(news)
 	}
-	if packet.GetHello() || unknown {
-		m.send(&peerpb.Packet{}, sender.PeerAddress)
+	if packet.GetHello() || !known {
+		m.send(&peerpb.Packet{Hello: !known}, from)
 	}
 	return nil
 }
--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -13,12 +13,19 @@
 	"rhubarbrelay/platform"
 )
 
-// longPoll is how long a read waits for a new configuration.
-const longPoll = 25 * time.Second
+const (
+	// longPoll is how long a read waits for a new configuration.
+	longPoll = 25 * time.Second
+	// hintTimeout is the time without word of a reader's version after which any
+	// instance waits at the store itself.
+	hintTimeout = 1500 * time.Millisecond
+)
 
 // ConfigFollower keeps the newest configuration. The version never goes back.
 type ConfigFollower struct {
-	store  Store
+	store Store
+	// reads tells whether this instance reads the store for the others.
+	reads  func() bool
 	logger log.Interface
 	apply  func(*config.Document)
 
@@ -29,13 +36,53 @@
 	// interrupt ends the read in progress.
 	interrupt atomic.Pointer[context.CancelFunc]
 
-	mu  sync.Mutex // guards the order of versions
-	raw []byte     // the document in force, as it was published
+	// hinted receives a value when another instance has named its version.
+	hinted chan struct{}
+
+	mu     sync.Mutex // guards the order of versions
+	raw    []byte     // the document in force, as it was published
+	hint   int64      // the highest version that another instance has
+	hintAt time.Time
 }
 
 // NewConfigFollower returns a follower that calls apply with each new version.
-func NewConfigFollower(store Store, logger log.Interface, apply func(*config.Document)) *ConfigFollower {
-	return &ConfigFollower{store: store, logger: logger, apply: apply}
+// An instance that reads the store for the others waits there for new versions;
+// the others hear of them.
+func NewConfigFollower(
+	store Store, reads func() bool, logger log.Interface, apply func(*config.Document),
+) *ConfigFollower {
+	return &ConfigFollower{store: store, reads: reads, logger: logger, apply: apply, hinted: make(chan struct{}, 1)}
+}
+
+// Hint notes the version of an instance that reads the store.
+func (f *ConfigFollower) Hint(version int64) {
+	f.mu.Lock()
+	f.hint, f.hintAt = max(f.hint, version), time.Now()
+	f.mu.Unlock()
+	signal(f.hinted)
+}
+
+// awaitHint returns when the store should be read: at once where this instance
+// waits for the others there, else when another instance has a newer version
+// or none has named its version for a while.
+func (f *ConfigFollower) awaitHint(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		left := hintTimeout - time.Since(f.hintAt)
+		current := f.current.Load()
+		behind := current == nil || f.hint > current.Version
+		f.mu.Unlock()
+		if behind || left <= 0 || f.reads() {
+			return
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-ctx.Done():
+		case <-f.hinted:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
 }
 
 // Current returns the configuration in force, nil when none is known yet.
@@ -77,11 +124,10 @@
 		f.interrupt.Store(&cancel)
 		next, err := f.read(reading, from)
 		interrupted := reading.Err() != nil
-		cancel()
 		switch {
 		case ctx.Err() != nil:
 		case interrupted:
-			from = unknownOffset
+			from = unknownOffset // Refresh asks for the newest version
 		case errors.Is(err, platform.ErrExpired):
 			f.logger.WithField("from", from).Info("history of the configuration has expired, reading the newest one")
 			from = unknownOffset
@@ -92,7 +138,11 @@
 			f.note(nil)
 			pause.reset()
 			from = next
+			if f.awaitHint(reading); reading.Err() != nil {
+				from = unknownOffset
+			}
 		}
+		cancel()
 	}
 	return nil
 }
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -21,6 +21,9 @@
 	// the news of an earlier rank arrive. maxReadDelay bounds the sum.
 	rankStep     = 70 * time.Millisecond
 	maxReadDelay = 1200 * time.Millisecond
+	// readerMemory is the time since its last read for which an instance counts
+	// as a reader.
+	readerMemory = 2 * time.Second
 	// outageMemory is how long the end of an outage is passed on.
 	outageMemory = 3 * time.Second
 	// minOutage is the age of the state from which a failed read counts as an
@@ -49,6 +52,7 @@
 	// next is the offset from which the state is not known.
 	next    int64
 	freshAt time.Time // the time as of which the state holds
+	readAt  time.Time // the last read by this instance
 	// heard receives a value when news made a read needless, and wanted when a
 	// read is needed at once.
 	heard       chan struct{}
@@ -85,6 +89,13 @@
 	return f.failing
 }
 
+// Reads returns whether this instance reads the registry itself at present.
+func (f *TargetFollower) Reads() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.readAt.IsZero() && f.clock().Sub(f.readAt) < readerMemory
+}
+
 // Refresh asks for a read at once.
 func (f *TargetFollower) Refresh() { signal(f.wanted) }
 
@@ -214,7 +225,7 @@
 func (f *TargetFollower) advance(next int64, asOf time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.next = next
+	f.next, f.readAt = next, asOf
 	if asOf.After(f.freshAt) {
 		f.freshAt = asOf
 	}
