--- /dev/null
+++ b/relay/harness_test.go
@@ -0,0 +1,285 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/config"
+	"rhubarbrelay/limits"
+	"rhubarbrelay/routing"
+	"rhubarbrelay/targets"
+)
+
+// The two ignored goroutines belong to fasthttp's server: the clock of the Date
+// header lives as long as the process, and the worker pool's cleaner ends up to
+// 10 s after its server.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"))
+}
+
+// testTimeout ends a test that hangs; no working test comes near it.
+const testTimeout = 20 * time.Second
+
+// host is the line of the host that the harness has routes for.
+const host = "Host: spoolkeep.example\r\n"
+
+// harness is a relay with its targets, all on loopback.
+type harness struct {
+	relay    *Server
+	address  string
+	document atomic.Pointer[config.Document]
+	table    *routing.Table
+	targets  []*targets.Target
+}
+
+// Current implements Config.
+func (h *harness) Current() *config.Document { return h.document.Load() }
+
+// Of implements routing.Registry.
+func (h *harness) Of(string) []*targets.Target { return h.targets }
+
+// The routes of the harness: requests below /safe/ may run more than once,
+// those below /once/ may not.
+func harnessDocument() *config.Document {
+	route := func(prefix string, idempotent bool, timeout time.Duration, attempts int) *config.Route {
+		return &config.Route{
+			Name: prefix, Host: "spoolkeep.example", PathPrefix: prefix, Idempotent: idempotent,
+			Objective: timeout / 4, Timeout: timeout, Attempts: attempts, Split: []config.Part{{Service: "spoolkeep", Weight: 1}},
+		}
+	}
+	d := &config.Document{
+		Version: 1, Services: map[string]*config.Service{"spoolkeep": {Name: "spoolkeep", HealthPath: "/healthz"}},
+		Limits: config.Limits{MaxBodyBytes: 4 << 20},
+		Routes: []*config.Route{
+			route("/safe/", true, 10*time.Second, 2), route("/once/", false, 10*time.Second, 2),
+			route("/brief/", true, 200*time.Millisecond, 2), route("/single/", true, 10*time.Second, 1),
+		},
+	}
+	d.Index()
+	return d
+}
+
+// newHarness serves the service spoolkeep from the targets.
+func newHarness(t testing.TB, all []*targets.Target, opts ...Option) *harness {
+	t.Helper()
+	h := &harness{targets: all}
+	h.document.Store(harnessDocument())
+	h.table = routing.NewTable(routing.Terms{
+		Zone: "a", Retries: limits.RetryTerms{Ratio: 1, Slack: 100, Window: time.Second}, ProbesPerSecond: 10_000,
+	}, h)
+	h.table.Update(h.Current().Services)
+	quiet := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	h.relay = NewServer(h, h.table, append([]Option{WithLogger(quiet)}, opts...)...)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	h.address = l.Addr().String()
+	served := make(chan error, 1)
+	go func() { served <- h.relay.Serve(l) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		defer cancel()
+		assert.Check(t, h.relay.Shutdown(ctx))
+		assert.Check(t, <-served)
+		h.table.Dispatcher("spoolkeep").Close()
+	})
+	return h
+}
+
+// targetScript says what a target does with one request: the bytes that it
+// answers, and whether it closes the connection after them.
+type targetScript func(request *fasthttp.Request) (answer string, close bool)
+
+// scripted is a target that answers its requests by a script, and probes by
+// itself.
+type scripted struct {
+	info *targets.Target
+
+	mu       sync.Mutex
+	requests []string // IDs in the order in which they arrived
+	// closed receives a value when the other end closes a connection.
+	closed chan struct{}
+}
+
+// newScripted runs a target. The first targets of a harness are preferred by
+// their zone, a, over the others in b.
+func newScripted(t testing.TB, id, zone string, script targetScript) *scripted {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &scripted{closed: make(chan struct{}, 100), info: &targets.Target{
+		ID: id, Service: "spoolkeep", Zone: zone, Slots: 8, Address: netip.MustParseAddrPort(l.Addr().String()),
+	}}
+	var running sync.WaitGroup
+	running.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			running.Go(func() { s.serve(c, script) })
+		}
+	})
+	t.Cleanup(func() { _ = l.Close(); running.Wait() })
+	return s
+}
+
+func (s *scripted) serve(c net.Conn, script targetScript) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		var req fasthttp.Request
+		if err := req.Read(reader); err != nil {
+			s.closed <- struct{}{}
+			return
+		}
+		answer, done := "HTTP/1.1 200 OK\r\nRhubarbrelay-Instance-Id: "+s.info.ID+
+			"\r\nRhubarbrelay-Server-Load: 0,0,8,100\r\nContent-Length: 0\r\n\r\n", false
+		if string(req.URI().Path()) != "/healthz" {
+			s.mu.Lock()
+			s.requests = append(s.requests, string(req.Header.Peek("Rhubarbrelay-Attempt-Id")))
+			s.mu.Unlock()
+			answer, done = script(&req)
+		}
+		if _, err := c.Write([]byte(answer)); err != nil || done {
+			return
+		}
+	}
+}
+
+// arrived returns the IDs of the requests that reached the target.
+func (s *scripted) arrived() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.requests...)
+}
+
+// sealed returns a target's answer to the request with a seal.
+func sealed(req *fasthttp.Request, status int, body string, lines ...string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nRhubarbrelay-Attempt-Id: %s\r\nRhubarbrelay-Response-Seal: seal-%s\r\nContent-Length: %d\r\n%s\r\n%s",
+		status, req.Header.Peek("Rhubarbrelay-Attempt-Id"), url.QueryEscape(body), len(body), strings.Join(append(lines, ""), "\r\n"), body)
+}
+
+// notExecuted returns a target's statement that it did not run the request.
+func notExecuted(req *fasthttp.Request, status int) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nRhubarbrelay-Attempt-Id: %s\r\nRhubarbrelay-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		status, req.Header.Peek("Rhubarbrelay-Attempt-Id"))
+}
+
+// echo answers with the request's body.
+func echo(req *fasthttp.Request) (string, bool) { return sealed(req, 200, string(req.Body())), false }
+
+func infos(all ...*scripted) []*targets.Target {
+	var list []*targets.Target
+	for _, s := range all {
+		list = append(list, s.info)
+	}
+	return list
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	body    string
+	headers map[string]string
+}
+
+// seal returns the seal of the answer, empty when there is none.
+func (a answer) seal() string { return a.headers["Rhubarbrelay-Response-Seal"] }
+
+// caller is one connection to the relay.
+type caller struct {
+	t      testing.TB
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (h *harness) connect(t testing.TB) *caller {
+	t.Helper()
+	conn, err := net.Dial("tcp", h.address)
+	assert.NilError(t, err)
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	c := &caller{t: t, conn: conn, reader: bufio.NewReader(conn)}
+	t.Cleanup(func() { _ = conn.Close() })
+	return c
+}
+
+func (c *caller) send(raw string) {
+	c.t.Helper()
+	_, err := c.conn.Write([]byte(raw))
+	assert.NilError(c.t, err)
+}
+
+func (c *caller) receive() (answer, error) {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := resp.Read(c.reader); err != nil {
+		return answer{}, err
+	}
+	a := answer{status: resp.StatusCode(), body: string(resp.Body()), headers: map[string]string{}}
+	for k, v := range resp.Header.All() {
+		a.headers[string(k)] = string(v)
+	}
+	return a, nil
+}
+
+func (c *caller) mustReceive() answer {
+	c.t.Helper()
+	a, err := c.receive()
+	assert.NilError(c.t, err)
+	return a
+}
+
+// raw sends one request as it is and returns the answer.
+func (h *harness) raw(t testing.TB, request string) answer {
+	t.Helper()
+	c := h.connect(t)
+	c.send(request)
+	return c.mustReceive()
+}
+
+// call sends one request with extra header lines.
+func (h *harness) call(t testing.TB, method, path, body string, headers ...string) answer {
+	t.Helper()
+	return h.raw(t, message(method, path, body, headers...))
+}
+
+func message(method, path, body string, headers ...string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\n%sContent-Length: %d\r\n", method, path, host, len(body))
+	if !strings.Contains(strings.Join(headers, " "), "Rhubarbrelay-Attempt-Id") {
+		b.WriteString("Rhubarbrelay-Attempt-Id: id-1\r\n")
+	}
+	for _, line := range headers {
+		b.WriteString(line + "\r\n")
+	}
+	return b.String() + "\r\n" + body
+}
+
+// waitFor waits until the condition holds.
+func waitFor(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	end := time.Now().Add(testTimeout)
+	for !condition() {
+		if time.Now().After(end) {
+			t.Fatalf("did not happen: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -100,6 +100,14 @@
 // WithMaxConnections bounds the connections of callers.
 func WithMaxConnections(n int) Option { return func(s *Server) { s.maxConnections = n } }
 
+// WithMaxRequestBody bounds the body of a request, in bytes.
+func WithMaxRequestBody(size int) Option { return func(s *Server) { s.http.MaxRequestBodySize = size } }
+
+// WithReadTimeout bounds the time that a caller may take to send a request.
+func WithReadTimeout(timeout time.Duration) Option {
+	return func(s *Server) { s.http.ReadTimeout = timeout }
+}
+
 // NewServer returns a server of the callers' listener.
 func NewServer(config Config, dispatchers Dispatchers, opts ...Option) *Server {
 	s := &Server{
