registry: removals that were held back expire on every instance

Cause, found by a test: an instance that hears the news of the registry from another one does not read it, and only a read carried out removals that were held back after an outage, so that a target that was gone stayed in the choice. Change: each news does so as well, and the end of the outage is taken from the news instead of the time of its arrival.

--- /dev/null
+++ b/registry/config_follower_test.go
@@ -0,0 +1,167 @@
+package registry
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/config"
+	"rhubarbrelay/membership"
+	"rhubarbrelay/peer"
+	"rhubarbrelay/platform"
+)
+
+func documentOf(version int) string {
+	return fmt.Sprintf(`{"version":%d,"limits":{},"listeners":[{"host":"a.example","rules":[{"name":"r","kind":"safe","slo-ms":400,`+
+		`"priority":1,"match":{"path-prefix":"/"},"action":{"service":"s","timeout-ms":1000,"attempts":2}}]}],`+
+		`"clusters":[{"name":"s","health-path":"/h","max-conns":10,"protocol":"h1"}]}`, version)
+}
+
+// follow runs a follower until the test ends and returns the versions that came
+// into force.
+func follow(t *testing.T, store Store, reads bool) (*ConfigFollower, func() []int64) {
+	t.Helper()
+	var mu sync.Mutex
+	var versions []int64
+	f := NewConfigFollower(store, func() bool { return reads }, quiet, func(d *config.Document) {
+		mu.Lock()
+		defer mu.Unlock()
+		versions = append(versions, d.Version)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = f.Run(ctx) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return f, func() []int64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return append([]int64(nil), versions...)
+	}
+}
+
+// Guards against a version that goes back, a bad document that comes into
+// force, and a good one that does not.
+func TestVersionsInForce(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(s *fakeStore, f *ConfigFollower)
+		want []int64
+	}{
+		{"newer", func(s *fakeStore, _ *ConfigFollower) { s.put(platform.ConfigTopic, "config", documentOf(9)) }, []int64{5, 9}},
+		{"older", func(s *fakeStore, _ *ConfigFollower) { s.put(platform.ConfigTopic, "config", documentOf(4)) }, []int64{5}},
+		{"older from another instance", func(_ *fakeStore, f *ConfigFollower) { f.Offer([]byte(documentOf(4)), "peer") }, []int64{5}},
+		{"newer from another instance", func(_ *fakeStore, f *ConfigFollower) { f.Offer([]byte(documentOf(6)), "peer") }, []int64{5, 6}},
+		{"malformed", func(s *fakeStore, _ *ConfigFollower) { s.put(platform.ConfigTopic, "config", documentOf(9)[:40]) }, []int64{5}},
+		{"of another key", func(s *fakeStore, _ *ConfigFollower) { s.put(platform.ConfigTopic, "other", documentOf(9)) }, []int64{5}},
+		{"dropped", func(s *fakeStore, _ *ConfigFollower) { s.put(platform.ConfigTopic, "config", "") }, []int64{5}},
+		{"after the history was dropped", func(s *fakeStore, _ *ConfigFollower) {
+			s.put(platform.ConfigTopic, "config", documentOf(8))
+			s.expire(platform.ConfigTopic)
+			s.put(platform.ConfigTopic, "config", documentOf(9))
+		}, []int64{5, 9}},
+		{"after an outage", func(s *fakeStore, _ *ConfigFollower) {
+			s.fail(errLost)
+			time.Sleep(20 * time.Second)
+			s.put(platform.ConfigTopic, "config", documentOf(7))
+			s.fail(nil)
+		}, []int64{5, 7}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				store.put(platform.ConfigTopic, "config", documentOf(5))
+				f, versions := follow(t, store, true)
+				time.Sleep(time.Second)
+				tt.do(store, f)
+				time.Sleep(time.Second)
+				got := versions()
+				assert.Equal(t, got[0], tt.want[0])
+				assert.Equal(t, got[len(got)-1], tt.want[len(tt.want)-1])
+				for i := 1; i < len(got); i++ {
+					assert.Assert(t, got[i] > got[i-1])
+				}
+			})
+		})
+	}
+}
+
+// Guards against an instance that waits at the store although another one does
+// so for it, and against one that misses a version when it hears nothing.
+func TestHints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(platform.ConfigTopic, "config", documentOf(5))
+		f, versions := follow(t, store, false)
+		for range 20 {
+			f.Hint(5)
+			time.Sleep(500 * time.Millisecond)
+		}
+		reads, newest := store.counts()
+		assert.Equal(t, newest, 1)
+		assert.Assert(t, reads <= 1, "%d reads", reads)
+		store.put(platform.ConfigTopic, "config", documentOf(6))
+		f.Hint(6)
+		synctest.Wait()
+		assert.DeepEqual(t, versions(), []int64{5, 6})
+		store.put(platform.ConfigTopic, "config", documentOf(7))
+		time.Sleep(hintTimeout + 100*time.Millisecond)
+		assert.DeepEqual(t, versions(), []int64{5, 6, 7})
+	})
+}
+
+// Guards against a paused instance that goes on without reading the newest
+// version.
+func TestRefresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(platform.ConfigTopic, "config", documentOf(5))
+		f, _ := follow(t, store, true)
+		time.Sleep(time.Second)
+		assert.Equal(t, f.ReadAge(), time.Second)
+		f.Refresh()
+		synctest.Wait()
+		assert.Equal(t, f.ReadAge(), time.Duration(0))
+	})
+}
+
+// Guards against an instance that gives up registering while the store is away,
+// and against others that do not learn of it.
+func TestAnnounce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		at := netip.MustParseAddrPort("10.0.0.1:80")
+		other := membership.Instance{
+			ID: "b", Zone: "a", Incarnation: 1, CallerAddress: at, PeerAddress: at, AdminAddress: at, State: membership.Ready,
+		}
+		value, err := peer.EncodeInstance(other)
+		assert.NilError(t, err)
+		store.put(platform.InstanceTopic, "b", string(value))
+		store.put(platform.InstanceTopic, "c", "\xff")
+		directory := membership.NewDirectory(membership.Instance{ID: "a", Zone: "a", Incarnation: 2})
+		a := NewAnnouncer(store, directory, quiet)
+		store.fail(platform.ErrUnavailable)
+		announced := make(chan struct{})
+		go func() {
+			a.Announce(context.Background())
+			close(announced)
+		}()
+		time.Sleep(5 * time.Second)
+		store.fail(nil)
+		<-announced
+		assert.Equal(t, directory.Count(), 2)
+		batch, err := store.Newest(context.Background(), platform.InstanceTopic)
+		assert.NilError(t, err)
+		assert.Equal(t, len(batch.Records), 3)
+		a.Withdraw(context.Background())
+		batch, err = store.Newest(context.Background(), platform.InstanceTopic)
+		assert.NilError(t, err)
+		assert.Equal(t, len(batch.Records), 2)
+	})
+}
--- /dev/null
+++ b/registry/fake_test.go
@@ -0,0 +1,137 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"go.uber.org/goleak"
+
+	"rhubarbrelay/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var quiet = &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+
+var errLost = errors.New("answer lost")
+
+// fakeStore is a log in memory that fails on demand.
+type fakeStore struct {
+	mu      sync.Mutex
+	records map[platform.Topic][]platform.Record
+	first   map[platform.Topic]int64
+	failure error
+	changed chan struct{}
+	reads   int
+	newest  int
+	appends int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		records: map[platform.Topic][]platform.Record{}, first: map[platform.Topic]int64{}, changed: make(chan struct{}),
+	}
+}
+
+func (s *fakeStore) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failure = err
+	s.wake()
+}
+
+func (s *fakeStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) put(topic platform.Topic, key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := platform.Record{Key: key, Offset: int64(len(s.records[topic]))}
+	if value != "" {
+		r.Value = []byte(value)
+	}
+	s.records[topic] = append(s.records[topic], r)
+	s.wake()
+}
+
+func (s *fakeStore) expire(topic platform.Topic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first[topic] = int64(len(s.records[topic]))
+}
+
+func (s *fakeStore) counts() (reads, newest int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads, s.newest
+}
+
+// Newest implements Store.
+func (s *fakeStore) Newest(_ context.Context, topic platform.Topic) (platform.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.newest++
+	if s.failure != nil {
+		return platform.Batch{}, s.failure
+	}
+	last := map[string]platform.Record{}
+	for _, r := range s.records[topic] {
+		last[r.Key] = r
+	}
+	batch := platform.Batch{Next: int64(len(s.records[topic]))}
+	for _, r := range last {
+		if r.Value != nil {
+			batch.Records = append(batch.Records, r)
+		}
+	}
+	return batch, nil
+}
+
+// Read implements Store.
+func (s *fakeStore) Read(ctx context.Context, topic platform.Topic, from int64, wait time.Duration) (platform.Batch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	s.mu.Lock()
+	s.reads++
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		failure, all, first, changed := s.failure, s.records[topic], s.first[topic], s.changed
+		s.mu.Unlock()
+		switch {
+		case failure != nil:
+			return platform.Batch{}, failure
+		case from < first:
+			return platform.Batch{}, platform.ErrExpired
+		case from < int64(len(all)) || wait == 0:
+			return platform.Batch{Records: all[from:], Next: int64(len(all))}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return platform.Batch{}, ctx.Err()
+		case <-changed:
+		case <-timer.C:
+			wait = 0
+		}
+	}
+}
+
+// Append implements Store.
+func (s *fakeStore) Append(_ context.Context, topic platform.Topic, key string, value []byte) error {
+	s.mu.Lock()
+	s.appends++
+	failure := s.failure
+	s.mu.Unlock()
+	if failure != nil {
+		return failure
+	}
+	s.put(topic, key, string(value))
+	return nil
+}
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -149,6 +149,7 @@
 			timer.Stop()
 			return
 		case <-f.heard:
+			f.directory.Expire()
 		}
 		timer.Stop()
 	}
@@ -206,10 +207,11 @@
 	if !ended {
 		return
 	}
+	now := f.clock()
 	f.mu.Lock()
-	f.outageEnded = f.clock()
+	f.outageEnded = now
 	f.mu.Unlock()
-	f.directory.NoteOutageEnd()
+	f.directory.NoteOutageEnd(now)
 }
 
 func (f *TargetFollower) sinceOutage() time.Duration {
@@ -235,7 +237,7 @@
 // known do not make the state fresh: something between is missing.
 func (f *TargetFollower) HearNews(news peer.News) {
 	if news.SinceOutage > 0 {
-		f.directory.NoteOutageEnd()
+		f.directory.NoteOutageEnd(f.clock().Add(-news.SinceOutage))
 	}
 	f.directory.Apply(news.Changes)
 	f.mu.Lock()
--- /dev/null
+++ b/registry/target_follower_test.go
@@ -0,0 +1,219 @@
+package registry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/peer"
+	"rhubarbrelay/platform"
+	"rhubarbrelay/targets"
+)
+
+// wire passes the news of followers on to each other, unless it is cut.
+type wire struct {
+	mu        sync.Mutex
+	followers []*TargetFollower
+	cut       bool
+	sent      []peer.News
+}
+
+// link is the wire as one follower sees it.
+type link struct {
+	wire *wire
+	self int
+}
+
+// Spread implements Spreader.
+func (l link) Spread(news peer.News, _ []int64) {
+	l.wire.mu.Lock()
+	defer l.wire.mu.Unlock()
+	l.wire.sent = append(l.wire.sent, news)
+	if l.wire.cut {
+		return
+	}
+	for i, f := range l.wire.followers {
+		if i != l.self {
+			f.HearNews(news)
+		}
+	}
+}
+
+func (w *wire) setCut(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+}
+
+// group runs followers of one store, by rank, until the test ends.
+func group(t *testing.T, store Store, n int) (*wire, []*targets.Directory) {
+	t.Helper()
+	w := &wire{}
+	directories := make([]*targets.Directory, n)
+	for i := range n {
+		directories[i] = targets.NewDirectory()
+		f := NewTargetFollower(store, directories[i], link{w, i}, func() int { return i }, quiet)
+		w.followers = append(w.followers, f)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, f := range w.followers {
+		running.Go(func() { _ = f.Run(ctx) })
+	}
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return w, directories
+}
+
+func registration(state string, sequence int) string {
+	return fmt.Sprintf(`{"addr":"10.0.0.1:80","born":1,"info":{"service":"s","version":"v1","zone":"a","slots":4},`+
+		`"status":{"state":%q,"sequence":%d,"cold-left-ms":0}}`, state, sequence)
+}
+
+func ready(d *targets.Directory) int {
+	n := 0
+	for _, t := range d.Of("s") {
+		if t.State == targets.Ready {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against every instance reading the registry, and against changes that
+// the ones that do not read it learn too late.
+func TestOneReadsForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(platform.TargetTopic, "i", registration("ready", 1))
+		_, directories := group(t, store, 10)
+		time.Sleep(10 * time.Second)
+		reads, _ := store.counts()
+		assert.Assert(t, reads <= 16, "%d reads in 10 s", reads)
+		store.put(platform.TargetTopic, "i", registration("draining", 2))
+		time.Sleep(readInterval + 10*time.Millisecond)
+		for i, d := range directories {
+			assert.Equal(t, ready(d), 0, "instance %d", i)
+		}
+	})
+}
+
+// Guards against instances that hear no news and go on with an old state.
+func TestEachReadsForItselfWithoutNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(platform.TargetTopic, "i", registration("ready", 1))
+		w, directories := group(t, store, 30)
+		time.Sleep(5 * time.Second)
+		w.setCut(true)
+		store.put(platform.TargetTopic, "i", registration("draining", 2))
+		time.Sleep(maxReadDelay + 10*time.Millisecond)
+		for i, d := range directories {
+			assert.Equal(t, ready(d), 0, "instance %d", i)
+		}
+		for _, f := range w.followers {
+			assert.Assert(t, f.Age() <= maxReadDelay)
+		}
+	})
+}
+
+// Guards against news with a gap before them that count as complete.
+func TestGapInNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		for i := range 5 {
+			store.put(platform.TargetTopic, fmt.Sprint(i), registration("ready", 1))
+		}
+		f := NewTargetFollower(store, targets.NewDirectory(), link{&wire{}, 0}, func() int { return 0 }, quiet)
+		assert.NilError(t, f.read(context.Background()))
+		time.Sleep(time.Second)
+		f.HearNews(peer.News{From: 7, To: 9})
+		assert.Equal(t, f.Age(), time.Second)
+		f.HearNews(peer.News{From: 4, To: 6})
+		assert.Equal(t, f.Age(), time.Duration(0))
+		f.HearNews(peer.News{From: 6, To: 9})
+		assert.Equal(t, f.next, int64(9))
+	})
+}
+
+// Guards against a lost state after the store has dropped its history or was
+// away, and against targets that lapsed meanwhile.
+func TestStoreTroubles(t *testing.T) {
+	tests := []struct {
+		name    string
+		trouble func(s *fakeStore)
+		want    int
+	}{
+		{"history dropped", func(s *fakeStore) { s.expire(platform.TargetTopic) }, 2},
+		{"away, entries lapsed and came back", func(s *fakeStore) {
+			s.fail(platform.ErrUnavailable)
+			time.Sleep(5 * time.Second)
+			s.put(platform.TargetTopic, "i", "")
+			s.fail(nil)
+			time.Sleep(1500 * time.Millisecond)
+			s.put(platform.TargetTopic, "i", registration("ready", 9))
+		}, 2},
+		{"away, one target is gone", func(s *fakeStore) {
+			s.fail(errLost)
+			time.Sleep(5 * time.Second)
+			s.put(platform.TargetTopic, "i", "")
+			s.fail(nil)
+		}, 1},
+		{"malformed entry", func(s *fakeStore) { s.put(platform.TargetTopic, "i", "{") }, 1},
+		{"entry of an unknown writer", func(s *fakeStore) { s.put(platform.TargetTopic, "other", "\xff\x00") }, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				store.put(platform.TargetTopic, "i", registration("ready", 1))
+				store.put(platform.TargetTopic, "j", registration("ready", 1))
+				_, directories := group(t, store, 3)
+				time.Sleep(3 * time.Second)
+				tt.trouble(store)
+				time.Sleep(5 * time.Second)
+				for i, d := range directories {
+					assert.Equal(t, ready(d), tt.want, "instance %d", i)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an outage that takes away living targets at once.
+func TestNoTargetIsLostDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(platform.TargetTopic, "i", registration("ready", 1))
+		_, directories := group(t, store, 3)
+		time.Sleep(3 * time.Second)
+		store.fail(platform.ErrUnavailable)
+		time.Sleep(5 * time.Second)
+		store.put(platform.TargetTopic, "i", "")
+		store.fail(nil)
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			for i, d := range directories {
+				assert.Equal(t, ready(d), 1, "instance %d", i)
+			}
+		}
+	})
+}
+
+// Guards against calls without a pause while the store is away.
+func TestCallsDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		group(t, store, 1)
+		time.Sleep(time.Second)
+		before, _ := store.counts()
+		store.fail(platform.ErrThrottled)
+		time.Sleep(10 * time.Second)
+		reads, _ := store.counts()
+		assert.Assert(t, reads-before < 25, "%d reads in 10 s", reads-before)
+	})
+}
--- a/targets/directory.go
+++ b/targets/directory.go
@@ -78,11 +78,11 @@
 	return d.loaded
 }
 
-// NoteOutageEnd notes that the registry answers again after an outage.
-func (d *Directory) NoteOutageEnd() {
+// NoteOutageEnd notes when the registry answered again after an outage.
+func (d *Directory) NoteOutageEnd(at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.outageEnded = d.clock()
+	d.outageEnded = at
 }
 
 // Replace applies the complete content of the registry.
--- a/targets/directory_test.go
+++ b/targets/directory_test.go
@@ -66,7 +66,7 @@
 				for i, s := range tt.steps {
 					time.Sleep(s.wait)
 					if s.outage {
-						d.NoteOutageEnd()
+						d.NoteOutageEnd(time.Now())
 					}
 					if s.change.ID != "" {
 						d.Apply([]Change{s.change})
