--- /dev/null
+++ b/config/format_test.go
@@ -0,0 +1,55 @@
+package config
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against files of the operators' library that the tool reads
+// differently or writes differently.
+func TestFormatOfTheLibrary(t *testing.T) {
+	for _, name := range []string{"kessler", "hanbit"} {
+		text, err := os.ReadFile("../java/testdata/" + name + ".ini")
+		assert.NilError(t, err)
+		d, err := Parse(text)
+		assert.NilError(t, err)
+		assert.Equal(t, string(Format(d)), string(text))
+	}
+}
+
+// Guards against wrong values that come into force, and against errors that do
+// not name the place.
+func TestParseProblems(t *testing.T) {
+	const valid = "[service s]\nhealth_path = /h\n[route a.example /x/]\ntimeout = 1s\nservices = s\n"
+	_, err := Parse([]byte(valid))
+	assert.NilError(t, err)
+	tests := []struct{ name, old, replacement, want string }{
+		{"unknown section", "[service s]", "[servcie s]", `section "servcie s", key "", value "": unknown section`},
+		{"unknown key", "timeout = 1s", "timeout = 1s\ntimoeut = 2s", `section "route a.example /x/", key "timoeut", value "2s": unknown key`},
+		{"key twice", "timeout = 1s", "timeout = 1s\ntimeout = 2s", `key "timeout", value "1s": key given more than once`},
+		{"service twice", "[route", "[service s]\nhealth_path = /h\n[route", `section "service s", key "", value "": service defined twice`},
+		{"duration without unit", "1s", "1", `key "timeout", value "1": not a duration`},
+		{"fraction of a millisecond", "1s", "1500us", `key "timeout", value "1500us": not a duration in whole milliseconds`},
+		{"negative number", "timeout = 1s", "timeout = 1s\nattempts = -1", `key "attempts", value "-1": not a whole number`},
+		{"flag", "timeout = 1s", "timeout = 1s\nidempotent = yes", `key "idempotent", value "yes": neither true nor false`},
+		{"weight", "services = s", "services = s:many", `key "services", value "s:many": weight is not a whole number`},
+		{"unknown service", "services = s", "services = t", `service "t" is not defined`},
+		{"no services", "services = s\n", "", `service "" is not defined`},
+		{"prefix", "/x/", "/x", `prefix "/x" does not begin and end with a slash`},
+		{"no timeout", "timeout = 1s\n", "", `timeout 0s is outside`},
+		{"health path", "/h", "h", `health path "h" does not begin with a slash`},
+		{"nothing", valid, "", `no routes`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			text := strings.Replace(valid, tt.old, tt.replacement, 1)
+			assert.Assert(t, text != valid)
+			_, err := Parse([]byte(text))
+			assert.ErrorIs(t, err, ErrInvalid)
+			assert.ErrorContains(t, err, tt.want)
+		})
+	}
+}
--- a/java/src/org/rhubarbrelay/config/Checks.java
+++ b/java/src/org/rhubarbrelay/config/Checks.java
@@ -6,8 +6,8 @@
 /** Checks of values, with the limits that the daemon's parser applies. */
 final class Checks {
     static final int MAX_COUNT = 1_000_000;
-    static final int MAX_ENTRY_PER_ZONE = 1000;
-    private static final Duration MAX_DURATION = Duration.ofHours(24);
+    static final int MAX_ATTEMPTS = 100;
+    private static final Duration MAX_DURATION = Duration.ofHours(1);
     private static final int MAX_PATH_LENGTH = 1024;
     private static final Pattern NAME = Pattern.compile("[a-z0-9._-]{1,64}");
     private static final Pattern PATH = Pattern.compile("/[!-~&&[^\\[\\]?#\"`]]*");
@@ -32,7 +32,7 @@
 
     static Duration duration(String key, Duration value) {
         if (value == null || value.isZero() || value.isNegative() || value.compareTo(MAX_DURATION) > 0) {
-            throw new IllegalArgumentException(key + " " + value + ": must be greater than 0 and at most 24 hours");
+            throw new IllegalArgumentException(key + " " + value + ": must be greater than 0 and at most 1 hour");
         }
         return value;
     }
--- a/java/src/org/rhubarbrelay/config/Document.java
+++ b/java/src/org/rhubarbrelay/config/Document.java
@@ -4,35 +4,49 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 
-/** A document of one or more services, as it is reviewed and published. */
+/** A whole configuration, as it is reviewed and published. */
 public final class Document {
-    private static final int MAX_BYTES = 1 << 20;
+    private static final int MAX_BYTES = 4 << 20;
 
+    private final Limits limits;
     private final List<Service> services;
+    private final List<Route> routes;
 
-    private Document(List<Service> services) {
+    private Document(Limits limits, List<Service> services, List<Route> routes) {
+        this.limits = limits;
         this.services = services;
+        this.routes = routes;
     }
 
-    /** Returns a document, or throws IllegalArgumentException when services share a name or an address. */
-    public static Document of(Service... services) {
-        Set<String> seen = new HashSet<>();
+    /**
+     * Returns a document, or throws IllegalArgumentException when services or routes appear twice, or
+     * a route leads to no service or to an unknown one.
+     */
+    public static Document of(Limits limits, List<Service> services, List<Route> routes) {
+        Set<String> names = new HashSet<>();
         for (Service service : services) {
-            once(seen, "service " + service.name());
-            for (Target target : service.targets()) {
-                once(seen, "address " + target.address());
+            once(names, service.name(), "service ");
+        }
+        Set<String> keys = new HashSet<>();
+        for (Route route : routes) {
+            once(keys, route.key(), "route ");
+            if (route.services().isEmpty() || !names.containsAll(route.services())) {
+                throw new IllegalArgumentException("route " + route.key() + ": services " + route.services()
+                        + " are not all defined");
             }
         }
-        return new Document(List.of(services));
+        return new Document(limits, services.stream().sorted(Comparator.comparing(Service::name)).toList(),
+                routes.stream().sorted(Comparator.comparing(Route::key)).toList());
     }
 
-    private static void once(Set<String> seen, String thing) {
-        if (!seen.add(thing)) {
-            throw new IllegalArgumentException(thing + " appears twice");
+    private static void once(Set<String> seen, String name, String kind) {
+        if (!seen.add(name)) {
+            throw new IllegalArgumentException(kind + name + " appears twice");
         }
     }
 
@@ -40,11 +54,12 @@
     @Override
     public String toString() {
         StringBuilder out = new StringBuilder();
+        limits.print(out);
         for (Service service : services) {
-            if (out.length() > 0) {
-                out.append('\n');
-            }
-            out.append(service);
+            service.print(out.append('\n'));
+        }
+        for (Route route : routes) {
+            route.print(out.append('\n'));
         }
         return out.toString();
     }
--- a/java/src/org/rhubarbrelay/config/Durations.java
+++ b/java/src/org/rhubarbrelay/config/Durations.java
@@ -14,6 +14,9 @@
 
     static String text(Duration duration) {
         long nanos = duration.toNanos();
+        if (nanos == 0) {
+            return "0s";
+        }
         if (nanos < MICROSECOND) {
             return nanos + "ns";
         }
--- /dev/null
+++ b/java/src/org/rhubarbrelay/config/Limits.java
@@ -0,0 +1,22 @@
+package org.rhubarbrelay.config;
+
+import java.time.Duration;
+
+/** Bounds what callers may send and how long they may take. */
+public record Limits(int maxHeaderBytes, int maxBodyBytes, Duration headerTimeout, Duration idleTimeout) {
+    /** Checks the values. */
+    public Limits {
+        Checks.range("max_header_bytes", maxHeaderBytes, 1, Integer.MAX_VALUE);
+        Checks.range("max_body_bytes", maxBodyBytes, 1, Integer.MAX_VALUE);
+        Checks.duration("header_timeout", headerTimeout);
+        Checks.duration("idle_timeout", idleTimeout);
+    }
+
+    void print(StringBuilder out) {
+        out.append("[limits]\n");
+        out.append("max_header_bytes = ").append(maxHeaderBytes).append('\n');
+        out.append("max_body_bytes = ").append(maxBodyBytes).append('\n');
+        out.append("header_timeout = ").append(Durations.text(headerTimeout)).append('\n');
+        out.append("idle_timeout = ").append(Durations.text(idleTimeout)).append('\n');
+    }
+}
--- a/java/src/org/rhubarbrelay/config/Route.java
+++ b/java/src/org/rhubarbrelay/config/Route.java
@@ -1,68 +1,118 @@
 package org.rhubarbrelay.config;
 
 import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
- * The properties of the requests whose method and path match. Instances are immutable; each
- * {@code with} or mark method returns a copy.
+ * Leads the requests of a host whose path begins with a prefix to one service or to several.
+ * Instances are immutable; each {@code with} or mark method returns a copy.
  */
 public final class Route {
-    private final Method method;
-    private final String path;
-    private final Boolean idempotent;
-    private final boolean longRunning;
-    private final Duration deadline;
+    private final String name;
+    private final String host;
+    private final String prefix;
+    private final boolean idempotent;
+    private final Duration objective;
+    private final Duration timeout;
+    private final int attempts;
+    private final int priority;
+    private final Map<String, Integer> weights;
 
-    private Route(Method method, String path, Boolean idempotent, boolean longRunning, Duration deadline) {
-        this.method = method;
-        this.path = path;
+    private Route(String name, String host, String prefix, boolean idempotent, Duration objective, Duration timeout,
+            int attempts, int priority, Map<String, Integer> weights) {
+        this.name = name;
+        this.host = host;
+        this.prefix = prefix;
         this.idempotent = idempotent;
-        this.longRunning = longRunning;
-        this.deadline = deadline;
+        this.objective = objective;
+        this.timeout = timeout;
+        this.attempts = attempts;
+        this.priority = priority;
+        this.weights = weights;
     }
 
-    /** Returns a route without marks for the requests whose path starts with the prefix. */
-    public static Route of(Method method, String pathPrefix) {
-        if (method == null) {
-            throw new IllegalArgumentException("route of \"" + pathPrefix + "\": no method");
+    /**
+     * Returns a route without services, for requests that run at most once. The prefix begins and
+     * ends with a slash.
+     */
+    public static Route of(String host, String prefix, Duration timeout) {
+        if (!Checks.path(prefix).endsWith("/")) {
+            throw new IllegalArgumentException("path prefix \"" + prefix + "\": does not end with a slash");
         }
-        return new Route(method, Checks.path(pathPrefix), null, false, null);
+        String checked = Checks.name("host", host);
+        return new Route(checked + prefix, checked, prefix, false, Duration.ZERO, Checks.duration("timeout", timeout),
+                1, 0, Map.of());
     }
 
-    /** Allows more than one attempt of a request. */
+    /** Sets the name of the route. */
+    public Route named(String value) {
+        return new Route(Checks.name("route", value), host, prefix, idempotent, objective, timeout, attempts, priority,
+                weights);
+    }
+
+    /** Allows a request to run more than once. */
     public Route idempotent() {
-        return new Route(method, path, true, longRunning, deadline);
+        return new Route(name, host, prefix, true, objective, timeout, attempts, priority, weights);
+    }
+
+    /** Sets the time in which an answer is useful to its caller. */
+    public Route withObjective(Duration value) {
+        return new Route(name, host, prefix, idempotent, Checks.duration("objective", value), timeout, attempts,
+                priority, weights);
     }
 
-    /** Allows at most one attempt of a request. */
-    public Route nonIdempotent() {
-        return new Route(method, path, false, longRunning, deadline);
+    /** Bounds the targets to which one request may be sent. */
+    public Route withAttempts(int value) {
+        return new Route(name, host, prefix, idempotent, objective, timeout,
+                Checks.range("attempts", value, 1, Checks.MAX_ATTEMPTS), priority, weights);
     }
 
-    /** Marks requests that run many times longer than the service's others. */
-    public Route longRunning() {
-        return new Route(method, path, idempotent, true, deadline);
+    /** Ranks the route, 0 first. */
+    public Route withPriority(int value) {
+        return new Route(name, host, prefix, idempotent, objective, timeout, attempts,
+                Checks.range("priority", value, 0, Checks.MAX_COUNT), weights);
+    }
+
+    /** Adds a service with its share of the requests. */
+    public Route to(Service service, int weight) {
+        Map<String, Integer> more = new LinkedHashMap<>(weights);
+        if (more.put(service.name(), Checks.range("weight", weight, 0, Checks.MAX_COUNT)) != null) {
+            throw new IllegalArgumentException("route " + key() + ": service " + service.name() + " appears twice");
+        }
+        return new Route(name, host, prefix, idempotent, objective, timeout, attempts, priority, more);
     }
 
-    /** Replaces the service's deadline. */
-    public Route withDeadline(Duration value) {
-        return new Route(method, path, idempotent, longRunning, Checks.duration("deadline", value));
+    /** Adds the only service. */
+    public Route to(Service service) {
+        return to(service, 1);
     }
 
     String key() {
-        return method + " " + path;
+        return host + prefix;
     }
 
-    void print(StringBuilder out, String service) {
-        out.append("[route ").append(service).append(' ').append(key()).append("]\n");
-        if (idempotent != null) {
-            out.append("idempotent = ").append(idempotent).append('\n');
-        }
-        if (longRunning) {
-            out.append("long = true\n");
-        }
-        if (deadline != null) {
-            out.append("deadline = ").append(Durations.text(deadline)).append('\n');
+    Set<String> services() {
+        return weights.keySet();
+    }
+
+    void print(StringBuilder out) {
+        out.append("[route ").append(host).append(' ').append(prefix).append("]\n");
+        out.append("name = ").append(name).append('\n');
+        out.append("idempotent = ").append(idempotent).append('\n');
+        out.append("objective = ").append(Durations.text(objective)).append('\n');
+        out.append("timeout = ").append(Durations.text(timeout)).append('\n');
+        out.append("attempts = ").append(attempts).append('\n');
+        out.append("priority = ").append(priority).append('\n');
+        out.append("services = ").append(split()).append('\n');
+    }
+
+    private String split() {
+        if (weights.size() == 1) {
+            return weights.keySet().iterator().next();
         }
+        return weights.entrySet().stream().map(e -> e.getKey() + ":" + e.getValue()).collect(Collectors.joining(", "));
     }
 }
--- /dev/null
+++ b/queries/queries.go
@@ -0,0 +1,159 @@
+// Package queries holds what operators ask of files, the store and running
+// instances.
+package queries
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"net/url"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rogpeppe/go-internal/diff"
+	"github.com/valyala/fasthttp"
+
+	"rhubarbrelay/admin"
+	"rhubarbrelay/config"
+	"rhubarbrelay/timeline"
+)
+
+// ErrUnreachable means that an instance did not answer.
+var ErrUnreachable = errors.New("instance does not answer")
+
+// askTimeout bounds a question to an instance.
+const askTimeout = 5 * time.Second
+
+// Check prints what a document defines.
+func Check(d *config.Document, out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "HOST\tPREFIX\tSERVICES\tTIMEOUT\tATTEMPTS\tIDEMPOTENT")
+	for _, r := range d.Routes {
+		var services []string
+		for _, p := range r.Split {
+			services = append(services, p.Service)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%t\n", r.Host, r.PathPrefix, strings.Join(services, ","), r.Timeout, r.Attempts, r.Idempotent)
+	}
+	return w.Flush()
+}
+
+// Show prints a published document as a file that can be edited and published.
+func Show(d *config.Document, out io.Writer) error {
+	_, err := fmt.Fprintf(out, "# version %d\n%s", d.Version, config.Format(d))
+	return err
+}
+
+// Diff prints what the file would change. It prints nothing when that is
+// nothing.
+func Diff(published, file *config.Document, out io.Writer) error {
+	var before []byte
+	version := int64(0)
+	if published != nil {
+		before, version = config.Format(published), published.Version
+	}
+	_, err := out.Write(diff.Diff(fmt.Sprintf("published version %d", version), before, "file", config.Format(file)))
+	return err
+}
+
+// Client asks instances.
+type Client struct {
+	Token string
+}
+
+func (c Client) get(ctx context.Context, address netip.AddrPort, path string) ([]byte, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + address.String() + path)
+	if c.Token != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.Token)
+	}
+	deadline := time.Now().Add(askTimeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := fasthttp.DoDeadline(req, resp, deadline); err != nil {
+		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, address, err)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, fmt.Errorf("%s: status %d: %s", address, resp.StatusCode(), resp.Body())
+	}
+	return append([]byte(nil), resp.Body()...), nil
+}
+
+// Status prints the state of the instances. Those that do not answer are named
+// and make the error.
+func (c Client) Status(ctx context.Context, instances []netip.AddrPort, out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "INSTANCE\tZONE\tREADY\tVERSION\tTARGETS\tTARGET AGE\tSTORE\tIN PROGRESS\tKNOWS")
+	var failed []error
+	for _, address := range instances {
+		body, err := c.get(ctx, address, admin.StatusPath)
+		if err != nil {
+			failed = append(failed, err)
+			continue
+		}
+		s, err := admin.DecodeStatus(body)
+		if err != nil {
+			failed = append(failed, fmt.Errorf("%s: %w", address, err))
+			continue
+		}
+		store := "ok"
+		if s.StoreFailing {
+			store = "failing"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\t%s\t%s\t%d\t%d\n",
+			s.ID, s.Zone, s.Ready, s.ConfigVersion, s.Targets, s.TargetAge, store, s.InProgress, len(s.Instances))
+	}
+	return errors.Join(w.Flush(), errors.Join(failed...))
+}
+
+// Timeline prints the events of the instances in one order.
+func (c Client) Timeline(ctx context.Context, instances []netip.AddrPort, filter timeline.Filter, out io.Writer) error {
+	query := url.Values{}
+	for name, value := range map[string]string{"request": filter.Request, "service": filter.Service, "target": filter.Target} {
+		if value != "" {
+			query.Set(name, value)
+		}
+	}
+	var lists [][]timeline.Event
+	var failed []error
+	for _, address := range instances {
+		body, err := c.get(ctx, address, admin.TimelinePath+"?"+query.Encode())
+		if err != nil {
+			failed = append(failed, err)
+			continue
+		}
+		events, err := admin.DecodeEvents(body)
+		if err != nil {
+			failed = append(failed, fmt.Errorf("%s: %w", address, err))
+			continue
+		}
+		lists = append(lists, events)
+	}
+	for _, e := range timeline.Merge(filter, lists...) {
+		if _, err := fmt.Fprintln(out, formatEvent(e)); err != nil {
+			return err
+		}
+	}
+	return errors.Join(failed...)
+}
+
+func formatEvent(e timeline.Event) string {
+	text := fmt.Sprintf("%s/%d %s %s", e.Time.Time().UTC().Format("2006-01-02T15:04:05.000Z"), e.Time.Counter(), e.Instance, e.Kind)
+	for _, f := range []struct{ name, value string }{
+		{"service", e.Service}, {"target", e.Target}, {"request", e.Request}, {"peer", e.Peer}, {"detail", e.Detail},
+	} {
+		if f.value != "" {
+			text += fmt.Sprintf(" %s=%q", f.name, f.value)
+		}
+	}
+	if e.HasVersion() {
+		text += fmt.Sprintf(" version=%d", e.Version)
+	}
+	return text
+}
