scenario: scripted scenarios over real processes; daemon: end after a stop

The scenario of a planned stop found that the process never ended by itself: the servers of entry questions and of the administration went on. They are now shut down with the rest.

--- a/daemon/run.go
+++ b/daemon/run.go
@@ -64,6 +64,10 @@
 	group.Go(func() error { return d.announce(running) })
 	group.Go(func() error { return d.catchUp(running) })
 	group.Go(func() error { return d.live(running, stop) })
+	group.Go(func() error {
+		<-running.Done()
+		return errors.Join(d.desk.Shutdown(), d.admin.Shutdown())
+	})
 	err = group.Wait()
 	if errors.Is(err, errStopped) {
 		d.recorder.Record(timeline.Event{Kind: timeline.InstanceStopped})
--- /dev/null
+++ b/scenario/processes_test.go
@@ -0,0 +1,143 @@
+package scenario
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// processes are the background processes of one scenario, by name.
+type processes struct {
+	network string
+	dir     string
+	running map[string]*process
+	calls   map[string]chan string
+}
+
+// process is one background process.
+type process struct {
+	command *exec.Cmd
+	exited  chan struct{}
+	err     error
+}
+
+type processesKey struct{}
+
+func processesOf(ts *testscript.TestScript) *processes {
+	return ts.Value(processesKey{}).(*processes)
+}
+
+// start runs a program in the background. Its output goes to a file, which is
+// appended to when a process of the name starts again.
+func (p *processes) start(name string, argv ...string) error {
+	out, err := os.OpenFile(filepath.Join(p.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	command := exec.Command(argv[0], argv[1:]...)
+	command.Stdout, command.Stderr = out, out
+	if err := command.Start(); err != nil {
+		return errors.Join(err, out.Close())
+	}
+	started := &process{command: command, exited: make(chan struct{})}
+	go func() {
+		started.err = errors.Join(command.Wait(), out.Close())
+		close(started.exited)
+	}()
+	p.running[name] = started
+	return nil
+}
+
+// killAll ends every process of the scenario.
+func (p *processes) killAll() {
+	for _, running := range p.running {
+		_ = running.command.Process.Signal(syscall.SIGKILL)
+		<-running.exited
+	}
+}
+
+// startStore starts the stand-in of the store on $NET.1:7000.
+func startStore(ts *testscript.TestScript, _ bool, _ []string) {
+	p := processesOf(ts)
+	address := p.network + ".1:7000"
+	ts.Check(p.start("store", "standin", "store", "--listen", address))
+	awaitListener(ts, address)
+}
+
+// startTarget starts a stand-in of a target: target ID SERVICE HOST [FLAGS...].
+// It serves on $NET.HOST:9000.
+func startTarget(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 3 {
+		ts.Fatalf("usage: target ID SERVICE HOST [FLAGS...]")
+	}
+	p := processesOf(ts)
+	address := p.network + "." + args[2] + ":9000"
+	ts.Check(p.start(args[0], append([]string{
+		"standin", "target", "--listen", address, "--store", p.network + ".1:7000", "--id", args[0], "--service", args[1],
+	}, args[3:]...)...))
+	awaitListener(ts, address)
+}
+
+// startInstance starts an instance: instance ID ZONE HOST. It serves callers on
+// $NET.HOST:8080, operators on 8082, entry questions on 8083 and readiness on
+// 8084.
+func startInstance(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 3 {
+		ts.Fatalf("usage: instance ID ZONE HOST")
+	}
+	p := processesOf(ts)
+	host := p.network + "." + args[2]
+	text := fmt.Sprintf("[instance]\nid = %s\nzone = %s\nregion = r\n[callers]\nlisten = %[3]s:8080\nentry = %[3]s:8083\nready = %[3]s:8084\n"+
+		"[peers]\nlisten = %[3]s:8081\n[admin]\nlisten = %[3]s:8082\n[store]\naddress = %s.1:7000\n[stop]\ngrace = 4s\n",
+		args[0], args[1], host, p.network)
+	path := filepath.Join(p.dir, args[0]+".ini")
+	ts.Check(os.WriteFile(path, []byte(text), 0o600))
+	ts.Check(p.start(args[0], "rhubarbrelayd", "--settings", path))
+	awaitListener(ts, host+":8082")
+}
+
+// signal sends a signal to a process: signal NAME TERM|KILL|HUP|STOP|CONT.
+func signal(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{
+		"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "HUP": syscall.SIGHUP, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	}
+	p := processesOf(ts).running[args[0]]
+	ts.Check(p.command.Process.Signal(signals[args[1]]))
+	if args[1] == "KILL" {
+		<-p.exited
+	}
+}
+
+// exits waits for the end of a process: exits NAME CODE.
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	p := processesOf(ts).running[args[0]]
+	want, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	select {
+	case <-p.exited:
+	case <-time.After(conditionTimeout):
+		ts.Fatalf("%s does not exit", args[0])
+	}
+	if got := p.command.ProcessState.ExitCode(); got != want {
+		ts.Fatalf("%s exited with %d, not %d", args[0], got, want)
+	}
+}
+
+func awaitListener(ts *testscript.TestScript, address string) {
+	for deadline := time.Now().Add(conditionTimeout); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		c, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = c.Close()
+			return
+		}
+	}
+	ts.Fatalf("nothing listens on %s", address)
+}
