--- a/cmd/rhubarbrelayd/main.go
+++ b/cmd/rhubarbrelayd/main.go
@@ -1,14 +1,13 @@
 // Command rhubarbrelayd runs one instance of rhubarbrelay.
 package main
 
-import "C" // The platform requires a program that is linked to the C library.
-
 import (
 	"context"
 	"expvar"
 	"fmt"
 	"os"
 	"os/signal"
+	_ "runtime/cgo" // The platform requires a program that is linked to the C library.
 	"runtime/debug"
 	"sync"
 	"syscall"
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -85,7 +85,9 @@
 		registered <- target.Register(stop, platform.NewStore(a.Store), standin.DefaultHeartbeat)
 	}()
 	err := serve(stop, a.Listen.String(), target.Serve, func() error {
-		<-registered
+		if err := <-registered; err != nil {
+			fmt.Fprintln(os.Stderr, "standin: entry not removed:", err)
+		}
 		time.Sleep(standin.DefaultHeartbeat) // requests that are on their way
 		return target.Close()
 	})
--- a/config/format.go
+++ b/config/format.go
@@ -68,7 +68,7 @@
 	case len(words) == 1 && words[0] == "limits":
 		d.Limits = Limits{
 			MaxHeaderBytes: f.number("max_header_bytes", 0), MaxBodyBytes: f.number("max_body_bytes", 0),
-			HeaderTimeout: f.duration("header_timeout", 0), IdleTimeout: f.duration("idle_timeout", 0),
+			HeaderTimeout: f.duration("header_timeout"), IdleTimeout: f.duration("idle_timeout"),
 		}
 	case len(words) == 2 && words[0] == "service":
 		if d.Services[words[1]] != nil {
@@ -80,7 +80,7 @@
 	case len(words) == 3 && words[0] == "route":
 		d.Routes = append(d.Routes, &Route{
 			Name: f.text("name", words[1]+words[2]), Host: words[1], PathPrefix: words[2], Idempotent: f.flag("idempotent"),
-			Objective: f.duration("objective", 0), Timeout: f.duration("timeout", 0), Attempts: f.number("attempts", 1),
+			Objective: f.duration("objective"), Timeout: f.duration("timeout"), Attempts: f.number("attempts", 1),
 			Priority: f.number("priority", 0), Split: f.split("services"),
 		})
 	default:
@@ -115,8 +115,8 @@
 	return n
 }
 
-func (f *fields) duration(name string, fallback time.Duration) time.Duration {
-	text := f.text(name, fallback.String())
+func (f *fields) duration(name string) time.Duration {
+	text := f.text(name, "0s")
 	d, err := time.ParseDuration(text)
 	if err != nil || d%time.Millisecond != 0 {
 		f.problem(name, text, "not a duration in whole milliseconds with its unit, such as 250ms")
--- a/entry/planner_test.go
+++ b/entry/planner_test.go
@@ -21,7 +21,7 @@
 func (f fixed) Ready() []membership.Instance { return f.ready }
 
 func instances(zones ...string) []membership.Instance {
-	var all []membership.Instance
+	all := make([]membership.Instance, 0, len(zones))
 	for i, zone := range zones {
 		all = append(all, membership.Instance{
 			ID: fmt.Sprintf("n%02d", i), Zone: zone, State: membership.Ready,
--- a/membership/directory_test.go
+++ b/membership/directory_test.go
@@ -21,8 +21,8 @@
 	}
 }
 
-func heartbeat(id string, incarnation int64, state State) Instance {
-	return Instance{ID: id, Incarnation: incarnation, State: state}
+func heartbeat(incarnation int64) Instance {
+	return Instance{ID: "x", Incarnation: incarnation, State: Ready}
 }
 
 func ids(all []Instance) string {
@@ -45,12 +45,12 @@
 		{"only listed", func(d *Directory) { d.List(instance("x", 1, Ready)) }, "s"},
 		{"listed, then heard", func(d *Directory) {
 			d.List(instance("x", 1, Ready))
-			d.Hear(heartbeat("x", 1, Ready), beat)
+			d.Hear(heartbeat(1), beat)
 		}, "sx"},
 		{"starting", func(d *Directory) { d.Hear(instance("x", 1, Starting), beat) }, "s"},
 		{"leaving, then an older heartbeat", func(d *Directory) {
 			d.Hear(instance("x", 1, Leaving), beat)
-			d.Hear(heartbeat("x", 1, Ready), beat)
+			d.Hear(heartbeat(1), beat)
 		}, "s"},
 		{"restarted after leaving", func(d *Directory) {
 			d.Hear(instance("x", 1, Leaving), beat)
@@ -63,7 +63,7 @@
 		{"silent and back", func(d *Directory) {
 			d.Hear(instance("x", 1, Ready), beat)
 			time.Sleep(3 * beat)
-			d.Hear(heartbeat("x", 1, Ready), beat)
+			d.Hear(heartbeat(1), beat)
 		}, "sx"},
 		{"late packet of the former incarnation", func(d *Directory) {
 			d.Hear(instance("x", 2, Ready), beat)
@@ -90,9 +90,9 @@
 // Guards against an instance whose addresses stay unknown because nobody asks.
 func TestHeartbeatOfUnknownInstance(t *testing.T) {
 	d := NewDirectory(instance("s", 1, Ready))
-	assert.Assert(t, !d.Hear(heartbeat("x", 1, Ready), beat))
+	assert.Assert(t, !d.Hear(heartbeat(1), beat))
 	assert.Assert(t, d.Hear(instance("x", 1, Ready), beat))
-	assert.Assert(t, !d.Hear(heartbeat("x", 2, Ready), beat), "another incarnation may have other addresses")
+	assert.Assert(t, !d.Hear(heartbeat(2), beat), "another incarnation may have other addresses")
 	assert.Equal(t, d.Peers()[0].CallerAddress, instance("x", 1, Ready).CallerAddress)
 }
 
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -87,9 +87,9 @@
 	b := startNode(t, "b", a.address)
 	waitFor(t, "a knows b", func() bool { return len(a.directory.Ready()) == 2 })
 	a.directory.SetConfigVersion(7)
-	var changes []targets.Change
-	var offsets []int64
-	for i := range 2*newsChanges + 3 {
+	const count = 2*newsChanges + 3
+	changes, offsets := make([]targets.Change, 0, count), make([]int64, 0, count)
+	for i := range count {
 		target := &targets.Target{
 			ID: fmt.Sprintf("t-%d", i), Born: 5, Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "z", Version: "v1",
 			Slots: 4, State: targets.State(i % 2), Sequence: int64(i), Cold: time.Second,
--- a/queries/queries.go
+++ b/queries/queries.go
@@ -29,14 +29,14 @@
 
 // Check prints what a document defines.
 func Check(d *config.Document, out io.Writer) error {
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "HOST\tPREFIX\tSERVICES\tTIMEOUT\tATTEMPTS\tIDEMPOTENT")
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0) // its Flush reports what failed
+	_, _ = fmt.Fprintln(w, "HOST\tPREFIX\tSERVICES\tTIMEOUT\tATTEMPTS\tIDEMPOTENT")
 	for _, r := range d.Routes {
-		var services []string
+		services := make([]string, 0, len(r.Split))
 		for _, p := range r.Split {
 			services = append(services, p.Service)
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%t\n", r.Host, r.PathPrefix, strings.Join(services, ","), r.Timeout, r.Attempts, r.Idempotent)
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%t\n", r.Host, r.PathPrefix, strings.Join(services, ","), r.Timeout, r.Attempts, r.Idempotent)
 	}
 	return w.Flush()
 }
@@ -89,7 +89,7 @@
 // and make the error.
 func (c Client) Status(ctx context.Context, instances []netip.AddrPort, out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "INSTANCE\tZONE\tREADY\tVERSION\tTARGETS\tTARGET AGE\tSTORE\tIN PROGRESS\tKNOWS")
+	_, _ = fmt.Fprintln(w, "INSTANCE\tZONE\tREADY\tVERSION\tTARGETS\tTARGET AGE\tSTORE\tIN PROGRESS\tKNOWS")
 	var failed []error
 	for _, address := range instances {
 		body, err := c.get(ctx, address, admin.StatusPath)
@@ -106,7 +106,7 @@
 		if s.StoreFailing {
 			store = "failing"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\t%s\t%s\t%d\t%d\n",
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\t%s\t%s\t%d\t%d\n",
 			s.ID, s.Zone, s.Ready, s.ConfigVersion, s.Targets, s.TargetAge, store, s.InProgress, len(s.Instances))
 	}
 	return errors.Join(w.Flush(), errors.Join(failed...))
--- a/relay/answer_test.go
+++ b/relay/answer_test.go
@@ -10,8 +10,8 @@
 )
 
 // always returns a script that answers every request in the same way.
-func always(answer func(*fasthttp.Request) string, close bool) targetScript {
-	return func(req *fasthttp.Request) (string, bool) { return answer(req), close }
+func always(answer func(*fasthttp.Request) string, closes bool) targetScript {
+	return func(req *fasthttp.Request) (string, bool) { return answer(req), closes }
 }
 
 // Guards against answers that say more than the target did: a promise that a
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -104,7 +104,7 @@
 
 // targetScript says what a target does with one request: the bytes that it
 // answers, and whether it closes the connection after them.
-type targetScript func(request *fasthttp.Request) (answer string, close bool)
+type targetScript func(request *fasthttp.Request) (answer string, closes bool)
 
 // scripted is a target that answers its requests by a script, and probes by
 // itself.
@@ -186,7 +186,7 @@
 func echo(req *fasthttp.Request) (string, bool) { return sealed(req, 200, string(req.Body())), false }
 
 func infos(all ...*scripted) []*targets.Target {
-	var list []*targets.Target
+	list := make([]*targets.Target, 0, len(all))
 	for _, s := range all {
 		list = append(list, s.info)
 	}
--- a/relay/try.go
+++ b/relay/try.go
@@ -89,16 +89,11 @@
 
 // outcome says what the try tells of the target.
 func (t *try) outcome() routing.Outcome {
+	if t.err == nil {
+		return t.outcomeOfAnswer()
+	}
 	canceled, outrun := t.wasCanceled()
 	switch {
-	case t.err == nil && t.reply.NotRun && t.resp.StatusCode() == fasthttp.StatusMisdirectedRequest:
-		return routing.Gone
-	case t.err == nil && t.reply.NotRun:
-		return routing.Shed
-	case t.err == nil && t.succeeded():
-		return routing.Succeeded
-	case t.err == nil && t.resp.StatusCode() < fasthttp.StatusInternalServerError && t.reply.Sealed:
-		return routing.Succeeded
 	case outrun:
 		return routing.Outrun
 	case canceled:
@@ -113,6 +108,19 @@
 	return routing.Failed
 }
 
+func (t *try) outcomeOfAnswer() routing.Outcome {
+	status := t.resp.StatusCode()
+	switch {
+	case t.reply.NotRun && status == fasthttp.StatusMisdirectedRequest:
+		return routing.Gone
+	case t.reply.NotRun:
+		return routing.Shed
+	case t.reply.Sealed && status < fasthttp.StatusInternalServerError:
+		return routing.Succeeded
+	}
+	return routing.Failed
+}
+
 // succeeded returns whether the answer is a target's success.
 func (t *try) succeeded() bool {
 	return t.err == nil && t.resp.StatusCode() < fasthttp.StatusMultipleChoices && t.reply.Sealed
--- a/routing/scan.go
+++ b/routing/scan.go
@@ -90,7 +90,7 @@
 		}
 		found, probes := d.ask(round)
 		asked += probes
-		best = d.better(r, best, found)
+		best = d.better(best, found)
 		if best.target != nil && d.isGood(best.target) {
 			break
 		}
@@ -172,7 +172,7 @@
 // score returns how long the work of a request is expected to take on a target,
 // as a multiple of the usual duration, with what else speaks against it.
 func (d *Dispatcher) score(t *target, now time.Time) float64 {
-	score := t.slowdown(now, reportUsable) + failingCost*t.failing(now)
+	score := t.slowdown(now) + failingCost*t.failing(now)
 	score += float64(t.occupied()) / float64(t.info.Slots) * jitter
 	if t.full() && t.reported(now, reportUsable) {
 		score += float64(1 + t.occupied() - t.room())
@@ -191,7 +191,7 @@
 }
 
 func (d *Dispatcher) fast(t *target, now time.Time) bool {
-	return t.slowdown(now, reportUsable) <= goodSlowdown && t.failing(now) <= maxFailing
+	return t.slowdown(now) <= goodSlowdown && t.failing(now) <= maxFailing
 }
 
 // worthTaking returns whether the request should go to the target rather than
@@ -203,13 +203,13 @@
 	if r.Repeat || d.fast(c.target, now) {
 		return true
 	}
-	finish := now.Add(time.Duration(c.target.slowdown(now, reportUsable) * float64(expected)))
+	finish := now.Add(time.Duration(c.target.slowdown(now) * float64(expected)))
 	return !finish.After(r.Arrival.Add(r.Objective))
 }
 
 // better returns the best of the candidates that may take the request, and
 // releases the connections of the others.
-func (d *Dispatcher) better(r *Request, best candidate, found []candidate) candidate {
+func (d *Dispatcher) better(best candidate, found []candidate) candidate {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock()
@@ -247,7 +247,7 @@
 	}
 	l := &Lease{
 		dispatcher: d, target: t, route: r.Route, start: now, conn: c.conn,
-		expected: expected, slowdown: t.slowdown(now, reportUsable),
+		expected: expected, slowdown: t.slowdown(now),
 		Decision: Decision{
 			ReportAge: now.Sub(t.loadAt), Running: t.load.Running, Waiting: t.load.Waiting, Slots: t.info.Slots,
 			Slowdown: t.load.Slowdown, Probes: asked, Waited: now.Sub(r.Arrival),
--- a/routing/target.go
+++ b/routing/target.go
@@ -86,7 +86,7 @@
 func (t *target) full() bool { return t.occupied() >= t.room() }
 
 // slowdown returns how much longer than usual work takes on the target.
-func (t *target) slowdown(now time.Time, age time.Duration) float64 {
+func (t *target) slowdown(now time.Time) float64 {
 	factor := 1 + t.slowness*fade(now.Sub(t.slowAt), slownessMemory)
 	for _, l := range t.flights {
 		if l.expected > 0 {
@@ -95,7 +95,7 @@
 			}
 		}
 	}
-	if t.reported(now, age) && t.load.Slowdown > 0 {
+	if t.reported(now, reportUsable) && t.load.Slowdown > 0 {
 		factor *= t.load.Slowdown
 	}
 	if now.Before(t.warmAt) {
--- a/standin/proxy_test.go
+++ b/standin/proxy_test.go
@@ -30,14 +30,13 @@
 	return l.Addr().String()
 }
 
-// post sends one request on the connection and returns the body.
-func post(c net.Conn, id string) (string, error) {
+// post sends one request on the connection and reads the answer.
+func post(c net.Conn, id string) error {
 	if _, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: t\r\nRhubarbrelay-Attempt-Id: %s\r\nContent-Length: 4\r\n\r\nbody", id); err != nil {
-		return "", err
+		return err
 	}
 	var resp fasthttp.Response
-	err := resp.Read(bufio.NewReader(c))
-	return string(resp.Body()), err
+	return resp.Read(bufio.NewReader(c))
 }
 
 func dial(t *testing.T, address string) net.Conn {
@@ -63,11 +62,11 @@
 
 	mode(standin.ProxyPass)
 	open := dial(t, address)
-	_, err = post(open, "1")
+	err = post(open, "1")
 	assert.NilError(t, err)
 
 	mode(standin.ProxySilenceOpen)
-	_, err = post(dial(t, address), "2")
+	err = post(dial(t, address), "2")
 	assert.NilError(t, err)
 	_, err = fmt.Fprint(open, "GET / HTTP/1.1\r\n\r\n")
 	assert.NilError(t, err)
@@ -76,12 +75,12 @@
 	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
 
 	mode(standin.ProxyReset)
-	_, err = post(dial(t, address), "3")
+	err = post(dial(t, address), "3")
 	assert.Assert(t, err != nil)
 	mode(standin.ProxyRefuse)
 	_, err = net.Dial("tcp", address)
 	assert.ErrorContains(t, err, "refused")
 	mode(standin.ProxyPass)
-	_, err = post(dial(t, address), "4")
+	err = post(dial(t, address), "4")
 	assert.NilError(t, err)
 }
--- a/standin/target.go
+++ b/standin/target.go
@@ -160,18 +160,18 @@
 	if id := ctx.Request.Header.Peek(headerAttempt); len(id) > 0 {
 		h.SetBytesV(headerAttempt, id)
 	}
-	switch path := string(ctx.Path()); {
-	case path == healthPath:
+	switch string(ctx.Path()) {
+	case healthPath:
 		t.probes.Add(1)
 		h.Set(headerInstance, t.info.ID)
 		if faults.LieIll || targets.State(t.state.Load()) == targets.Draining {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		}
-	case path == controlPrefix+"stats":
+	case controlPrefix + "stats":
 		writeJSON(ctx, map[string]any{"runs": t.Runs(), "late": t.Late(), "probes": t.probes.Load()})
-	case path == controlPrefix+"faults":
+	case controlPrefix + "faults":
 		t.controlFaults(ctx)
-	case path == controlPrefix+"drain":
+	case controlPrefix + "drain":
 		t.SetState(targets.Draining)
 	default:
 		t.work(ctx, faults)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -175,12 +175,12 @@
 // answer that came before the end of the request the connection is closed: the
 // target would take what follows for the rest of the body.
 func (c *Conn) exchangeConcurrently(req *fasthttp.Request, resp *fasthttp.Response) error {
-	written := make(chan error, 1)
-	go func() { written <- c.send(req) }()
+	written := make(chan bool, 1)
+	go func() { written <- c.send(req) == nil }()
 	err := c.receive(req, resp)
 	select {
-	case sendErr := <-written:
-		if sendErr != nil {
+	case complete := <-written:
+		if !complete {
 			c.spoilt = true
 		}
 		return err
