--- a/Makefile
+++ b/Makefile
@@ -29,14 +29,16 @@
 	GOBIN=$(CURDIR)/bin go install google.golang.org/protobuf/cmd/protoc-gen-go
 	PATH="$(CURDIR)/bin:$$PATH" go run github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION) generate
 
+# Runs the system as separate processes under random faults and prints what
+# callers saw; fails if a guarantee was broken.
 demo: build
-	./demo/run
+	bin/soak --duration 10s --instances 4 --targets 12 --verbose
 
-# Runs SOAK random sequences of faults with a random seed, which a failure
-# prints. A failure names the flags that repeat its sequence.
-SOAK := 40
-soak:
-	go test -race -count=1 -timeout 60m -v -run TestRandomFaults ./scenario -rapid.checks=$(SOAK)
+# Plays SEEDS random sequences of faults with fresh seeds. A failure names its
+# seed, which bin/soak --seed plays again.
+SEEDS := 50
+soak: build
+	bin/soak --seeds $(SEEDS)
 
 java:
 	./java/build
