routing, registry: refuse late requests while others wait; few call the store while it is away

Change: a late request that is not among the first to look for a target is refused at once and asked to come back after half a second; the pause between failed calls grows with the rank of the instance, and news end it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -57,7 +57,7 @@
 	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger),
 		peer.WithOnNews(d.hearNews), peer.WithSeeds(seedsOf(s)), peer.WithActive(d.planner.IsActive))
 	d.registry = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, logger)
-	d.config = registry.NewConfigFollower(store, d.registry.Reads, logger, d.applyConfig)
+	d.config = registry.NewConfigFollower(store, d.registry.Reads, d.members.Rank, logger, d.applyConfig)
 	d.announcer = registry.NewAnnouncer(store, d.members, logger)
 	d.freshness = newFreshness(d.registry, d.config, s.Budgets.DrainDelay, d.notePause)
 	d.relay = relay.NewServer(d.config, d.table, relay.WithRecorder(d.recorder), relay.WithLogger(logger),
--- a/registry/announcer.go
+++ b/registry/announcer.go
@@ -30,7 +30,7 @@
 // Announce writes the own entry, then reads all, so that of two instances that
 // start at once one sees the other. It tries until the context ends.
 func (a *Announcer) Announce(ctx context.Context) {
-	var pause backoff
+	pause := backoff{rank: a.directory.Rank}
 	for ctx.Err() == nil {
 		err := a.announce(ctx)
 		if err == nil {
--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -26,6 +26,7 @@
 	store Store
 	// reads tells whether this instance reads the store for the others.
 	reads  func() bool
+	rank   func() int
 	logger log.Interface
 	apply  func(*config.Document)
 
@@ -49,9 +50,9 @@
 // An instance that reads the store for the others waits there for new versions;
 // the others hear of them.
 func NewConfigFollower(
-	store Store, reads func() bool, logger log.Interface, apply func(*config.Document),
+	store Store, reads func() bool, rank func() int, logger log.Interface, apply func(*config.Document),
 ) *ConfigFollower {
-	return &ConfigFollower{store: store, reads: reads, logger: logger, apply: apply, hinted: make(chan struct{}, 1)}
+	return &ConfigFollower{store: store, reads: reads, rank: rank, logger: logger, apply: apply, hinted: make(chan struct{}, 1)}
 }
 
 // Hint notes the version of an instance that reads the store.
@@ -118,7 +119,7 @@
 // Run follows the store until the context ends.
 func (f *ConfigFollower) Run(ctx context.Context) error {
 	from := int64(unknownOffset)
-	var pause backoff
+	pause := backoff{rank: f.rank}
 	for ctx.Err() == nil {
 		reading, cancel := context.WithCancel(ctx)
 		f.interrupt.Store(&cancel)
@@ -134,6 +135,7 @@
 		case err != nil:
 			f.note(err)
 			pause.wait(ctx)
+			f.awaitHint(ctx)
 		default:
 			f.note(nil)
 			pause.reset()
--- a/registry/config_follower_test.go
+++ b/registry/config_follower_test.go
@@ -29,7 +29,7 @@
 	t.Helper()
 	var mu sync.Mutex
 	var versions []int64
-	f := NewConfigFollower(store, func() bool { return reads }, quiet, func(d *config.Document) {
+	f := NewConfigFollower(store, func() bool { return reads }, func() int { return 0 }, quiet, func(d *config.Document) {
 		mu.Lock()
 		defer mu.Unlock()
 		versions = append(versions, d.Version)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -20,26 +20,38 @@
 const (
 	// callTimeout bounds a call that does not wait for records.
 	callTimeout = time.Second
-	// firstBackoff is the pause after a failed call. It doubles up to
-	// maxBackoff.
-	firstBackoff = 50 * time.Millisecond
-	maxBackoff   = 800 * time.Millisecond
+	// firstBackoff is the pause after a failed call, for each step of the rank
+	// of the instance. It doubles up to a bound that grows with the rank as well,
+	// from minMaxBackoff by backoffStep to maxMaxBackoff: while the store is away
+	// few instances ask for all, and the others hear of its return from them.
+	firstBackoff  = 50 * time.Millisecond
+	minMaxBackoff = 800 * time.Millisecond
+	backoffStep   = 400 * time.Millisecond
+	maxMaxBackoff = 4 * time.Second
 )
 
 // unknownOffset means that the next read must be of the newest records.
 const unknownOffset = -1
 
 // backoff is the growing pause between failed calls.
-type backoff struct{ pause time.Duration }
+type backoff struct {
+	rank  func() int
+	pause time.Duration
+}
 
 func (b *backoff) reset() { b.pause = 0 }
 
-// wait pauses with a random share, so that instances do not call at once.
-func (b *backoff) wait(ctx context.Context) {
-	b.pause = min(maxBackoff, max(firstBackoff, 2*b.pause))
-	sleep(ctx, b.pause/2+rand.N(b.pause))
+// next returns the next pause, with a random share, so that instances do not
+// call at once.
+func (b *backoff) next() time.Duration {
+	rank := time.Duration(b.rank())
+	bound := min(maxMaxBackoff, minMaxBackoff+rank*backoffStep)
+	b.pause = min(bound, max(firstBackoff*(1+rank), 2*b.pause))
+	return b.pause/2 + rand.N(b.pause)
 }
 
+func (b *backoff) wait(ctx context.Context) { sleep(ctx, b.next()) }
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -108,7 +108,7 @@
 
 // Run follows the registry until the context ends.
 func (f *TargetFollower) Run(ctx context.Context) error {
-	var pause backoff
+	pause := backoff{rank: f.rank}
 	for ctx.Err() == nil {
 		err := f.read(ctx)
 		f.directory.Expire()
@@ -119,7 +119,7 @@
 			f.setNext(unknownOffset)
 		case err != nil:
 			f.note(err)
-			pause.wait(ctx)
+			f.awaitNews(ctx, pause.next())
 		default:
 			f.note(nil)
 			pause.reset()
@@ -155,6 +155,19 @@
 	}
 }
 
+// awaitNews waits after a failed read. News end the wait: they replace the read.
+func (f *TargetFollower) awaitNews(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.heard:
+		f.directory.Expire()
+		f.await(ctx)
+	}
+}
+
 // note logs a lost or regained registry once.
 func (f *TargetFollower) note(err error) {
 	f.mu.Lock()
--- a/registry/target_follower_test.go
+++ b/registry/target_follower_test.go
@@ -217,3 +217,27 @@
 		assert.Assert(t, reads-before < 25, "%d reads in 10 s", reads-before)
 	})
 }
+
+// Guards against every instance calling the store while it is away, and against
+// those that call rarely learning late of its return.
+func TestFewCallDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances = 30
+		store := newFakeStore()
+		store.put(platform.TargetTopic, "i", registration("ready", 1))
+		w, directories := group(t, store, instances)
+		time.Sleep(3 * time.Second)
+		before, _ := store.counts()
+		store.fail(platform.ErrUnavailable)
+		time.Sleep(20 * time.Second)
+		reads, _ := store.counts()
+		assert.Assert(t, reads-before < instances*20/2, "%d reads in 20 s", reads-before)
+		store.put(platform.TargetTopic, "i", registration("draining", 2))
+		store.fail(nil)
+		time.Sleep(2 * minMaxBackoff)
+		for i, d := range directories {
+			assert.Equal(t, ready(d), 0, "instance %d", i)
+			assert.Assert(t, w.followers[i].Age() < 2*readInterval)
+		}
+	})
+}
--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -58,7 +58,11 @@
 			return nil, ctx.Err()
 		}
 		last := r.Repeat || !d.clock().Before(limit)
-		if turn, late := d.turn(w); turn {
+		turn, late := d.turn(w)
+		if late && !turn && !r.Repeat {
+			return nil, d.refuse(ErrTooLate)
+		}
+		if turn {
 			l, known := d.scan(r, late)
 			if l != nil {
 				return l, nil
@@ -154,7 +158,7 @@
 	} else {
 		d.stats.RefusedLate++
 	}
-	return &RefusalError{Cause: cause, RetryAfter: minRetryAfter}
+	return &RefusalError{Cause: cause, RetryAfter: maxRetryAfter / 2}
 }
 
 // sleep waits for a released slot, or a while.
