relay, routing: stops do not wait for unused connections; a zone with few targets uses those of others

Change: a stop ends when no request is in progress; a zone with less than three quarters of an even share of the targets may fill those of other zones.

--- a/admin/server.go
+++ b/admin/server.go
@@ -3,6 +3,7 @@
 package admin
 
 import (
+	"context"
 	"crypto/subtle"
 	"encoding/json"
 	"net"
@@ -72,8 +73,9 @@
 // Serve accepts connections until the listener closes.
 func (s *Server) Serve(l net.Listener) error { return s.http.Serve(l) }
 
-// Shutdown stops listening.
-func (s *Server) Shutdown() error { return s.http.Shutdown() }
+// Shutdown stops listening and waits for questions in progress until the context
+// ends. Connections that stay open do not count.
+func (s *Server) Shutdown(ctx context.Context) { _ = s.http.ShutdownWithContext(ctx) }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	if !ctx.IsGet() {
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -23,6 +23,8 @@
 	// exitMargin is the time before the end of the grace time at which the
 	// process exits at the latest.
 	exitMargin = 300 * time.Millisecond
+	// closeTimeout bounds the wait for questions in progress at the end.
+	closeTimeout = 100 * time.Millisecond
 	// behindInterval is the time between two looks at the versions of others.
 	behindInterval = 500 * time.Millisecond
 )
@@ -66,7 +68,11 @@
 	group.Go(func() error { return d.live(running, stop) })
 	group.Go(func() error {
 		<-running.Done()
-		return errors.Join(d.desk.Shutdown(), d.admin.Shutdown())
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		d.desk.Shutdown(ctx)
+		d.admin.Shutdown(ctx)
+		return nil
 	})
 	err = group.Wait()
 	if errors.Is(err, errStopped) {
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -44,8 +45,9 @@
 // Serve accepts connections until the listener closes.
 func (d *Desk) Serve(l net.Listener) error { return d.http.Serve(l) }
 
-// Shutdown stops listening.
-func (d *Desk) Shutdown() error { return d.http.Shutdown() }
+// Shutdown stops listening and waits for questions in progress until the context
+// ends. Connections that stay open do not count.
+func (d *Desk) Shutdown(ctx context.Context) { _ = d.http.ShutdownWithContext(ctx) }
 
 func (d *Desk) handle(ctx *fasthttp.RequestCtx) {
 	if platform.IsReadinessCheck(&ctx.Request) {
--- a/relay/listener_test.go
+++ b/relay/listener_test.go
@@ -1,10 +1,13 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 )
 
@@ -33,3 +36,32 @@
 	assert.NilError(t, first.conn.Close())
 	waitFor(t, "the place is free", func() bool { return h.call(t, "GET", "/safe/", "").status == 200 })
 }
+
+// Guards against a stop that waits for connections on which nothing was sent,
+// until the process is killed, and against one that cuts off a request.
+func TestShutdown(t *testing.T) {
+	release := make(chan struct{})
+	target := newScripted(t, "t-1", "a", func(r *fasthttp.Request) (string, bool) {
+		<-release
+		return sealed(r, 200, "late"), false
+	})
+	h := newHarness(t, infos(target))
+	h.connect(t) // sends nothing
+	c := h.connect(t)
+	c.send(message("POST", "/once/", ""))
+	waitFor(t, "the request runs", func() bool { return len(target.arrived()) == 1 })
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- h.relay.Shutdown(ctx) }()
+	select {
+	case err := <-ended:
+		t.Fatalf("ended with a request in progress: %v", err)
+	case <-time.After(3 * flushTime):
+	}
+	close(release)
+	assert.Equal(t, c.mustReceive().body, "late")
+	began := time.Now()
+	assert.NilError(t, <-ended)
+	assert.Assert(t, time.Since(began) < testTimeout/2)
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -168,5 +168,34 @@
 // InProgress returns the number of requests that were read and not answered.
 func (s *Server) InProgress() int64 { return s.inProgress.Load() }
 
-// Shutdown stops listening and waits for the requests in progress.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
+const (
+	// finishPoll is the time between two looks for requests in progress.
+	finishPoll = 20 * time.Millisecond
+	// flushTime is the time to write the last answers.
+	flushTime = 100 * time.Millisecond
+)
+
+// Shutdown stops listening, closes idle connections and waits for the requests
+// in progress until the context ends. It does not wait for connections on which
+// no request was sent.
+func (s *Server) Shutdown(ctx context.Context) error {
+	closed := make(chan error, 1)
+	go func() { closed <- s.http.ShutdownWithContext(ctx) }()
+	ticker := time.NewTicker(finishPoll)
+	defer ticker.Stop()
+	var quiet time.Duration
+	for {
+		select {
+		case err := <-closed:
+			return err
+		case <-ticker.C:
+		}
+		quiet += finishPoll
+		if s.InProgress() > 0 {
+			quiet = 0
+		}
+		if quiet >= flushTime {
+			return nil
+		}
+	}
+}
--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -37,6 +37,7 @@
 	service   *config.Service
 	sharing   Sharing
 	targets   map[targets.Incarnation]*target
+	dependent bool // on the targets of other zones
 	queue     queue
 	durations durations
 	finished  float64 // requests finished per second, smoothed
@@ -130,6 +131,7 @@
 			delete(d.targets, which)
 		}
 	}
+	d.dependent = d.dependsOnOthers()
 	d.queue.wakeFirst()
 }
 
--- a/routing/scan.go
+++ b/routing/scan.go
@@ -37,6 +37,9 @@
 	// farRoom is the part of its room up to which a target of another zone takes
 	// requests.
 	farRoom = 0.7
+	// evenShare is the part of an even division of the targets below which a zone
+	// depends on the others.
+	evenShare = 0.75
 	// failingCost is what a certain failure counts, in expected durations.
 	failingCost = 12.0
 	// jitter keeps instances from choosing the same targets at once, as a part
@@ -230,9 +233,20 @@
 
 // worthCrossing returns whether a target of another zone has so much room that
 // its own zone does not need it. Otherwise instances of two crowded zones would
-// send their requests across to each other.
+// send their requests across to each other. A zone with few targets of its own
+// depends on the others.
 func (d *Dispatcher) worthCrossing(t *target) bool {
-	return t.info.Zone == d.terms.Zone || float64(t.occupied()) < farRoom*float64(t.room())
+	return t.info.Zone == d.terms.Zone || d.dependent || float64(t.occupied()) < farRoom*float64(t.room())
+}
+
+// dependsOnOthers returns whether the own zone has far fewer targets than an
+// even division over the zones gives it.
+func (d *Dispatcher) dependsOnOthers() bool {
+	zones := map[string]int{d.terms.Zone: 0}
+	for _, t := range d.targets {
+		zones[t.info.Zone]++
+	}
+	return float64(zones[d.terms.Zone]*len(zones)) < evenShare*float64(len(d.targets))
 }
 
 // take gives the lease of the chosen target, nil when another request has taken
