routing: sample the targets of large services

Change: a decision looks at 48 random targets; those that reported last are kept apart, so that a slot that has just become free is still found.

--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -38,6 +38,7 @@
 	sharing   Sharing
 	targets   map[targets.Incarnation]*target
 	dependent bool // on the targets of other zones
+	recent    recent
 	queue     queue
 	durations durations
 	finished  float64 // requests finished per second, smoothed
@@ -194,7 +195,7 @@
 	t.land(l)
 	switch {
 	case reply.HasLoad:
-		t.report(reply.Load, now)
+		d.noteReport(t, reply.Load, now)
 	case t.sent > 0 && !l.start.Before(t.loadAt):
 		t.sent-- // the report that counts it will not come
 	}
@@ -202,6 +203,22 @@
 	d.queue.wakeFirst()
 }
 
+// recent holds the targets that reported last.
+type recent struct {
+	targets [recentReports]*target
+	next    int
+}
+
+// recentReports is the number of targets that recent holds. More do not report
+// within the time for which a report is as good as an answer now.
+const recentReports = 16
+
+func (d *Dispatcher) noteReport(t *target, load platform.Load, now time.Time) {
+	t.report(load, now)
+	d.recent.targets[d.recent.next] = t
+	d.recent.next = (d.recent.next + 1) % recentReports
+}
+
 func (d *Dispatcher) learn(l *Lease, outcome Outcome, now time.Time) {
 	t := l.target
 	switch outcome {
--- a/routing/scan.go
+++ b/routing/scan.go
@@ -16,6 +16,8 @@
 	// probeRounds the number of times before the best answer so far is taken.
 	probeWidth  = 3
 	probeRounds = 3
+	// sampleSize bounds the targets that one decision looks at.
+	sampleSize = 48
 	// reportFresh is the age up to which a report is as good as an answer now.
 	reportFresh = 15 * time.Millisecond
 	// reportUsable is the age up to which a report says anything: targets slow
@@ -78,13 +80,12 @@
 		order = d.nearest(order)
 	}
 	asked := 0
-	best := d.justReported(order)
-	if best.target != nil {
+	if best := d.justReported(r); best.target != nil {
 		if l := d.take(r, best, expected, asked); l != nil {
 			return l, true
 		}
-		best = candidate{}
 	}
+	var best candidate
 	for range probeRounds {
 		round := order[:min(probeWidth, len(order))]
 		order = order[len(round):]
@@ -112,16 +113,16 @@
 	return nil, true
 }
 
-// justReported returns the best near candidate whose report is as good as an
-// answer now, such as one that has just finished a request.
-func (d *Dispatcher) justReported(order []candidate) candidate {
+// justReported returns a near target whose report is as good as an answer now,
+// such as one that has just finished a request.
+func (d *Dispatcher) justReported(r *Request) candidate {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock()
-	for _, c := range order {
-		t := c.target
-		if c.tier == nearTier && t.reported(now, reportFresh) && !t.full() && d.fast(t, now) {
-			return c
+	for _, t := range d.recent.targets {
+		if t != nil && t.reported(now, reportFresh) && t.info.Zone == d.terms.Zone && t.usable(now) && !t.full() && d.fast(t, now) &&
+			!slices.Contains(r.Exclude, t.info.Incarnation()) && d.targets[t.info.Incarnation()] == t {
+			return candidate{target: t}
 		}
 	}
 	return candidate{}
@@ -133,13 +134,17 @@
 	}
 }
 
-// candidates returns the usable targets, those that look best first.
+// candidates returns usable targets, those that look best first. Of many targets
+// it looks at a random sample, which holds good ones almost surely.
 func (d *Dispatcher) candidates(r *Request) ([]candidate, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock()
-	all := make([]candidate, 0, len(d.targets))
-	for which, t := range d.targets {
+	all := make([]candidate, 0, min(sampleSize, len(d.targets)))
+	for which, t := range d.targets { // in random order
+		if len(all) == sampleSize {
+			break
+		}
 		if !t.usable(now) || slices.Contains(r.Exclude, which) {
 			continue
 		}
@@ -376,7 +381,7 @@
 		t.fail(shedWeight, now)
 	}
 	if reply.HasLoad {
-		t.report(reply.Load, now)
+		d.noteReport(t, reply.Load, now)
 	}
 	return t.info.State == targets.Ready
 }
