routing: failures count beyond what is usual for the service

Cause: where all targets of a service shed, each counted as failing, so that requests asked nine targets and waited for better ones that did not exist. Change: a target is avoided for failing more often than the service's tries usually do.

--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -39,11 +39,13 @@
 	targets   map[targets.Incarnation]*target
 	dependent bool // on the targets of other zones
 	recent    recent
-	queue     queue
-	durations durations
-	finished  float64 // requests finished per second, smoothed
-	finishAt  time.Time
-	stats     Stats
+	// usualFailing is the share of tries that fail, over all targets.
+	usualFailing float64
+	queue        queue
+	durations    durations
+	finished     float64 // requests finished per second, smoothed
+	finishAt     time.Time
+	stats        Stats
 }
 
 // Option changes a Dispatcher under construction.
@@ -203,6 +205,9 @@
 	d.queue.wakeFirst()
 }
 
+// usualWeight is the weight of one try in the usual share of failures.
+const usualWeight = 0.02
+
 // recent holds the targets that reported last.
 type recent struct {
 	targets [recentReports]*target
@@ -223,6 +228,7 @@
 	t := l.target
 	switch outcome {
 	case Succeeded:
+		d.usualFailing -= usualWeight * d.usualFailing
 		duration := now.Sub(l.start)
 		t.succeed(now)
 		t.observe(float64(duration)/(float64(l.expected)*l.slowdown), now)
@@ -230,6 +236,7 @@
 		d.countFinish(now)
 	case Failed:
 		d.stats.Failures++
+		d.usualFailing += usualWeight * (1 - d.usualFailing)
 		t.fail(failureWeight, now)
 	case TimedOut:
 		d.stats.Failures++
@@ -237,6 +244,7 @@
 		t.observe(maxRatio, now)
 	case Shed:
 		d.stats.Sheds++
+		d.usualFailing += usualWeight * (1 - d.usualFailing)
 		t.fail(shedWeight, now)
 	case Unreachable:
 		d.stats.Failures++
--- a/routing/dispatcher_test.go
+++ b/routing/dispatcher_test.go
@@ -292,3 +292,21 @@
 	d.SetTerms(terms())
 	assert.Assert(t, d.AllowRetry())
 }
+
+// Guards against requests that wait for better targets where all fail alike.
+func TestAllTargetsFailAlike(t *testing.T) {
+	_, a := serve(t, "t-1", "a", 100)
+	_, b := serve(t, "t-2", "a", 100)
+	d := newDispatcher(t, a, b)
+	for i := range 200 {
+		l := acquire(t, d, request())
+		l.Release([]Outcome{Shed, Succeeded}[i%2], platform.Reply{})
+	}
+	d.mu.Lock()
+	now := d.clock()
+	for _, target := range d.targets {
+		assert.Check(t, target.failing(now) > maxFailing)
+		assert.Check(t, d.fast(target, now), "%s is avoided", target.info.ID)
+	}
+	d.mu.Unlock()
+}
--- a/routing/scan.go
+++ b/routing/scan.go
@@ -57,6 +57,12 @@
 	conn   *upstream.Conn
 }
 
+// excessFailing returns how much more often than the service's targets usually
+// do a target fails. Where all fail alike, none is worth waiting for.
+func (d *Dispatcher) excessFailing(t *target, now time.Time) float64 {
+	return max(0, t.failing(now)-d.usualFailing)
+}
+
 // tier orders the candidates before their score does.
 type tier int
 
@@ -180,7 +186,7 @@
 // score returns how long the work of a request is expected to take on a target,
 // as a multiple of the usual duration, with what else speaks against it.
 func (d *Dispatcher) score(t *target, now time.Time) float64 {
-	score := t.slowdown(now) + failingCost*t.failing(now)
+	score := t.slowdown(now) + failingCost*d.excessFailing(t, now)
 	score += float64(t.occupied()) / float64(t.info.Slots) * jitter
 	if t.full() && t.reported(now, reportUsable) {
 		score += float64(1 + t.occupied() - t.room())
@@ -199,7 +205,7 @@
 }
 
 func (d *Dispatcher) fast(t *target, now time.Time) bool {
-	return t.slowdown(now) <= goodSlowdown && t.failing(now) <= maxFailing
+	return t.slowdown(now) <= goodSlowdown && d.excessFailing(t, now) <= maxFailing
 }
 
 // worthTaking returns whether the request should go to the target rather than
