peer, registry: fewer packets at starts and changes; a new configuration is read from peers

Change: a changed state is told in the own zone, and everywhere only by instances that callers are sent to; the reader's next news carry the version; an instance that hears of a newer version reads it from another instance, of its zone if there is one, and from the store only when that fails. Reading all entries at the start makes no reader.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -57,7 +57,7 @@
 	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger),
 		peer.WithOnNews(d.hearNews), peer.WithSeeds(seedsOf(s)), peer.WithActive(d.planner.IsActive))
 	d.registry = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, logger)
-	d.config = registry.NewConfigFollower(store, d.registry.Reads, d.members.Rank, logger, d.applyConfig)
+	d.config = registry.NewConfigFollower(store, d.registry.Reads, d.members.Rank, d.fetchConfig, logger, d.applyConfig)
 	d.announcer = registry.NewAnnouncer(store, d.members, logger)
 	d.freshness = newFreshness(d.registry, d.config, s.Budgets.DrainDelay, d.notePause)
 	d.relay = relay.NewServer(d.config, d.table, relay.WithRecorder(d.recorder), relay.WithLogger(logger),
@@ -90,7 +90,9 @@
 	d.table.Update(document.Services)
 	d.relay.ResetSplits()
 	d.members.SetConfigVersion(document.Version)
-	go d.mesh.Announce() // the others need not wait for the next heartbeat
+	if d.registry.Reads() {
+		d.registry.Refresh() // its news tell the others of the version
+	}
 	d.recorder.Record(timeline.Event{Kind: timeline.ConfigInForce, Version: document.Version})
 }
 
--- a/daemon/fetch.go
+++ b/daemon/fetch.go
@@ -6,19 +6,23 @@
 	"github.com/valyala/fasthttp"
 
 	"rhubarbrelay/admin"
-	"rhubarbrelay/membership"
 )
 
 // fetchTimeout bounds the reading of another instance's configuration.
-const fetchTimeout = time.Second
+const fetchTimeout = 500 * time.Millisecond
 
-// fetchConfig reads the configuration of another instance.
-func (d *Daemon) fetchConfig(other membership.Instance) {
+// fetchConfig reads the configuration of an instance that has one above the
+// version, which it returns with the name of the instance.
+func (d *Daemon) fetchConfig(above int64) (raw []byte, source string) {
+	other, ok := d.members.Newer(above)
+	if !ok {
+		return nil, ""
+	}
 	status, body, err := fasthttp.GetTimeout(nil, "http://"+other.AdminAddress.String()+admin.ConfigPath, fetchTimeout)
 	if err != nil || status != fasthttp.StatusOK {
 		d.logger.WithField("peer", other.ID).WithField("status", status).WithField("error", err).
 			Warn("newer configuration of an instance cannot be read")
-		return
+		return nil, ""
 	}
-	d.config.Offer(body, other.ID)
+	return body, other.ID
 }
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -83,10 +83,10 @@
 	return err
 }
 
-// announce registers the instance and greets the others.
+// announce registers the instance and introduces it to the others.
 func (d *Daemon) announce(running context.Context) error {
 	d.announcer.Announce(running)
-	d.mesh.Hello()
+	d.mesh.Introduce()
 	return nil
 }
 
@@ -132,12 +132,13 @@
 	grace := d.settings.Stop.Grace
 	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin)
 	defer cancel()
+	wasActive := d.planner.IsActive()
 	d.members.SetState(membership.Leaving)
 	d.relay.SetClosing()
 	d.recorder.Record(timeline.Event{Kind: timeline.InstanceLeaving})
 	d.logger.WithField("in_progress", d.relay.InProgress()).Info("instance leaving")
 	var group errgroup.Group
-	group.Go(func() error { d.mesh.AnnounceLeaving(ctx); return nil })
+	group.Go(func() error { d.mesh.AnnounceLeaving(ctx, wasActive); return nil })
 	group.Go(func() error { d.announcer.Withdraw(ctx); return nil })
 	time.Sleep(time.Duration(serveShare * float64(grace)))
 	if err := d.relay.Shutdown(ctx); err != nil {
@@ -158,12 +159,8 @@
 			return nil
 		case <-ticker.C:
 		}
-		version := int64(0)
-		if document := d.config.Current(); document != nil {
-			version = document.Version
-		}
-		if other, ok := d.members.Newer(version); ok {
-			d.fetchConfig(other)
+		if d.config.Failing() || d.config.Current() == nil {
+			d.config.CatchUp()
 		}
 	}
 }
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -210,16 +210,19 @@
 	return rank
 }
 
-// Newer returns a living instance with a configuration above the version.
+// Newer returns a living instance with a configuration above the version, one of
+// the own zone if there is any.
 func (d *Directory) Newer(version int64) (Instance, bool) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
+	var found Instance
+	ok := false
 	for _, m := range d.members {
-		if m.instance.ConfigVersion > version && d.alive(m) {
-			return m.instance, true
+		if m.instance.ConfigVersion > version && d.alive(m) && (!ok || m.instance.Zone == d.self.Zone) {
+			found, ok = m.instance, true
 		}
 	}
-	return Instance{}, false
+	return found, ok
 }
 
 // Forget drops the instances that have been silent for long.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -126,7 +126,7 @@
 func (m *Mesh) beat(ctx context.Context) error {
 	ticker := time.NewTicker(activeInterval)
 	defer ticker.Stop()
-	m.Hello()
+	m.greetSeeds()
 	var near, far, forgotten time.Duration
 	for {
 		select {
@@ -161,27 +161,39 @@
 	return &peerpb.Packet{Sender: heartbeatToWire(m.directory.Self()), IntervalMs: uint32(interval.Milliseconds())}
 }
 
-// Hello asks every known instance and the seeds for a packet.
-func (m *Mesh) Hello() {
-	hello := &peerpb.Packet{Hello: true}
-	m.sendTo(hello, func(membership.Instance) bool { return true })
+// Introduce tells every known instance of this one. Those of the own zone and
+// the seeds are asked for a packet in return; of other zones it is enough to
+// know the instances that callers are sent to, which beat by themselves.
+func (m *Mesh) Introduce() {
+	zone := m.directory.Self().Zone
+	m.sendTo(&peerpb.Packet{Hello: true}, func(in membership.Instance) bool { return in.Zone == zone })
+	m.sendTo(&peerpb.Packet{}, func(in membership.Instance) bool { return in.Zone != zone })
+	m.greetSeeds()
+}
+
+func (m *Mesh) greetSeeds() {
 	self := m.directory.Self()
 	for _, seed := range m.seeds {
 		if seed != self.PeerAddress {
-			m.send(hello, seed)
+			m.send(&peerpb.Packet{Hello: true}, seed)
 		}
 	}
 }
 
-// Announce tells every instance the present state at once.
-func (m *Mesh) Announce() {
-	m.sendTo(&peerpb.Packet{}, func(membership.Instance) bool { return true })
+// Announce tells the instances at once that the state of this one has changed:
+// those of its zone, and all when callers are sent to it.
+func (m *Mesh) Announce() { m.announce(m.active()) }
+
+func (m *Mesh) announce(everywhere bool) {
+	zone := m.directory.Self().Zone
+	m.sendTo(&peerpb.Packet{}, func(in membership.Instance) bool { return everywhere || in.Zone == zone })
 }
 
-// AnnounceLeaving tells every instance several times that this one leaves.
-func (m *Mesh) AnnounceLeaving(ctx context.Context) {
+// AnnounceLeaving tells the instances several times that this one leaves, to
+// which callers were sent or not.
+func (m *Mesh) AnnounceLeaving(ctx context.Context, wasActive bool) {
 	for range leavingRepeats {
-		m.Announce()
+		m.announce(wasActive)
 		select {
 		case <-ctx.Done():
 			return
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -76,7 +76,7 @@
 	b := startNode(t, "b", a.address)
 	waitFor(t, "both know each other", func() bool { return len(a.directory.Ready()) == 2 && len(b.directory.Ready()) == 2 })
 	b.directory.SetState(membership.Leaving)
-	b.mesh.AnnounceLeaving(context.Background())
+	b.mesh.AnnounceLeaving(context.Background(), true)
 	waitFor(t, "b is out", func() bool { return len(a.directory.Ready()) == 1 })
 }
 
--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -27,6 +27,7 @@
 	// reads tells whether this instance reads the store for the others.
 	reads  func() bool
 	rank   func() int
+	fetch  Fetch
 	logger log.Interface
 	apply  func(*config.Document)
 
@@ -46,13 +47,17 @@
 	hintAt time.Time
 }
 
+// Fetch reads the configuration of another instance that has one above the
+// version, and names the instance. The text is nil when none can be had.
+type Fetch func(above int64) (raw []byte, source string)
+
 // NewConfigFollower returns a follower that calls apply with each new version.
 // An instance that reads the store for the others waits there for new versions;
 // the others hear of them.
 func NewConfigFollower(
-	store Store, reads func() bool, rank func() int, logger log.Interface, apply func(*config.Document),
+	store Store, reads func() bool, rank func() int, fetch Fetch, logger log.Interface, apply func(*config.Document),
 ) *ConfigFollower {
-	return &ConfigFollower{store: store, reads: reads, rank: rank, logger: logger, apply: apply, hinted: make(chan struct{}, 1)}
+	return &ConfigFollower{store: store, reads: reads, rank: rank, fetch: fetch, logger: logger, apply: apply, hinted: make(chan struct{}, 1)}
 }
 
 // Hint notes the version of an instance that reads the store.
@@ -65,15 +70,16 @@
 
 // awaitHint returns when the store should be read: at once where this instance
 // waits for the others there, else when another instance has a newer version
-// or none has named its version for a while.
+// that cannot be had from it, or when none has named its version for a while.
 func (f *ConfigFollower) awaitHint(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.mu.Lock()
+		if f.hintAt.IsZero() {
+			f.hintAt = time.Now() // after the start the others get time to speak
+		}
 		left := hintTimeout - time.Since(f.hintAt)
-		current := f.current.Load()
-		behind := current == nil || f.hint > current.Version
 		f.mu.Unlock()
-		if behind || left <= 0 || f.reads() {
+		if left <= 0 || f.reads() || f.behind() && !f.fetchFromPeer() {
 			return
 		}
 		timer := time.NewTimer(left)
@@ -86,6 +92,31 @@
 	}
 }
 
+// CatchUp reads a newer version from another instance, if there is one.
+func (f *ConfigFollower) CatchUp() { f.fetchFromPeer() }
+
+// behind returns whether another instance has a newer version.
+func (f *ConfigFollower) behind() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	current := f.current.Load()
+	return current == nil || f.hint > current.Version
+}
+
+// fetchFromPeer reads the newer version from another instance, which saves a
+// call of the store. It returns whether this instance has caught up.
+func (f *ConfigFollower) fetchFromPeer() bool {
+	version := int64(0)
+	if current := f.current.Load(); current != nil {
+		version = current.Version
+	}
+	raw, source := f.fetch(version)
+	if raw != nil {
+		f.Offer(raw, source)
+	}
+	return !f.behind()
+}
+
 // Current returns the configuration in force, nil when none is known yet.
 func (f *ConfigFollower) Current() *config.Document { return f.current.Load() }
 
--- a/registry/config_follower_test.go
+++ b/registry/config_follower_test.go
@@ -23,13 +23,16 @@
 		`"clusters":[{"name":"s","health-path":"/h","max-conns":10,"protocol":"h1"}]}`, version)
 }
 
+// noPeer is a Fetch without any other instance.
+func noPeer(int64) ([]byte, string) { return nil, "" }
+
 // follow runs a follower until the test ends and returns the versions that came
 // into force.
-func follow(t *testing.T, store Store, reads bool) (*ConfigFollower, func() []int64) {
+func follow(t *testing.T, store Store, reads bool, fetch Fetch) (*ConfigFollower, func() []int64) {
 	t.Helper()
 	var mu sync.Mutex
 	var versions []int64
-	f := NewConfigFollower(store, func() bool { return reads }, func() int { return 0 }, quiet, func(d *config.Document) {
+	f := NewConfigFollower(store, func() bool { return reads }, func() int { return 0 }, fetch, quiet, func(d *config.Document) {
 		mu.Lock()
 		defer mu.Unlock()
 		versions = append(versions, d.Version)
@@ -77,7 +80,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := newFakeStore()
 				store.put(platform.ConfigTopic, "config", documentOf(5))
-				f, versions := follow(t, store, true)
+				f, versions := follow(t, store, true, noPeer)
 				time.Sleep(time.Second)
 				tt.do(store, f)
 				time.Sleep(time.Second)
@@ -98,7 +101,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := newFakeStore()
 		store.put(platform.ConfigTopic, "config", documentOf(5))
-		f, versions := follow(t, store, false)
+		f, versions := follow(t, store, false, noPeer)
 		for range 20 {
 			f.Hint(5)
 			time.Sleep(500 * time.Millisecond)
@@ -116,13 +119,40 @@
 	})
 }
 
+// Guards against a call of the store for a version that another instance can
+// give, and against a version that is missed when it cannot.
+func TestFetchFromPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(platform.ConfigTopic, "config", documentOf(5))
+		const peerVersion = 6
+		f, versions := follow(t, store, false, func(above int64) ([]byte, string) {
+			if peerVersion <= above {
+				return nil, ""
+			}
+			return []byte(documentOf(peerVersion)), "peer"
+		})
+		time.Sleep(time.Second)
+		store.put(platform.ConfigTopic, "config", documentOf(6))
+		f.Hint(6)
+		synctest.Wait()
+		reads, newest := store.counts()
+		assert.Equal(t, reads, 0)
+		assert.Equal(t, newest, 1)
+		store.put(platform.ConfigTopic, "config", documentOf(7))
+		f.Hint(7)
+		synctest.Wait()
+		assert.DeepEqual(t, versions(), []int64{5, 6, 7})
+	})
+}
+
 // Guards against a paused instance that goes on without reading the newest
 // version.
 func TestRefresh(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newFakeStore()
 		store.put(platform.ConfigTopic, "config", documentOf(5))
-		f, _ := follow(t, store, true)
+		f, _ := follow(t, store, true, noPeer)
 		time.Sleep(time.Second)
 		assert.Equal(t, f.ReadAge(), time.Second)
 		f.Refresh()
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -200,7 +200,7 @@
 		}
 		f.endOutage(outage)
 		f.directory.Replace(f.entries(batch.Records))
-		f.advance(batch.Next, began)
+		f.advance(batch.Next, began, false)
 		return nil
 	}
 	batch, err := f.store.Read(ctx, platform.TargetTopic, from, 0)
@@ -209,7 +209,7 @@
 	}
 	f.endOutage(outage)
 	effective := f.directory.Apply(f.changes(batch.Records))
-	f.advance(batch.Next, began)
+	f.advance(batch.Next, began, true)
 	f.spreader.Spread(peer.News{From: from, To: batch.Next, Changes: effective, SinceOutage: f.sinceOutage()},
 		offsetsOf(effective, batch.Records))
 	return nil
@@ -237,10 +237,14 @@
 	return max(time.Millisecond, since)
 }
 
-func (f *TargetFollower) advance(next int64, asOf time.Time) {
+// advance notes a read. Reading all entries, as at the start, makes no reader.
+func (f *TargetFollower) advance(next int64, asOf time.Time, reader bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.next, f.readAt = next, asOf
+	f.next = next
+	if reader {
+		f.readAt = asOf
+	}
 	if asOf.After(f.freshAt) {
 		f.freshAt = asOf
 	}
