Clean up: one dialer, no unused names, changes of targets and instances are logged

One function sets the options of sockets, which stood twice; event kinds and a query that nothing used are gone; the soak takes the platform's names from the stand-ins. A changed target or number of instances is logged and recorded, with where it was read. The race detector found that faults of the soak shared its random numbers; they are drawn under the lock.

--- a/config/document.go
+++ b/config/document.go
@@ -82,9 +82,6 @@
 	}
 }
 
-// HasHost returns whether any route belongs to the host.
-func (d *Document) HasHost(host string) bool { return d.hosts[normalHost(host)] }
-
 // Match returns the route of the host with the longest prefix of the path, nil
 // when there is none.
 func (d *Document) Match(host, path string) *Route {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -56,7 +56,7 @@
 	d.planner = entry.NewPlanner(d.members)
 	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger),
 		peer.WithOnNews(d.hearNews), peer.WithSeeds(seedsOf(s)), peer.WithActive(d.planner.IsActive))
-	d.registry = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, logger)
+	d.registry = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, d.noteTarget, logger)
 	d.config = registry.NewConfigFollower(store, d.registry.Reads, d.members.Rank, d.fetchConfig, logger, d.applyConfig)
 	d.announcer = registry.NewAnnouncer(store, d.members, logger)
 	d.freshness = newFreshness(d.registry, d.config, s.Budgets.DrainDelay, d.notePause)
@@ -98,8 +98,27 @@
 
 func (d *Daemon) noteTargets(service string) { d.table.RefreshTargets(service) }
 
+// noteTarget records that a target registered itself, leaves or is gone.
+func (d *Daemon) noteTarget(change targets.Change, source string) {
+	kind, state := timeline.TargetLeaving, "gone"
+	event := timeline.Event{Target: change.ID}
+	if t := change.Target; t != nil {
+		event.Service, state = t.Service, "draining"
+		if t.State == targets.Ready {
+			kind, state = timeline.TargetReady, "ready"
+		}
+	}
+	event.Kind, event.Detail = kind, state
+	d.recorder.Record(event)
+	d.logger.WithField("target", change.ID).WithField("service", event.Service).WithField("state", state).
+		WithField("source", source).Info("target changed its state")
+}
+
 func (d *Daemon) noteMembers() {
-	d.table.SetSharing(routing.Sharing{Known: d.members.Count(), Active: d.planner.Active()})
+	sharing := routing.Sharing{Known: d.members.Count(), Active: d.planner.Active()}
+	if d.table.SetSharing(sharing) {
+		d.logger.WithField("known", sharing.Known).WithField("active", sharing.Active).Info("number of instances changed")
+	}
 }
 
 // notePause records that the process was paused.
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -45,6 +45,7 @@
 	directory *targets.Directory
 	spreader  Spreader
 	rank      func() int
+	onChange  func(change targets.Change, source string)
 	logger    log.Interface
 	clock     func() time.Time
 
@@ -62,12 +63,14 @@
 }
 
 // NewTargetFollower returns a follower. The rank is the number of living
-// instances that read before this one.
+// instances that read before this one; onChange is told of each change and
+// where it was read.
 func NewTargetFollower(
-	store Store, directory *targets.Directory, spreader Spreader, rank func() int, logger log.Interface,
+	store Store, directory *targets.Directory, spreader Spreader, rank func() int,
+	onChange func(change targets.Change, source string), logger log.Interface,
 ) *TargetFollower {
 	return &TargetFollower{
-		store: store, directory: directory, spreader: spreader, rank: rank, logger: logger, clock: time.Now,
+		store: store, directory: directory, spreader: spreader, rank: rank, onChange: onChange, logger: logger, clock: time.Now,
 		next: unknownOffset, heard: make(chan struct{}, 1), wanted: make(chan struct{}, 1),
 	}
 }
@@ -209,6 +212,7 @@
 	}
 	f.endOutage(outage)
 	effective := f.directory.Apply(f.changes(batch.Records))
+	f.tell(effective, "store")
 	f.advance(batch.Next, began, true)
 	f.spreader.Spread(peer.News{From: from, To: batch.Next, Changes: effective, SinceOutage: f.sinceOutage()},
 		offsetsOf(effective, batch.Records))
@@ -256,7 +260,7 @@
 	if news.SinceOutage > 0 {
 		f.directory.NoteOutageEnd(f.clock().Add(-news.SinceOutage))
 	}
-	f.directory.Apply(news.Changes)
+	f.tell(f.directory.Apply(news.Changes), "news")
 	f.mu.Lock()
 	known := f.next != unknownOffset && news.From <= f.next
 	if known {
@@ -269,6 +273,12 @@
 	}
 }
 
+func (f *TargetFollower) tell(changes []targets.Change, source string) {
+	for _, c := range changes {
+		f.onChange(c, source)
+	}
+}
+
 func (f *TargetFollower) entries(records []platform.Record) []targets.Target {
 	all := make([]targets.Target, 0, len(records))
 	for _, c := range f.changes(records) {
--- a/routing/table.go
+++ b/routing/table.go
@@ -58,17 +58,19 @@
 	}
 }
 
-// SetSharing changes how many instances share the budgets.
-func (t *Table) SetSharing(sharing Sharing) {
+// SetSharing changes how many instances share the budgets, and returns whether
+// that is a change.
+func (t *Table) SetSharing(sharing Sharing) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if sharing == t.sharing {
-		return
+		return false
 	}
 	t.sharing = sharing
 	for _, d := range t.dispatchers {
 		d.Update(d.Service(), sharing)
 	}
+	return true
 }
 
 // SetTerms changes the settings of all dispatchers.
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -7,12 +7,13 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"rhubarbrelay/standin"
 )
 
 const (
@@ -72,7 +73,7 @@
 		return
 	}
 	in := c.world.instances[c.random.IntN(len(c.world.instances))]
-	status, body, err := fasthttp.GetTimeout(nil, fmt.Sprintf("http://%s/-/resolve?name=%s&region=r&zone=%s", in.address(entryPort), host, in.zone), time.Second)
+	status, body, err := fasthttp.GetTimeout(nil, fmt.Sprintf("http://%s%s?name=%s&region=r&zone=%s", in.address(entryPort), standin.EntryPath, host, in.zone), time.Second)
 	var answer struct {
 		Addrs []string `json:"addrs"`
 	}
@@ -112,8 +113,8 @@
 	if r.once {
 		path = "/once/"
 	}
-	request := fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: %s\r\nRhubarbrelay-Attempt-Id: %s\r\nRhubarbrelay-Deadline-Ms: %d\r\nStandin-Work-Ms: %s\r\nContent-Length: %d\r\n\r\n%s",
-		path, host, r.id, callTimeout.Milliseconds()/2, strconv.Itoa(workMS), len(r.id), r.id)
+	request := fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+		path, host, standin.HeaderAttempt, r.id, standin.HeaderDeadline, callTimeout.Milliseconds()/2, standin.WorkHeader, workMS, len(r.id), r.id)
 	if err := open.SetDeadline(time.Now().Add(callTimeout)); err != nil {
 		return err
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -104,10 +104,10 @@
 	done := make(chan struct{}, maxActive)
 	active := 0
 	for time.Now().Before(end) {
-		time.Sleep(time.Duration(50+w.random.IntN(250)) * time.Millisecond)
-		f := faults[w.random.IntN(len(faults))]
-		in := w.instances[w.random.IntN(len(w.instances))]
-		length := time.Duration(200+w.random.IntN(2500)) * time.Millisecond
+		time.Sleep(time.Duration(50+w.draw(250)) * time.Millisecond)
+		f := faults[w.draw(len(faults))]
+		in := w.instances[w.draw(len(w.instances))]
+		length := time.Duration(200+w.draw(2500)) * time.Millisecond
 		for len(done) > 0 {
 			<-done
 			active--
--- a/soak/run.go
+++ b/soak/run.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"rhubarbrelay/standin"
 )
 
 const (
@@ -57,7 +59,7 @@
 	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		ready := 0
 		for _, in := range w.instances {
-			if status, _, err := fasthttp.GetTimeout(nil, "http://"+in.address(readyPort)+"/-/readyz", time.Second); err == nil && status == fasthttp.StatusOK {
+			if status, _, err := fasthttp.GetTimeout(nil, "http://"+in.address(readyPort)+standin.ReadyPath, time.Second); err == nil && status == fasthttp.StatusOK {
 				ready++
 			}
 		}
@@ -147,7 +149,7 @@
 			req.SetRequestURI(fmt.Sprintf("http://%s/v%d/", in.address(callerPort), w.version))
 			req.Header.SetHost(host)
 			req.UseHostHeader = true
-			req.Header.Set("Rhubarbrelay-Attempt-Id", fmt.Sprintf("version-%s-%d", in.id, w.version))
+			req.Header.Set(standin.HeaderAttempt, fmt.Sprintf("version-%s-%d", in.id, w.version))
 			if fasthttp.DoTimeout(req, resp, time.Second) == nil {
 				status = resp.StatusCode()
 			}
--- a/soak/world.go
+++ b/soak/world.go
@@ -57,17 +57,24 @@
 // world is the system under test with its surroundings.
 type world struct {
 	opts      Options
-	random    *rand.Rand
 	network   string
 	store     *standin.Store
 	instances []*instance
-	version   int64
 
 	mu      sync.Mutex
+	random  *rand.Rand
+	version int64
 	targets []*target
 	closers []func()
 }
 
+// draw returns a random number below n.
+func (w *world) draw(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.IntN(n)
+}
+
 // target is a stand-in of a target in this process.
 type target struct {
 	*standin.Target
@@ -166,6 +173,8 @@
 // publish publishes the next version. Each has a route of its own, by which a
 // request shows the version that is in force.
 func (w *world) publish() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.version++
 	d := &config.Document{Version: w.version, Services: map[string]*config.Service{service: {Name: service, HealthPath: "/healthz", MaxConnections: 200}}}
 	for _, r := range []struct {
--- a/standin/target.go
+++ b/standin/target.go
@@ -18,10 +18,16 @@
 	"rhubarbrelay/targets"
 )
 
+// Headers and paths of callers, as the platform names them.
+const (
+	HeaderAttempt  = "Rhubarbrelay-Attempt-Id"
+	HeaderDeadline = "Rhubarbrelay-Deadline-Ms"
+	EntryPath      = "/-/resolve"
+	ReadyPath      = "/-/readyz"
+)
+
 // Headers of a target, as the platform names them.
 const (
-	headerAttempt     = "Rhubarbrelay-Attempt-Id"
-	headerDeadline    = "Rhubarbrelay-Deadline-Ms"
 	headerExpect      = "Rhubarbrelay-Expect-Instance"
 	headerSeal        = "Rhubarbrelay-Response-Seal"
 	headerNotExecuted = "Rhubarbrelay-Not-Executed"
@@ -157,8 +163,8 @@
 func (t *Target) handle(ctx *fasthttp.RequestCtx) {
 	h := &ctx.Response.Header
 	faults := t.faults.Load()
-	if id := ctx.Request.Header.Peek(headerAttempt); len(id) > 0 {
-		h.SetBytesV(headerAttempt, id)
+	if id := ctx.Request.Header.Peek(HeaderAttempt); len(id) > 0 {
+		h.SetBytesV(HeaderAttempt, id)
 	}
 	switch string(ctx.Path()) {
 	case healthPath:
@@ -189,7 +195,7 @@
 }
 
 func (t *Target) work(ctx *fasthttp.RequestCtx, faults *TargetFaults) {
-	id := string(ctx.Request.Header.Peek(headerAttempt))
+	id := string(ctx.Request.Header.Peek(HeaderAttempt))
 	expect := string(ctx.Request.Header.Peek(headerExpect))
 	switch {
 	case id == "":
@@ -246,7 +252,7 @@
 }
 
 func (t *Target) deadline(ctx *fasthttp.RequestCtx) time.Duration {
-	ms, err := strconv.Atoi(string(ctx.Request.Header.Peek(headerDeadline)))
+	ms, err := strconv.Atoi(string(ctx.Request.Header.Peek(HeaderDeadline)))
 	if err != nil {
 		return time.Second
 	}
@@ -282,7 +288,7 @@
 		ctx.HijackSetNoResponse(true)
 		ctx.Hijack(func(net.Conn) {})
 	case faults.Second:
-		second := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\nContent-Length: 6\r\n\r\nsecond", headerAttempt, id, headerSeal)
+		second := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: x\r\nContent-Length: 6\r\n\r\nsecond", HeaderAttempt, id, headerSeal)
 		ctx.Hijack(func(c net.Conn) { _, _ = c.Write([]byte(second)) })
 	}
 }
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -13,27 +13,16 @@
 
 // The kinds of event.
 const (
-	InstanceStarted     Kind = "instance_started"
-	InstanceLeaving     Kind = "instance_leaving"
-	InstanceStopped     Kind = "instance_stopped"
-	InstanceStale       Kind = "instance_stale"
-	InstanceFresh       Kind = "instance_fresh"
-	PeerState           Kind = "peer_state"
-	ConfigInForce       Kind = "config_in_force"
-	ConfigRejected      Kind = "config_rejected"
-	ConfigPublished     Kind = "config_published"
-	ConfigConflict      Kind = "config_conflict"
-	ConfigUncertain     Kind = "config_uncertain"
-	TargetLeaving       Kind = "target_leaving"
-	TargetReady         Kind = "target_ready"
-	TargetEjected       Kind = "target_ejected"
-	TargetReturned      Kind = "target_returned"
-	RequestRefused      Kind = "request_refused"
-	RequestRetried      Kind = "request_retried"
-	RequestUnknown      Kind = "request_unknown"
-	RequestForwarded    Kind = "request_forwarded"
-	PlatformUnavailable Kind = "platform_unavailable"
-	PlatformAvailable   Kind = "platform_available"
+	InstanceStarted Kind = "instance_started"
+	InstanceLeaving Kind = "instance_leaving"
+	InstanceStopped Kind = "instance_stopped"
+	InstanceStale   Kind = "instance_stale"
+	ConfigInForce   Kind = "config_in_force"
+	TargetLeaving   Kind = "target_leaving"
+	TargetReady     Kind = "target_ready"
+	RequestRefused  Kind = "request_refused"
+	RequestRetried  Kind = "request_retried"
+	RequestUnknown  Kind = "request_unknown"
 )
 
 // Event is one thing that a process decided or saw.
--- a/timeline/recorder_test.go
+++ b/timeline/recorder_test.go
@@ -108,21 +108,21 @@
 	r := NewRecorder("a", NewClock(fixed(time.UnixMilli(1))))
 	r.Record(Event{Kind: RequestRefused, Service: "spoolkeep", Request: "r1"})
 	r.Record(Event{Kind: RequestRetried, Service: "spoolkeep", Request: "r2", Target: "sk-01"})
-	r.Record(Event{Kind: TargetEjected, Service: "ordering", Target: "o-01"})
+	r.Record(Event{Kind: TargetLeaving, Service: "ordering", Target: "o-01"})
 	all := r.Events(Filter{})
 	tests := []struct {
 		name   string
 		filter Filter
 		want   []Kind
 	}{
-		{"everything", Filter{}, []Kind{RequestRefused, RequestRetried, TargetEjected}},
-		{"after a stamp", Filter{After: all[0].Time}, []Kind{RequestRetried, TargetEjected}},
+		{"everything", Filter{}, []Kind{RequestRefused, RequestRetried, TargetLeaving}},
+		{"after a stamp", Filter{After: all[0].Time}, []Kind{RequestRetried, TargetLeaving}},
 		{"before a stamp", Filter{Before: all[2].Time}, []Kind{RequestRefused, RequestRetried}},
 		{"request", Filter{Request: "r2"}, []Kind{RequestRetried}},
-		{"target", Filter{Target: "o-01"}, []Kind{TargetEjected}},
+		{"target", Filter{Target: "o-01"}, []Kind{TargetLeaving}},
 		{"service", Filter{Service: "spoolkeep"}, []Kind{RequestRefused, RequestRetried}},
 		{"service and target", Filter{Service: "spoolkeep", Target: "o-01"}, nil},
-		{"limit keeps the newest", Filter{Limit: 1}, []Kind{TargetEjected}},
+		{"limit keeps the newest", Filter{Limit: 1}, []Kind{TargetLeaving}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -140,7 +140,7 @@
 func TestMergeWithSkewedClocks(t *testing.T) {
 	fast := NewRecorder("b", NewClock(fixed(time.UnixMilli(900_000))))
 	slow := NewRecorder("a", NewClock(fixed(time.UnixMilli(1_000))))
-	fast.Record(Event{Kind: ConfigPublished})
+	fast.Record(Event{Kind: ConfigInForce})
 	slow.Clock().Observe(fast.Since(0)[0].Time)
 	slow.Record(Event{Kind: ConfigInForce})
 	fast.Clock().Observe(slow.Since(0)[0].Time)
@@ -151,7 +151,7 @@
 	for _, e := range merged {
 		got = append(got, fmt.Sprintf("%s %s", e.Instance, e.Kind))
 	}
-	assert.DeepEqual(t, got, []string{"b config_published", "a config_in_force", "b target_leaving"})
+	assert.DeepEqual(t, got, []string{"b config_in_force", "a config_in_force", "b target_leaving"})
 }
 
 // Guards against an order of equal stamps that depends on which process
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 
 	"rhubarbrelay/platform"
 )
@@ -95,18 +94,6 @@
 	return err == nil && quiet
 }
 
-// setUserTimeout bounds the time that sent bytes may stay unacknowledged, so
-// that a connection whose path lost its state fails.
-func setUserTimeout(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var failed error
-		err := raw.Control(func(fd uintptr) {
-			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-		})
-		return errors.Join(err, failed)
-	}
-}
-
 // Probe asks the target for its health and load. The answer says whether the
 // target is healthy. The error wraps ErrUnknown; the connection is then spoilt.
 func (c *Conn) Probe(deadline time.Time) (reply platform.Reply, healthy bool, err error) {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"rhubarbrelay/sockets"
 )
 
 const (
@@ -54,12 +56,9 @@
 
 // NewPool returns a pool that opens at most limit connections to the target.
 func NewPool(destination Destination, limit int, opts ...Option) *Pool {
-	dialer := &net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		},
-		Control: setUserTimeout(userTimeout),
-	}
+	dialer := sockets.NewDialer(sockets.Options{
+		Unacknowledged: userTimeout, Idle: keepAliveIdle, Interval: keepAliveInterval, Probes: keepAliveCount,
+	})
 	p := &Pool{
 		destination: destination, host: destination.Address.String(), limit: limit, dial: dialer.DialContext,
 		maxAnswer: DefaultMaxAnswer, maxIdle: DefaultMaxIdle, dialTimeout: DefaultDialTimeout,
