--- a/daemon/freshness.go
+++ b/daemon/freshness.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"rhubarbrelay/registry"
 )
 
 const (
@@ -27,21 +25,35 @@
 // suspended the monotonic clock stands still, so that timers and ages do not
 // show it; the clock of the time since the boot does.
 type freshness struct {
-	targets *registry.TargetFollower
-	config  *registry.ConfigFollower
+	targets targetState
+	config  configState
 	maxAge  time.Duration
 	onPause func(time.Duration)
+	// suspended returns how long the machine stood still since its boot.
+	suspended func() time.Duration
 
 	mu        sync.Mutex
 	offset    time.Duration // between the two clocks
 	resumedAt time.Time     // zero when nothing is distrusted
 }
 
-func newFreshness(
-	targets *registry.TargetFollower, config *registry.ConfigFollower, drainDelay time.Duration, onPause func(time.Duration),
-) *freshness {
+// targetState is what is known of the targets.
+type targetState interface {
+	Age() time.Duration
+	Failing() bool
+	Refresh()
+}
+
+// configState is what is known of the configuration.
+type configState interface {
+	ReadAge() time.Duration
+	Refresh()
+}
+
+func newFreshness(targets targetState, config configState, drainDelay time.Duration, onPause func(time.Duration)) *freshness {
 	return &freshness{
-		targets: targets, config: config, maxAge: max(drainDelay/2, drainDelay-ageMargin), onPause: onPause, offset: suspended(),
+		targets: targets, config: config, maxAge: max(drainDelay/2, drainDelay-ageMargin), onPause: onPause,
+		suspended: suspended, offset: suspended(),
 	}
 }
 
@@ -79,7 +91,7 @@
 
 // detect notes a pause of the process.
 func (f *freshness) detect() {
-	now := suspended()
+	now := f.suspended()
 	f.mu.Lock()
 	pause := now - f.offset
 	f.offset = now
