routing: few questions to full targets of other zones

Cause: under load a waiting request asked targets of other zones at every look, which spent the allowance of probes and a third of the bytes between zones. Change: one round of a decision asks other zones, and a target there that was full within the last 60 ms is left out.

--- a/routing/choice.go
+++ b/routing/choice.go
@@ -26,6 +26,8 @@
 	// farRoom is the part of its room up to which a target of another zone takes
 	// requests.
 	farRoom = 0.7
+	// farPause is the time for which a full target of another zone is not asked.
+	farPause = 60 * time.Millisecond
 	// evenShare is the part of an even division of the targets below which a zone
 	// depends on the others.
 	evenShare = 0.75
@@ -79,7 +81,7 @@
 		if len(all) == sampleSize {
 			break
 		}
-		if !t.usable(now) || slices.Contains(r.Exclude, which) {
+		if !t.usable(now) || slices.Contains(r.Exclude, which) || d.knownFull(t, now) {
 			continue
 		}
 		score := d.score(t, now) + jitter*d.random.Float64()
@@ -91,6 +93,12 @@
 	return all, d.durations.expect(r)
 }
 
+// knownFull returns whether a target of another zone was full a moment ago, so
+// that it is not worth the bytes to ask it again.
+func (d *Dispatcher) knownFull(t *target, now time.Time) bool {
+	return t.info.Zone != d.terms.Zone && t.reported(now, farPause) && !d.worthCrossing(t)
+}
+
 // nearest returns the candidates of the own zone, or all if there are none: an
 // answer that comes late is not worth the bytes to another zone.
 func (d *Dispatcher) nearest(order []candidate) []candidate {
--- a/routing/scan.go
+++ b/routing/scan.go
@@ -31,12 +31,14 @@
 		}
 	}
 	var best candidate
+	askedFar := false
 	for range probeRounds {
 		round := order[:min(probeWidth, len(order))]
 		order = order[len(round):]
-		if len(round) == 0 {
+		if len(round) == 0 || askedFar {
 			break
 		}
+		askedFar = round[0].target.info.Zone != d.terms.Zone
 		found, probes := d.ask(round)
 		asked += probes
 		best = d.better(best, found)
