registry: notice a long poll whose answer was lost; no probes of targets that are known to be full

Change: a long poll waits 4 s; a newer version interrupts a call in progress; when the registry can be read again the newest configuration is read at once; heartbeats with a newer version count always. TestLostLongPoll failed first.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -56,7 +56,8 @@
 	d.planner = entry.NewPlanner(d.members)
 	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger),
 		peer.WithOnNews(d.hearNews), peer.WithSeeds(seedsOf(s)), peer.WithActive(d.planner.IsActive))
-	d.registry = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, d.noteTarget, logger)
+	d.registry = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, d.noteTarget,
+		func() { d.config.Refresh() }, logger)
 	d.config = registry.NewConfigFollower(store, d.registry.Reads, d.members.Rank, d.fetchConfig, logger, d.applyConfig)
 	d.announcer = registry.NewAnnouncer(store, d.members, logger)
 	d.freshness = newFreshness(d.registry, d.config, s.Budgets.DrainDelay, d.notePause)
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -148,8 +148,8 @@
 	d.logger.WithField("took", time.Since(began).String()).Info("requests in progress are finished")
 }
 
-// catchUp reads the configuration from another instance when this one cannot
-// reach the store and the other has a newer version.
+// catchUp reads the configuration from another instance when that has a newer
+// version, by its heartbeats, and this one has not noticed otherwise.
 func (d *Daemon) catchUp(running context.Context) error {
 	ticker := time.NewTicker(behindInterval)
 	defer ticker.Stop()
@@ -159,8 +159,6 @@
 			return nil
 		case <-ticker.C:
 		}
-		if d.config.Failing() || d.config.Current() == nil {
-			d.config.CatchUp()
-		}
+		d.config.CatchUp()
 	}
 }
--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// longPoll is how long a read waits for a new configuration.
-	longPoll = 25 * time.Second
+	// longPoll is how long a read waits for a new configuration. An answer that
+	// was lost with its connection is waited for as long.
+	longPoll = 4 * time.Second
 	// hintTimeout is the time without word of a reader's version after which any
 	// instance waits at the store itself.
 	hintTimeout = 1500 * time.Millisecond
@@ -35,7 +36,9 @@
 	failing atomic.Bool
 	// readAt is the start of the last read that found everything newer.
 	readAt atomic.Pointer[time.Time]
-	// interrupt ends the read in progress.
+	// reading is set while a call of the store is in progress, and interrupt
+	// ends it.
+	reading   atomic.Bool
 	interrupt atomic.Pointer[context.CancelFunc]
 
 	// hinted receives a value when another instance has named its version.
@@ -63,9 +66,13 @@
 // Hint notes the version of an instance that reads the store.
 func (f *ConfigFollower) Hint(version int64) {
 	f.mu.Lock()
+	newer := version > f.hint
 	f.hint, f.hintAt = max(f.hint, version), time.Now()
 	f.mu.Unlock()
 	signal(f.hinted)
+	if newer && f.reading.Load() && f.behind() {
+		f.Refresh() // the read in progress may wait for an answer that was lost
+	}
 }
 
 // awaitHint returns when the store should be read: at once where this instance
@@ -154,12 +161,15 @@
 	for ctx.Err() == nil {
 		reading, cancel := context.WithCancel(ctx)
 		f.interrupt.Store(&cancel)
+		f.reading.Store(true)
 		next, err := f.read(reading, from)
+		f.reading.Store(false)
 		interrupted := reading.Err() != nil
 		switch {
 		case ctx.Err() != nil:
-		case interrupted:
-			from = unknownOffset // Refresh asks for the newest version
+		case interrupted: // Refresh asks for the newest version
+			from = unknownOffset
+			f.awaitHint(ctx)
 		case errors.Is(err, platform.ErrExpired):
 			f.logger.WithField("from", from).Info("history of the configuration has expired, reading the newest one")
 			from = unknownOffset
--- a/registry/config_follower_test.go
+++ b/registry/config_follower_test.go
@@ -146,6 +146,45 @@
 	})
 }
 
+// Guards against an instance that waits for an answer which was lost with its
+// connection, while a new version is in force elsewhere or only in the store.
+func TestLostLongPoll(t *testing.T) {
+	peer := func(above int64) ([]byte, string) {
+		if above >= 6 {
+			return nil, ""
+		}
+		return []byte(documentOf(6)), "peer"
+	}
+	tests := []struct {
+		name   string
+		reads  bool
+		fetch  Fetch
+		then   func(f *ConfigFollower)
+		within time.Duration
+	}{
+		{"nothing is heard", true, noPeer, func(*ConfigFollower) {}, 5 * time.Second},
+		{"the registry is back", true, noPeer, func(f *ConfigFollower) { f.Refresh() }, 0},
+		{"another instance has it", false, peer, func(f *ConfigFollower) { f.Hint(6) }, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				store.put(platform.ConfigTopic, "config", documentOf(5))
+				store.setSilent(true)
+				f, versions := follow(t, store, tt.reads, tt.fetch)
+				time.Sleep(2 * time.Second) // long enough for any instance to wait at the store
+				store.setSilent(false)
+				store.put(platform.ConfigTopic, "config", documentOf(6))
+				tt.then(f)
+				time.Sleep(tt.within)
+				synctest.Wait()
+				assert.DeepEqual(t, versions(), []int64{5, 6})
+			})
+		})
+	}
+}
+
 // Guards against a paused instance that goes on without reading the newest
 // version.
 func TestRefresh(t *testing.T) {
--- a/registry/fake_test.go
+++ b/registry/fake_test.go
@@ -26,6 +26,8 @@
 	records map[platform.Topic][]platform.Record
 	first   map[platform.Topic]int64
 	failure error
+	// silent makes the reads that begin now never end by themselves.
+	silent  bool
 	changed chan struct{}
 	reads   int
 	newest  int
@@ -45,6 +47,12 @@
 	s.wake()
 }
 
+func (s *fakeStore) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
 func (s *fakeStore) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -100,7 +108,12 @@
 	defer timer.Stop()
 	s.mu.Lock()
 	s.reads++
+	silent := s.silent
 	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return platform.Batch{}, ctx.Err()
+	}
 	for {
 		s.mu.Lock()
 		failure, all, first, changed := s.failure, s.records[topic], s.first[topic], s.changed
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -46,6 +46,7 @@
 	spreader  Spreader
 	rank      func() int
 	onChange  func(change targets.Change, source string)
+	onReturn  func()
 	logger    log.Interface
 	clock     func() time.Time
 
@@ -64,13 +65,13 @@
 
 // NewTargetFollower returns a follower. The rank is the number of living
 // instances that read before this one; onChange is told of each change and
-// where it was read.
+// where it was read, onReturn when reads succeed again.
 func NewTargetFollower(
 	store Store, directory *targets.Directory, spreader Spreader, rank func() int,
-	onChange func(change targets.Change, source string), logger log.Interface,
+	onChange func(change targets.Change, source string), onReturn func(), logger log.Interface,
 ) *TargetFollower {
 	return &TargetFollower{
-		store: store, directory: directory, spreader: spreader, rank: rank, onChange: onChange, logger: logger, clock: time.Now,
+		store: store, directory: directory, spreader: spreader, rank: rank, onChange: onChange, onReturn: onReturn, logger: logger, clock: time.Now,
 		next: unknownOffset, heard: make(chan struct{}, 1), wanted: make(chan struct{}, 1),
 	}
 }
@@ -186,6 +187,7 @@
 		return
 	}
 	f.logger.Info("registry of targets can be read again")
+	f.onReturn()
 }
 
 // read reads the changes since the last read, or all entries.
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -26,8 +26,10 @@
 	// farRoom is the part of its room up to which a target of another zone takes
 	// requests.
 	farRoom = 0.7
-	// farPause is the time for which a full target of another zone is not asked.
-	farPause = 60 * time.Millisecond
+	// nearPause and farPause are the times for which a target without room, of
+	// the own zone or of another, is not asked again.
+	nearPause = 30 * time.Millisecond
+	farPause  = 60 * time.Millisecond
 	// evenShare is the part of an even division of the targets below which a zone
 	// depends on the others.
 	evenShare = 0.75
@@ -93,10 +95,13 @@
 	return all, d.durations.expect(r)
 }
 
-// knownFull returns whether a target of another zone was full a moment ago, so
-// that it is not worth the bytes to ask it again.
+// knownFull returns whether a target had no room a moment ago, so that it is not
+// worth a probe to ask it again.
 func (d *Dispatcher) knownFull(t *target, now time.Time) bool {
-	return t.info.Zone != d.terms.Zone && t.reported(now, farPause) && !d.worthCrossing(t)
+	if t.info.Zone == d.terms.Zone {
+		return t.full() && t.reported(now, nearPause)
+	}
+	return !d.worthCrossing(t) && t.reported(now, farPause)
 }
 
 // nearest returns the candidates of the own zone, or all if there are none: an
