entry: more instances of large zones take callers

Change: two, and one more for each 16 instances beyond 32. Sites of up to 32 instances a zone are unchanged.

--- a/entry/planner.go
+++ b/entry/planner.go
@@ -17,11 +17,19 @@
 	// minAddresses is the number of instances of the caller's zone below which
 	// those of other zones are named as well.
 	minAddresses = 2
-	// PerZone is the number of instances of a zone that take its callers: the
-	// fewer there are, the more each knows of the targets' load.
-	PerZone = 2
+	// minActive is the number of instances of a zone that take its callers, and
+	// activeShare the number of instances for each further one: the fewer take
+	// callers, the more each knows of the targets' load, but a zone's load grows
+	// with its size.
+	minActive   = 2
+	activeShare = 16
 )
 
+// activeOf returns how many of a zone's instances take its callers.
+func activeOf(instances int) int {
+	return max(minActive, (instances+activeShare-1)/activeShare)
+}
+
 // Directory lists the instances that take callers.
 type Directory interface {
 	Ready() []membership.Instance
@@ -46,7 +54,7 @@
 			far = append(far, in.CallerAddress)
 		}
 	}
-	near = near[:min(len(near), PerZone)]
+	near = near[:min(len(near), activeOf(len(near)))]
 	chosen := near
 	if len(near) < minAddresses {
 		chosen = append(chosen, far...)
@@ -62,11 +70,12 @@
 // answers.
 func (p *Planner) Active() int {
 	zones := map[string]int{}
-	active := 0
 	for _, in := range p.directory.Ready() {
-		if zones[in.Zone]++; zones[in.Zone] <= PerZone {
-			active++
-		}
+		zones[in.Zone]++
+	}
+	active := 0
+	for _, n := range zones {
+		active += min(n, activeOf(n))
 	}
 	return max(1, active)
 }
@@ -74,14 +83,18 @@
 // IsActive returns whether the answers name this instance to the callers of its
 // zone.
 func (p *Planner) IsActive() bool {
-	self, before := p.directory.Self(), 0
+	self := p.directory.Self()
+	before, zone, ready := 0, 0, false
 	for _, in := range p.directory.Ready() {
-		if in.ID == self.ID {
-			return before < PerZone
+		if in.Zone != self.Zone {
+			continue
 		}
-		if in.Zone == self.Zone {
+		zone++
+		if in.ID == self.ID {
+			ready = true
+		} else if !ready {
 			before++
 		}
 	}
-	return false
+	return ready && before < activeOf(zone)
 }
--- a/entry/planner_test.go
+++ b/entry/planner_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -60,8 +61,34 @@
 }
 
 // Guards against a count of active instances that differs from what the answers
-// name.
+// name, against an instance that takes itself wrongly for one, and against a
+// large zone whose load rests on two.
 func TestActive(t *testing.T) {
-	assert.Equal(t, NewPlanner(fixed{ready: instances("a", "a", "a", "b", "c", "c", "c")}).Active(), 5)
-	assert.Equal(t, NewPlanner(fixed{}).Active(), 1)
+	tests := []struct {
+		name string
+		all  []membership.Instance
+		want int
+		ids  string // of those of zone a that are active
+	}{
+		{"small zones", instances("a", "a", "a", "b", "c", "c", "c"), 5, "n00 n01"},
+		{"one instance", instances("a"), 1, "n00"},
+		{"a large zone", instances(slices.Repeat([]string{"a"}, 33)...), 3, "n00 n01 n02"},
+		{"none", nil, 1, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, NewPlanner(fixed{ready: tt.all}).Active(), tt.want)
+			var active []string
+			for _, in := range tt.all {
+				if in.Zone == "a" && NewPlanner(fixed{self: in, ready: tt.all}).IsActive() {
+					active = append(active, in.ID)
+				}
+			}
+			assert.Equal(t, strings.Join(active, " "), tt.ids)
+			named := NewPlanner(fixed{ready: tt.all}).Plan("a")
+			if len(active) > 1 {
+				assert.Equal(t, len(named), len(active))
+			}
+		})
+	}
 }
