--- a/registry/registry.go
+++ b/registry/registry.go
@@ -47,7 +47,7 @@
 	rank := time.Duration(b.rank())
 	bound := min(maxMaxBackoff, minMaxBackoff+rank*backoffStep)
 	b.pause = min(bound, max(firstBackoff*(1+rank), 2*b.pause))
-	return b.pause/2 + rand.N(b.pause)
+	return min(bound, b.pause/2+rand.N(b.pause))
 }
 
 func (b *backoff) wait(ctx context.Context) { sleep(ctx, b.next()) }
