registry: two instances wait at the store for a new configuration

Cause: one instance, the reader of the registry, waited at the store for all. When the answer to its wait is lost with the connection, its news go on and name the old version, so that no other instance reads for itself; the version is late by up to 5 s, against 2 s allowed.

Change: the instance of the second rank waits there as well, and tells all of a version that it has read. An instance that takes a version from another one while it waits begins its read anew. TestSecondWatcher fails without it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -87,12 +87,18 @@
 	return seeds
 }
 
+// applyConfig puts a new version into force. An instance that waits at the store
+// for new versions tells the others of it.
 func (d *Daemon) applyConfig(document *config.Document) {
+	first := d.config.Current() == nil
 	d.table.Update(document.Services)
 	d.relay.ResetSplits()
 	d.members.SetConfigVersion(document.Version)
-	if d.registry.Reads() {
+	switch {
+	case d.registry.Reads():
 		d.registry.Refresh() // its news tell the others of the version
+	case !first && d.config.Watches():
+		d.mesh.AnnounceVersion()
 	}
 	d.recorder.Record(timeline.Event{Kind: timeline.ConfigInForce, Version: document.Version})
 }
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -189,6 +189,11 @@
 	m.sendTo(&peerpb.Packet{}, func(in membership.Instance) bool { return everywhere || in.Zone == zone })
 }
 
+// AnnounceVersion tells all instances at once which configuration this one has.
+func (m *Mesh) AnnounceVersion() {
+	m.sendTo(m.heartbeat(false), func(membership.Instance) bool { return true })
+}
+
 // AnnounceLeaving tells the instances several times that this one leaves, to
 // which callers were sent or not.
 func (m *Mesh) AnnounceLeaving(ctx context.Context, wasActive bool) {
--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -20,6 +20,10 @@
 	// hintTimeout is the time without word of a reader's version after which any
 	// instance waits at the store itself.
 	hintTimeout = 1500 * time.Millisecond
+	// watchers is the number of instances, by rank, that wait at the store for
+	// new versions: the answer to one of them may be lost with its connection,
+	// which shows only after seconds.
+	watchers = 2
 )
 
 // ConfigFollower keeps the newest configuration. The version never goes back.
@@ -41,8 +45,10 @@
 	reading   atomic.Bool
 	interrupt atomic.Pointer[context.CancelFunc]
 
-	// hinted receives a value when another instance has named its version.
+	// hinted receives a value when another instance has named its version, and
+	// heard is set from then on.
 	hinted chan struct{}
+	heard  atomic.Bool
 
 	mu     sync.Mutex // guards the order of versions
 	raw    []byte     // the document in force, as it was published
@@ -55,8 +61,8 @@
 type Fetch func(above int64) (raw []byte, source string)
 
 // NewConfigFollower returns a follower that calls apply with each new version.
-// An instance that reads the store for the others waits there for new versions;
-// the others hear of them.
+// The instances that read the store for the others and those of the lowest
+// ranks wait there for new versions; the others hear of them.
 func NewConfigFollower(
 	store Store, reads func() bool, rank func() int, fetch Fetch, logger log.Interface, apply func(*config.Document),
 ) *ConfigFollower {
@@ -69,6 +75,7 @@
 	newer := version > f.hint
 	f.hint, f.hintAt = max(f.hint, version), time.Now()
 	f.mu.Unlock()
+	f.heard.Store(true)
 	signal(f.hinted)
 	if newer && f.reading.Load() && f.behind() {
 		f.Refresh() // the read in progress may wait for an answer that was lost
@@ -76,7 +83,7 @@
 }
 
 // awaitHint returns when the store should be read: at once where this instance
-// waits for the others there, else when another instance has a newer version
+// watches it, else when another instance has a newer version
 // that cannot be had from it, or when none has named its version for a while.
 func (f *ConfigFollower) awaitHint(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -86,7 +93,7 @@
 		}
 		left := hintTimeout - time.Since(f.hintAt)
 		f.mu.Unlock()
-		if left <= 0 || f.reads() || f.behind() && !f.fetchFromPeer() {
+		if left <= 0 || f.Watches() || f.behind() && !f.fetchFromPeer() {
 			return
 		}
 		timer := time.NewTimer(left)
@@ -99,8 +106,21 @@
 	}
 }
 
-// CatchUp reads a newer version from another instance, if there is one.
-func (f *ConfigFollower) CatchUp() { f.fetchFromPeer() }
+// Watches returns whether this instance waits at the store for new versions. The
+// rank says nothing before another instance was heard.
+func (f *ConfigFollower) Watches() bool {
+	return f.reads() || f.heard.Load() && f.rank() < watchers
+}
+
+// CatchUp reads a newer version from another instance, if there is one. A read
+// in progress then waits for an answer that was lost, and is begun anew.
+func (f *ConfigFollower) CatchUp() {
+	before := f.current.Load()
+	f.fetchFromPeer()
+	if f.current.Load() != before && f.reading.Load() {
+		f.Refresh()
+	}
+}
 
 // behind returns whether another instance has a newer version.
 func (f *ConfigFollower) behind() bool {
--- a/registry/config_follower_test.go
+++ b/registry/config_follower_test.go
@@ -26,13 +26,20 @@
 // noPeer is a Fetch without any other instance.
 func noPeer(int64) ([]byte, string) { return nil, "" }
 
+// The ranks of the followers in tests. The first reads the registry too.
+const (
+	reader  = 0
+	watcher = watchers - 1
+	other   = watchers
+)
+
 // follow runs a follower until the test ends and returns the versions that came
 // into force.
-func follow(t *testing.T, store Store, reads bool, fetch Fetch) (*ConfigFollower, func() []int64) {
+func follow(t *testing.T, store Store, rank int, fetch Fetch) (*ConfigFollower, func() []int64) {
 	t.Helper()
 	var mu sync.Mutex
 	var versions []int64
-	f := NewConfigFollower(store, func() bool { return reads }, func() int { return 0 }, fetch, quiet, func(d *config.Document) {
+	f := NewConfigFollower(store, func() bool { return rank == reader }, func() int { return rank }, fetch, quiet, func(d *config.Document) {
 		mu.Lock()
 		defer mu.Unlock()
 		versions = append(versions, d.Version)
@@ -80,7 +87,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := newFakeStore()
 				store.put(platform.ConfigTopic, "config", documentOf(5))
-				f, versions := follow(t, store, true, noPeer)
+				f, versions := follow(t, store, reader, noPeer)
 				time.Sleep(time.Second)
 				tt.do(store, f)
 				time.Sleep(time.Second)
@@ -101,7 +108,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := newFakeStore()
 		store.put(platform.ConfigTopic, "config", documentOf(5))
-		f, versions := follow(t, store, false, noPeer)
+		f, versions := follow(t, store, other, noPeer)
 		for range 20 {
 			f.Hint(5)
 			time.Sleep(500 * time.Millisecond)
@@ -126,7 +133,7 @@
 		store := newFakeStore()
 		store.put(platform.ConfigTopic, "config", documentOf(5))
 		const peerVersion = 6
-		f, versions := follow(t, store, false, func(above int64) ([]byte, string) {
+		f, versions := follow(t, store, other, func(above int64) ([]byte, string) {
 			if peerVersion <= above {
 				return nil, ""
 			}
@@ -157,14 +164,15 @@
 	}
 	tests := []struct {
 		name   string
-		reads  bool
+		rank   int
 		fetch  Fetch
 		then   func(f *ConfigFollower)
 		within time.Duration
 	}{
-		{"nothing is heard", true, noPeer, func(*ConfigFollower) {}, 5 * time.Second},
-		{"the registry is back", true, noPeer, func(f *ConfigFollower) { f.Refresh() }, 0},
-		{"another instance has it", false, peer, func(f *ConfigFollower) { f.Hint(6) }, 0},
+		{"nothing is heard", reader, noPeer, func(*ConfigFollower) {}, 5 * time.Second},
+		{"the registry is back", reader, noPeer, func(f *ConfigFollower) { f.Refresh() }, 0},
+		{"another instance names it", other, peer, func(f *ConfigFollower) { f.Hint(6) }, 0},
+		{"another instance has it", reader, peer, func(f *ConfigFollower) { f.CatchUp() }, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -172,7 +180,7 @@
 				store := newFakeStore()
 				store.put(platform.ConfigTopic, "config", documentOf(5))
 				store.setSilent(true)
-				f, versions := follow(t, store, tt.reads, tt.fetch)
+				f, versions := follow(t, store, tt.rank, tt.fetch)
 				time.Sleep(2 * time.Second) // long enough for any instance to wait at the store
 				store.setSilent(false)
 				store.put(platform.ConfigTopic, "config", documentOf(6))
@@ -185,13 +193,34 @@
 	}
 }
 
+// Guards against instances that all trust one which waits for a lost answer: its
+// hints go on and name the old version.
+func TestSecondWatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(platform.ConfigTopic, "config", documentOf(5))
+		f, versions := follow(t, store, watcher, noPeer)
+		const hintInterval = 700 * time.Millisecond
+		for i := range 10 {
+			if i == 5 {
+				store.put(platform.ConfigTopic, "config", documentOf(6))
+			}
+			f.Hint(5)
+			time.Sleep(hintInterval)
+			if i >= 5 {
+				assert.DeepEqual(t, versions(), []int64{5, 6})
+			}
+		}
+	})
+}
+
 // Guards against a paused instance that goes on without reading the newest
 // version.
 func TestRefresh(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newFakeStore()
 		store.put(platform.ConfigTopic, "config", documentOf(5))
-		f, _ := follow(t, store, true, noPeer)
+		f, _ := follow(t, store, reader, noPeer)
 		time.Sleep(time.Second)
 		assert.Equal(t, f.ReadAge(), time.Second)
 		f.Refresh()
