routing: the room of a target is rounded to the nearest slot

Cause: a target of six slots got four requests at a time, two thirds of its slots; work slows down above four fifths only. At crests requests were refused while slots of fast targets stood unused.

Change: room is the nearest whole number to four fifths of the slots.

--- a/routing/target.go
+++ b/routing/target.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// nearlyFull is the part of a target's slots above which its work takes so
-	// much longer that it finishes less in all.
+	// nearlyFull is the part of a target's slots, to the nearest whole one, above
+	// which its work takes so much longer that it finishes less in all.
 	nearlyFull = 0.8
 	// slownessMemory is the time constant with which a measured slowness fades.
 	slownessMemory = 3 * time.Second
@@ -80,7 +80,9 @@
 
 // room returns the number of requests that the target runs without slowing
 // down.
-func (t *target) room() int { return max(1, int(nearlyFull*float64(t.info.Slots))) }
+func (t *target) room() int {
+	return max(1, int(math.Round(nearlyFull*float64(t.info.Slots))))
+}
 
 // full returns whether one more request would slow the target down.
 func (t *target) full() bool { return t.occupied() >= t.room() }
