routing: a request waits a little for the own zone before it crosses to another

Cause: a quarter of the requests went to another zone, half of them at once: as soon as the targets of the own zone were full, though one becomes free every few ms.

Change: while the own zone has a fast target, a request takes one of another zone only after 12 % of its objective. Repeats cross at once. TestOtherZoneAfterAWait fails without it.

--- a/routing/choice.go
+++ b/routing/choice.go
@@ -23,6 +23,9 @@
 	// foreignZone is what the bytes to another zone count, as a part of the
 	// expected duration.
 	foreignZone = 0.3
+	// nearWait is the part of its objective for which a request waits for a fast
+	// target of the own zone before it goes to another one.
+	nearWait = 0.12
 	// farRoom is the part of its room up to which a target of another zone takes
 	// requests.
 	farRoom = 0.7
@@ -104,16 +107,37 @@
 	return !d.worthCrossing(t) && t.reported(now, farPause)
 }
 
+// awaitsNear returns whether the request should wait for a target of the own
+// zone: one that is merely full becomes free soon.
+func (d *Dispatcher) awaitsNear(r *Request) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	if float64(now.Sub(r.Arrival)) >= nearWait*float64(r.Objective) {
+		return false
+	}
+	for _, t := range d.targets {
+		if t.info.Zone == d.terms.Zone && t.usable(now) && d.fast(t, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // nearest returns the candidates of the own zone, or all if there are none: an
 // answer that comes late is not worth the bytes to another zone.
 func (d *Dispatcher) nearest(order []candidate) []candidate {
-	near := slices.DeleteFunc(slices.Clone(order), func(c candidate) bool { return c.target.info.Zone != d.terms.Zone })
+	near := d.near(order)
 	if len(near) == 0 {
 		return order
 	}
 	return near
 }
 
+func (d *Dispatcher) near(order []candidate) []candidate {
+	return slices.DeleteFunc(slices.Clone(order), func(c candidate) bool { return c.target.info.Zone != d.terms.Zone })
+}
+
 func (d *Dispatcher) tier(t *target, score float64) tier {
 	switch {
 	case score >= doubtfulScore:
--- a/routing/dispatcher_test.go
+++ b/routing/dispatcher_test.go
@@ -202,6 +202,37 @@
 	}
 }
 
+// Guards against requests that go to another zone while a fast target of their
+// own is about to become free, and against those that wait for a slow one.
+func TestOtherZoneAfterAWait(t *testing.T) {
+	const objective = 500 * time.Millisecond
+	tests := []struct {
+		name     string
+		faults   standin.TargetFaults
+		min, max time.Duration // of the wait
+	}{
+		{"own target is full", standin.TargetFaults{}, objective * 12 / 100, objective / 2},
+		{"own target is slow", standin.TargetFaults{Slow: 4}, 0, objective / 10},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			own, near := serve(t, "near", "a", 1)
+			own.SetFaults(tt.faults)
+			_, far := serve(t, "far", "b", 8)
+			d := newDispatcher(t, near, far)
+			if tt.faults.Slow == 0 {
+				defer acquire(t, d, request()).Release(Unused, platform.Reply{})
+			}
+			r := request()
+			r.Objective = objective
+			l := acquire(t, d, r)
+			defer l.Release(Unused, platform.Reply{})
+			assert.Equal(t, l.Target().ID, "far")
+			assert.Assert(t, l.Decision.Waited >= tt.min && l.Decision.Waited < tt.max, "waited %s", l.Decision.Waited)
+		})
+	}
+}
+
 // Guards against a request that waits for ever, or is refused without the time
 // after which it may come back.
 func TestRefusals(t *testing.T) {
--- a/routing/scan.go
+++ b/routing/scan.go
@@ -21,8 +21,11 @@
 	if len(order) == 0 {
 		return nil, false
 	}
-	if late {
+	switch {
+	case late:
 		order = d.nearest(order)
+	case !r.Repeat && d.awaitsNear(r):
+		order = d.near(order)
 	}
 	asked := 0
 	if best := d.justReported(r); best.target != nil {
