relay, routing: a request's objective counts from the caller's first attempt

Cause: a caller that comes back after a refusal was served like a new one. At crests two requests of five came back, most of them too late to be useful, and took slots from those that could still be in time.

Change: callers state how long they will wait. The relay remembers the usual waits of each route; what a caller states less has gone, and counts against the objective in the queue and in the choice.

--- a/relay/request.go
+++ b/relay/request.go
@@ -29,6 +29,8 @@
 	service    string
 	dispatcher *routing.Dispatcher
 	arrival    time.Time
+	// spent is the time that earlier attempts of the caller have taken.
+	spent time.Duration
 	// deadline is the time of the final answer: what the caller waits, and the
 	// timeout of the route if that is shorter.
 	deadline time.Time
@@ -159,6 +161,7 @@
 		if d := c.arrival.Add(wait); d.Before(c.deadline) {
 			c.deadline = d
 		}
+		c.spent = s.waits.spent(c.route.Key(), wait)
 	}
 	c.service = s.splits.next(c.route)
 	c.dispatcher = s.dispatchers.Dispatcher(c.service)
--- a/relay/server.go
+++ b/relay/server.go
@@ -72,6 +72,7 @@
 	recorder    Recorder
 	logger      log.Interface
 	splits      splits
+	waits       waits
 	refusals    *rate.Limiter
 	served      *rate.Limiter
 	counters    counters
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -183,7 +183,7 @@
 		return true
 	}
 	finish := now.Add(time.Duration(c.target.slowdown(now) * float64(expected)))
-	return !finish.After(r.Arrival.Add(r.Objective))
+	return !finish.After(r.due())
 }
 
 // better returns the best of the candidates that may take the request, and
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -27,7 +27,7 @@
 func newWaiter(r *Request, expected time.Duration) *waiter {
 	w := &waiter{
 		rank:   r.Arrival.Add(time.Duration(r.Priority) * urgency),
-		lateAt: r.Arrival.Add(r.Objective - time.Duration(timelyMargin*float64(expected))),
+		lateAt: r.due().Add(-time.Duration(timelyMargin * float64(expected))),
 		wake:   make(chan struct{}, 1),
 	}
 	if r.Objective <= 0 {
--- a/routing/queue_test.go
+++ b/routing/queue_test.go
@@ -22,6 +22,10 @@
 	request := func(arrival, priority int) *Request {
 		return &Request{Arrival: at(arrival), Priority: priority, Objective: 400 * time.Millisecond, Deadline: at(arrival + 2000)}
 	}
+	spent := func(r *Request, ms int) *Request {
+		r.Spent = time.Duration(ms) * time.Millisecond
+		return r
+	}
 	tests := []struct {
 		name    string
 		arrived []*Request
@@ -31,6 +35,7 @@
 		{"in the order of arrival", []*Request{request(0, 1), request(1, 1), request(2, 1)}, 10, []int{0, 1, 2}},
 		{"urgent first", []*Request{request(0, 2), request(5, 0), request(9, 1)}, 10, []int{1, 2, 0}},
 		{"less urgent after its share of waiting", []*Request{request(0, 1), request(260, 0)}, 260, []int{0, 1}},
+		{"late last, by what earlier attempts took", []*Request{spent(request(0, 0), 450), request(5, 1)}, 10, []int{1, 0}},
 		{"late last", []*Request{request(0, 0), request(300, 1)}, 350, []int{1, 0}},
 	}
 	for _, tt := range tests {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -29,8 +29,10 @@
 	Route    string
 	Arrival  time.Time
 	Deadline time.Time
-	// Objective is the time since Arrival in which an answer is useful.
+	// Objective is the time in which an answer is useful, and Spent the part of
+	// it that earlier attempts of the caller have taken.
 	Objective time.Duration
+	Spent     time.Duration
 	Priority  int
 	// Exclude lists the targets that earlier tries used.
 	Exclude []targets.Incarnation
@@ -38,6 +40,9 @@
 	Repeat bool
 }
 
+// due returns the time until which an answer is useful.
+func (r *Request) due() time.Time { return r.Arrival.Add(r.Objective - r.Spent) }
+
 // Outcome is the result of a try as the target's state sees it.
 type Outcome int
 
