routing: a request that waited in vain comes back after a second

Cause: refused requests came back after half a second, into the same crest, and most were refused again.

--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -37,7 +37,10 @@
 	// minRetryAfter and maxRetryAfter bound the time after which a refused
 	// request should come back.
 	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = time.Second
+	maxRetryAfter = 2 * time.Second
+	// waitedRetryAfter is that time for a request that has waited in vain: what
+	// fills all targets lasts for seconds.
+	waitedRetryAfter = time.Second
 )
 
 // Acquire waits until a target may run the request. The error is a
@@ -158,7 +161,7 @@
 	} else {
 		d.stats.RefusedLate++
 	}
-	return &RefusalError{Cause: cause, RetryAfter: maxRetryAfter / 2}
+	return &RefusalError{Cause: cause, RetryAfter: waitedRetryAfter}
 }
 
 // sleep waits for a released slot, or a while.
