peer: news of the registry go to each zone once

Cause: the reader of the registry sent its news to every instance, and each instance that missed some read for itself and did the same.

Ruled out: requests (one of 18,514 crossed), heartbeats (2 MB), introductions (4 MB).

Change: the first of all living instances sends news to its zone and to the first two of each other zone, which pass them on. Later readers tell their zone only. Instances read in the order: two first ones, then each zone's one after the other. A zone hears of a new configuration once its leads have it, so that it is read within the zone. Readiness is announced within the zone. TestNewsArePassedOn, TestNewsOfLaterReadersStayInTheirZone, TestReadOrder.

--- a/membership/directory.go
+++ b/membership/directory.go
@@ -199,15 +199,36 @@
 
 // Rank returns the number of living instances before this one, by ID.
 func (d *Directory) Rank() int {
+	rank, _ := d.ranks()
+	return rank
+}
+
+// firstReaders is the number of instances that read the store before those that
+// read it for their zone.
+const firstReaders = 2
+
+// ReadOrder returns the place of this instance in the order in which they read
+// the store when they hear nothing: the first ones of all, then those of each
+// zone one after the other.
+func (d *Directory) ReadOrder() int {
+	rank, inZone := d.ranks()
+	return min(rank, firstReaders+inZone)
+}
+
+// ranks returns the number of living instances before this one, by ID, of all
+// zones and of the own one.
+func (d *Directory) ranks() (rank, inZone int) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	rank := 0
 	for id, m := range d.members {
 		if id < d.self.ID && m.instance.State == Ready && d.alive(m) {
 			rank++
+			if m.instance.Zone == d.self.Zone {
+				inZone++
+			}
 		}
 	}
-	return rank
+	return rank, inZone
 }
 
 // Newer returns a living instance with a configuration above the version, one of
--- a/membership/directory_test.go
+++ b/membership/directory_test.go
@@ -113,3 +113,30 @@
 		assert.Equal(t, d.Count(), 1)
 	})
 }
+
+// Guards against instances of a large system that all read the store at once
+// when the first ones are gone.
+func TestReadOrder(t *testing.T) {
+	tests := []struct {
+		name string
+		self Instance
+		want int
+	}{
+		{"first of all", Instance{ID: "a-1", Zone: "a"}, 0},
+		{"second of all", Instance{ID: "a-2", Zone: "a"}, 1},
+		{"third of its zone", Instance{ID: "a-3", Zone: "a"}, 2},
+		{"first of another zone", Instance{ID: "b-1", Zone: "b"}, firstReaders},
+		{"third of another zone", Instance{ID: "b-3", Zone: "b"}, firstReaders + 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := NewDirectory(tt.self)
+			for _, id := range []string{"a-1", "a-2", "a-3", "b-1", "b-2", "b-3"} {
+				in := instance(id, 1, Ready)
+				in.Zone = id[:1]
+				d.Hear(in, beat)
+			}
+			assert.Equal(t, d.ReadOrder(), tt.want)
+		})
+	}
+}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -32,6 +32,9 @@
 	// newsChanges bounds the changes in one datagram, so that it fits into one
 	// packet of the network.
 	newsChanges = 8
+	// leadsOfZone is the number of instances of another zone that news are sent
+	// to. Each passes them on, so that the death of one goes unnoticed.
+	leadsOfZone = 2
 	// leavingRepeats is the number of times that a leaving instance says so;
 	// datagrams get lost.
 	leavingRepeats  = 3
@@ -180,18 +183,20 @@
 	}
 }
 
-// Announce tells the instances at once that the state of this one has changed:
-// those of its zone, and all when callers are sent to it.
-func (m *Mesh) Announce() { m.announce(m.active()) }
+// Announce tells the instances of the zone at once that the state of this one
+// has changed. The others hear it with the next heartbeat.
+func (m *Mesh) Announce() { m.announce(false) }
 
 func (m *Mesh) announce(everywhere bool) {
 	zone := m.directory.Self().Zone
 	m.sendTo(&peerpb.Packet{}, func(in membership.Instance) bool { return everywhere || in.Zone == zone })
 }
 
-// AnnounceVersion tells all instances at once which configuration this one has.
-func (m *Mesh) AnnounceVersion() {
-	m.sendTo(m.heartbeat(false), func(membership.Instance) bool { return true })
+// AnnounceVersion tells instances at once which configuration this one has: all
+// of them, or those of its zone.
+func (m *Mesh) AnnounceVersion(everywhere bool) {
+	zone := m.directory.Self().Zone
+	m.sendTo(m.heartbeat(false), func(in membership.Instance) bool { return everywhere || in.Zone == zone })
 }
 
 // AnnounceLeaving tells the instances several times that this one leaves, to
@@ -207,22 +212,54 @@
 	}
 }
 
-// Spread sends news of the registry to every instance. Each datagram covers a
-// range of offsets of its own, so that a lost one shows.
+// Spread sends news of the registry to the instances of the own zone. The first
+// of all living instances sends them to the other zones as well. Each datagram
+// covers a range of offsets of its own, so that a lost one shows.
 func (m *Mesh) Spread(news News, offsets []int64) {
-	everyone := func(membership.Instance) bool { return true }
 	for len(news.Changes) > newsChanges {
 		part := News{From: news.From, To: offsets[newsChanges], Changes: news.Changes[:newsChanges], SinceOutage: news.SinceOutage}
-		m.sendNews(part, everyone)
+		m.sendNews(part)
 		news.From, news.Changes, offsets = part.To, news.Changes[newsChanges:], offsets[newsChanges:]
 	}
-	m.sendNews(news, everyone)
+	m.sendNews(news)
 }
 
-func (m *Mesh) sendNews(news News, to func(membership.Instance) bool) {
+func (m *Mesh) sendNews(news News) {
 	packet := m.heartbeat(false)
 	packet.News = newsToWire(news)
-	m.sendTo(packet, to)
+	zone := m.directory.Self().Zone
+	m.sendTo(packet, func(in membership.Instance) bool { return in.Zone == zone })
+	if m.directory.Rank() > 0 {
+		return
+	}
+	packet.PassOn = true
+	data := m.encode(packet)
+	for _, in := range m.leads(zone) {
+		m.write(data, in.PeerAddress)
+	}
+}
+
+// leads returns the instances that pass news on to their zones, which are the
+// first living ones of each zone but the given one.
+func (m *Mesh) leads(zone string) []membership.Instance {
+	var leads []membership.Instance
+	counts := map[string]int{}
+	for _, in := range m.directory.Ready() {
+		if in.Zone != zone && counts[in.Zone] < leadsOfZone {
+			counts[in.Zone]++
+			leads = append(leads, in)
+		}
+	}
+	return leads
+}
+
+// passOn sends a packet of another zone to the instances of the own one. They
+// hear of a new configuration once it can be read within the zone.
+func (m *Mesh) passOn(packet *peerpb.Packet) {
+	self := m.directory.Self()
+	packet.PassOn, packet.PassedOn = false, true
+	packet.Sender.ConfigVersion = min(packet.Sender.GetConfigVersion(), self.ConfigVersion)
+	m.sendTo(packet, func(in membership.Instance) bool { return in.Zone == self.Zone })
 }
 
 func (m *Mesh) sendTo(packet *peerpb.Packet, chosen func(membership.Instance) bool) {
@@ -309,6 +346,12 @@
 		news.Version = sender.ConfigVersion
 		m.onNews(news)
 	}
+	if packet.GetPassOn() {
+		m.passOn(&packet)
+	}
+	if packet.GetPassedOn() {
+		return nil // the packet came from another instance than its sender
+	}
 	if packet.GetHello() || !known {
 		m.send(&peerpb.Packet{Hello: !known}, from)
 	}
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -32,12 +32,17 @@
 }
 
 func startNode(t *testing.T, id string, seeds ...netip.AddrPort) *node {
+	t.Helper()
+	return startNodeIn(t, "a", id, seeds...)
+}
+
+func startNodeIn(t *testing.T, zone, id string, seeds ...netip.AddrPort) *node {
 	t.Helper()
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	assert.NilError(t, err)
 	n := &node{address: netip.MustParseAddrPort(conn.LocalAddr().String())}
 	n.directory = membership.NewDirectory(membership.Instance{
-		ID: id, Zone: "a", Incarnation: 1, State: membership.Ready, PeerAddress: n.address, CallerAddress: n.address, AdminAddress: n.address,
+		ID: id, Zone: zone, Incarnation: 1, State: membership.Ready, PeerAddress: n.address, CallerAddress: n.address, AdminAddress: n.address,
 	})
 	n.mesh = NewMesh(n.directory, timeline.NewClock(time.Now), WithSeeds(seeds), WithOnNews(func(news News) {
 		n.mu.Lock()
@@ -47,6 +52,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- n.mesh.Run(ctx, conn) }()
+	waitFor(t, "the mesh runs", func() bool {
+		n.mesh.mu.Lock()
+		defer n.mesh.mu.Unlock()
+		return n.mesh.conn != nil
+	})
 	t.Cleanup(func() {
 		cancel()
 		assert.Check(t, <-ended)
@@ -119,6 +129,62 @@
 	}
 }
 
+// introduce makes all nodes know each other.
+func introduce(nodes ...*node) {
+	for _, n := range nodes {
+		for _, o := range nodes {
+			n.directory.Hear(o.directory.Self(), time.Minute)
+		}
+	}
+}
+
+// Guards against news that go to every instance of another zone, and against
+// instances there that miss them or are told of a configuration that their zone
+// does not have yet.
+func TestNewsArePassedOn(t *testing.T) {
+	first := startNode(t, "a-1")
+	nodes := []*node{first, startNode(t, "a-2", first.address)}
+	for i := range 5 {
+		nodes = append(nodes, startNodeIn(t, "b", fmt.Sprintf("b-%d", i), first.address))
+	}
+	introduce(nodes...)
+	first.directory.SetConfigVersion(7)
+	first.mesh.Spread(News{From: 5, To: 6}, nil)
+	for i, n := range nodes[1:] {
+		passed := 0
+		copies := 1
+		if n.directory.Self().Zone == "b" {
+			copies = leadsOfZone
+		}
+		waitFor(t, fmt.Sprintf("news at instance %d", i+1), func() bool { return len(n.heard()) >= copies })
+		for _, h := range n.heard() {
+			assert.Equal(t, h.To, int64(6))
+			if h.Version == 0 {
+				passed++
+			}
+		}
+		if n.directory.Self().Zone == "b" {
+			assert.Assert(t, passed >= leadsOfZone-1, "instance %d was told of a version that its zone lacks", i+1)
+		}
+		assert.Assert(t, len(n.heard()) <= leadsOfZone, "instance %d heard %d", i+1, len(n.heard()))
+	}
+}
+
+// Guards against instances that are not the first and send their news to all
+// zones.
+func TestNewsOfLaterReadersStayInTheirZone(t *testing.T) {
+	first := startNode(t, "a-1")
+	second := startNode(t, "a-2", first.address)
+	other := startNodeIn(t, "b", "b-1", first.address)
+	introduce(first, second, other)
+	second.mesh.Spread(News{From: 5, To: 6}, nil)
+	second.mesh.Spread(News{From: 6, To: 7}, nil)
+	waitFor(t, "news in the zone", func() bool { return len(first.heard()) == 2 })
+	first.mesh.Spread(News{From: 7, To: 8}, nil)
+	waitFor(t, "news of the first", func() bool { return len(other.heard()) > 0 })
+	assert.Equal(t, other.heard()[0].To, int64(8))
+}
+
 // Guards against a datagram that stops the exchange, whatever its bytes.
 func TestMalformedDatagram(t *testing.T) {
 	a := startNode(t, "a")
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -17,10 +17,10 @@
 	// readInterval is the time between two reads of the registry, by the
 	// instance that ranks first.
 	readInterval = 700 * time.Millisecond
-	// rankStep delays the read of each further rank, which becomes needless when
-	// the news of an earlier rank arrive. maxReadDelay bounds the sum.
-	rankStep     = 70 * time.Millisecond
-	maxReadDelay = 1200 * time.Millisecond
+	// orderStep delays the read of each further instance, which becomes needless
+	// when the news of an earlier one arrive. maxReadDelay bounds the sum.
+	orderStep    = 70 * time.Millisecond
+	maxReadDelay = 1500 * time.Millisecond
 	// readerMemory is the time since its last read for which an instance counts
 	// as a reader.
 	readerMemory = 2 * time.Second
@@ -45,6 +45,7 @@
 	directory *targets.Directory
 	spreader  Spreader
 	rank      func() int
+	order     func() int
 	onChange  func(change targets.Change, source string)
 	onReturn  func()
 	logger    log.Interface
@@ -64,14 +65,15 @@
 }
 
 // NewTargetFollower returns a follower. The rank is the number of living
-// instances that read before this one; onChange is told of each change and
+// instances before this one, the order its place among those that read the
+// registry when they hear no news; onChange is told of each change and
 // where it was read, onReturn when reads succeed again.
 func NewTargetFollower(
-	store Store, directory *targets.Directory, spreader Spreader, rank func() int,
+	store Store, directory *targets.Directory, spreader Spreader, rank, order func() int,
 	onChange func(change targets.Change, source string), onReturn func(), logger log.Interface,
 ) *TargetFollower {
 	return &TargetFollower{
-		store: store, directory: directory, spreader: spreader, rank: rank, onChange: onChange, onReturn: onReturn, logger: logger, clock: time.Now,
+		store: store, directory: directory, spreader: spreader, rank: rank, order: order, onChange: onChange, onReturn: onReturn, logger: logger, clock: time.Now,
 		next: unknownOffset, heard: make(chan struct{}, 1), wanted: make(chan struct{}, 1),
 	}
 }
@@ -139,11 +141,11 @@
 	f.next = next
 }
 
-// await returns when the next read is due: later for each rank, and later again
-// with each news.
+// await returns when the next read is due: later for each place in the order,
+// and later again with each news.
 func (f *TargetFollower) await(ctx context.Context) {
 	for ctx.Err() == nil {
-		delay := min(maxReadDelay, readInterval+time.Duration(f.rank())*rankStep)
+		delay := min(maxReadDelay, readInterval+time.Duration(f.order())*orderStep)
 		timer := time.NewTimer(max(0, delay-f.Age()))
 		select {
 		case <-ctx.Done():
--- a/registry/target_follower_test.go
+++ b/registry/target_follower_test.go
@@ -59,7 +59,7 @@
 	directories := make([]*targets.Directory, n)
 	for i := range n {
 		directories[i] = targets.NewDirectory()
-		f := NewTargetFollower(store, directories[i], link{w, i}, func() int { return i }, ignore, func() {}, quiet)
+		f := NewTargetFollower(store, directories[i], link{w, i}, func() int { return i }, func() int { return i }, ignore, func() {}, quiet)
 		w.followers = append(w.followers, f)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -130,7 +130,7 @@
 		for i := range 5 {
 			store.put(platform.TargetTopic, fmt.Sprint(i), registration("ready", 1))
 		}
-		f := NewTargetFollower(store, targets.NewDirectory(), link{&wire{}, 0}, func() int { return 0 }, ignore, func() {}, quiet)
+		f := NewTargetFollower(store, targets.NewDirectory(), link{&wire{}, 0}, func() int { return 0 }, func() int { return 0 }, ignore, func() {}, quiet)
 		assert.NilError(t, f.read(context.Background()))
 		time.Sleep(time.Second)
 		f.HearNews(peer.News{From: 7, To: 9})
