registry, membership: the place in the order of readers is known from the start

Cause: at a start of all instances none was heard as ready, so that each took itself for the first: each waited at the store for the first configuration, read the registry, and waited for the next configuration.

Change: instances that were listed and not heard count as living for 3 s, those that start count as well. Until the list is read the place is unknown, for 1.5 s at most. An instance without a configuration waits to be told of one, unless it is among the first two. TestFirstConfiguration, TestListedInstancesCountForTheOrder.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -58,7 +58,7 @@
 		peer.WithOnNews(d.hearNews), peer.WithSeeds(seedsOf(s)), peer.WithActive(d.planner.IsActive))
 	d.registry = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, d.members.ReadOrder, d.noteTarget,
 		func() { d.config.Refresh() }, logger)
-	d.config = registry.NewConfigFollower(store, d.registry.Reads, d.members.Rank, d.fetchConfig, logger, d.applyConfig)
+	d.config = registry.NewConfigFollower(store, d.registry.Reads, d.members.Rank, d.members.ReadOrder, d.fetchConfig, logger, d.applyConfig)
 	d.announcer = registry.NewAnnouncer(store, d.members, logger)
 	d.freshness = newFreshness(d.registry, d.config, s.Budgets.DrainDelay, d.notePause)
 	d.relay = relay.NewServer(d.config, d.table, relay.WithRecorder(d.recorder), relay.WithLogger(logger),
@@ -90,14 +90,13 @@
 // applyConfig puts a new version into force. An instance that waits at the store
 // for new versions tells the others of it, one that passes news on its zone.
 func (d *Daemon) applyConfig(document *config.Document) {
-	first := d.config.Current() == nil
 	d.table.Update(document.Services)
 	d.relay.ResetSplits()
 	d.members.SetConfigVersion(document.Version)
 	switch {
 	case d.registry.Reads():
 		d.registry.Refresh() // its news tell the others of the version
-	case !first && (d.config.Watches() || d.planner.IsActive()):
+	case d.config.Watches() || d.planner.IsActive():
 		d.mesh.AnnounceVersion(d.config.Watches())
 	}
 	d.recorder.Record(timeline.Event{Kind: timeline.ConfigInForce, Version: document.Version})
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -86,6 +86,8 @@
 // announce registers the instance and introduces it to the others.
 func (d *Daemon) announce(running context.Context) error {
 	d.announcer.Announce(running)
+	d.registry.Wake()
+	d.config.Wake()
 	d.mesh.Introduce()
 	return nil
 }
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -37,6 +37,12 @@
 	// missedHeartbeats is the number of heartbeats without which an instance
 	// counts as dead.
 	missedHeartbeats = 2.6
+	// listedMemory is the time for which an instance that registered itself but
+	// was not heard yet counts as living for the order of the readers.
+	listedMemory = 3 * time.Second
+	// listingTime bounds the time after the start for which the other instances
+	// may still be listed, so that the own place among them is not known.
+	listingTime = 1500 * time.Millisecond
 	// forgetAfter is the time after which a dead instance no longer counts for
 	// the budgets.
 	forgetAfter = time.Minute
@@ -59,6 +65,7 @@
 	mu      sync.RWMutex
 	self    Instance
 	members map[string]*member
+	listing time.Time // until then the other instances may still be listed
 }
 
 // Option changes a Directory under construction.
@@ -77,9 +84,17 @@
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.listing = d.clock().Add(listingTime)
 	return d
 }
 
+// EndListing notes that all registered instances were listed.
+func (d *Directory) EndListing() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listing = time.Time{}
+}
+
 // Self returns this instance.
 func (d *Directory) Self() Instance {
 	d.mu.RLock()
@@ -207,11 +222,19 @@
 // read it for their zone.
 const firstReaders = 2
 
+// unknownOrder is the place of an instance that has not listed the others yet.
+const unknownOrder = 100
+
 // ReadOrder returns the place of this instance in the order in which they read
 // the store when they hear nothing: the first ones of all, then those of each
 // zone one after the other.
 func (d *Directory) ReadOrder() int {
 	rank, inZone := d.ranks()
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if d.clock().Before(d.listing) {
+		return unknownOrder
+	}
 	return min(rank, firstReaders+inZone)
 }
 
@@ -221,7 +244,7 @@
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	for id, m := range d.members {
-		if id < d.self.ID && m.instance.State == Ready && d.alive(m) {
+		if id < d.self.ID && d.presumed(m) {
 			rank++
 			if m.instance.Zone == d.self.Zone {
 				inZone++
@@ -231,6 +254,33 @@
 	return rank, inZone
 }
 
+// presumed returns whether an instance takes part in reading the store, as far
+// as is known.
+func (d *Directory) presumed(m *member) bool {
+	if m.heardAt.IsZero() {
+		return d.clock().Sub(m.listedAt) < listedMemory
+	}
+	return m.instance.State != Leaving && d.alive(m)
+}
+
+// Leads returns the first n living instances of each other zone, by ID.
+func (d *Directory) Leads(n int) []Instance {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var leads []Instance
+	for _, m := range d.members {
+		if m.instance.Zone != d.self.Zone && d.presumed(m) {
+			leads = append(leads, m.instance)
+		}
+	}
+	slices.SortFunc(leads, byID)
+	counts := map[string]int{}
+	return slices.DeleteFunc(leads, func(in Instance) bool {
+		counts[in.Zone]++
+		return counts[in.Zone] > n
+	})
+}
+
 // Newer returns a living instance with a configuration above the version, one of
 // the own zone if there is any.
 func (d *Directory) Newer(version int64) (Instance, bool) {
--- a/membership/directory_test.go
+++ b/membership/directory_test.go
@@ -114,6 +114,29 @@
 	})
 }
 
+// Guards against instances that all start at once and each take themselves for
+// the first one, and against dead ones that the others wait for.
+func TestListedInstancesCountForTheOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := NewDirectory(Instance{ID: "b", Zone: "a"})
+		assert.Equal(t, d.ReadOrder(), unknownOrder)
+		d.List(instance("a", 1, Ready))
+		d.EndListing()
+		far := instance("c", 1, Ready)
+		far.Zone = "z"
+		d.List(far)
+		assert.Equal(t, d.Rank(), 1)
+		assert.Equal(t, ids(d.Leads(1)), "c")
+		time.Sleep(listedMemory)
+		assert.Equal(t, d.Rank(), 0)
+		assert.Equal(t, ids(d.Leads(1)), "")
+		d.Hear(instance("a", 1, Starting), beat)
+		assert.Equal(t, d.Rank(), 1)
+		d.Hear(instance("a", 1, Leaving), beat)
+		assert.Equal(t, d.Rank(), 0)
+	})
+}
+
 // Guards against instances of a large system that all read the store at once
 // when the first ones are gone.
 func TestReadOrder(t *testing.T) {
@@ -131,6 +154,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			d := NewDirectory(tt.self)
+			d.EndListing()
 			for _, id := range []string{"a-1", "a-2", "a-3", "b-1", "b-2", "b-3"} {
 				in := instance(id, 1, Ready)
 				in.Zone = id[:1]
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -192,11 +192,16 @@
 	m.sendTo(&peerpb.Packet{}, func(in membership.Instance) bool { return everywhere || in.Zone == zone })
 }
 
-// AnnounceVersion tells instances at once which configuration this one has: all
-// of them, or those of its zone.
-func (m *Mesh) AnnounceVersion(everywhere bool) {
+// AnnounceVersion tells the instances of the zone at once which configuration
+// this one has, and those that pass news on in other zones where it is the first
+// to have it.
+func (m *Mesh) AnnounceVersion(first bool) {
 	zone := m.directory.Self().Zone
-	m.sendTo(m.heartbeat(false), func(in membership.Instance) bool { return everywhere || in.Zone == zone })
+	packet := m.heartbeat(false)
+	m.sendTo(packet, func(in membership.Instance) bool { return in.Zone == zone })
+	if first {
+		m.sendToLeads(packet)
+	}
 }
 
 // AnnounceLeaving tells the instances several times that this one leaves, to
@@ -229,28 +234,19 @@
 	packet.News = newsToWire(news)
 	zone := m.directory.Self().Zone
 	m.sendTo(packet, func(in membership.Instance) bool { return in.Zone == zone })
-	if m.directory.Rank() > 0 {
+	if m.directory.ReadOrder() > 0 {
 		return
 	}
 	packet.PassOn = true
-	data := m.encode(packet)
-	for _, in := range m.leads(zone) {
-		m.write(data, in.PeerAddress)
-	}
+	m.sendToLeads(packet)
 }
 
-// leads returns the instances that pass news on to their zones, which are the
-// first living ones of each zone but the given one.
-func (m *Mesh) leads(zone string) []membership.Instance {
-	var leads []membership.Instance
-	counts := map[string]int{}
-	for _, in := range m.directory.Ready() {
-		if in.Zone != zone && counts[in.Zone] < leadsOfZone {
-			counts[in.Zone]++
-			leads = append(leads, in)
-		}
+// sendToLeads sends a packet to the instances that pass news on to their zones.
+func (m *Mesh) sendToLeads(packet *peerpb.Packet) {
+	data := m.encode(packet)
+	for _, in := range m.directory.Leads(leadsOfZone) {
+		m.write(data, in.PeerAddress)
 	}
-	return leads
 }
 
 // passOn sends a packet of another zone to the instances of the own one. They
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -135,6 +135,7 @@
 		for _, o := range nodes {
 			n.directory.Hear(o.directory.Self(), time.Minute)
 		}
+		n.directory.EndListing()
 	}
 }
 
--- a/registry/announcer.go
+++ b/registry/announcer.go
@@ -67,6 +67,7 @@
 		}
 		a.directory.List(in)
 	}
+	a.directory.EndListing()
 	return nil
 }
 
--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -20,7 +20,7 @@
 	// hintTimeout is the time without word of a reader's version after which any
 	// instance waits at the store itself.
 	hintTimeout = 1500 * time.Millisecond
-	// watchers is the number of instances, by rank, that wait at the store for
+	// watchers is the number of instances, by their order, that wait at the store for
 	// new versions: the answer to one of them may be lost with its connection,
 	// which shows only after seconds.
 	watchers = 2
@@ -32,6 +32,7 @@
 	// reads tells whether this instance reads the store for the others.
 	reads  func() bool
 	rank   func() int
+	order  func() int
 	fetch  Fetch
 	logger log.Interface
 	apply  func(*config.Document)
@@ -45,10 +46,8 @@
 	reading   atomic.Bool
 	interrupt atomic.Pointer[context.CancelFunc]
 
-	// hinted receives a value when another instance has named its version, and
-	// heard is set from then on.
+	// hinted receives a value when another instance has named its version.
 	hinted chan struct{}
-	heard  atomic.Bool
 
 	mu     sync.Mutex // guards the order of versions
 	raw    []byte     // the document in force, as it was published
@@ -61,12 +60,15 @@
 type Fetch func(above int64) (raw []byte, source string)
 
 // NewConfigFollower returns a follower that calls apply with each new version.
-// The instances that read the store for the others and those of the lowest
-// ranks wait there for new versions; the others hear of them.
+// The instances that read the store for the others and the first ones in the
+// order wait there for new versions; the others hear of them.
 func NewConfigFollower(
-	store Store, reads func() bool, rank func() int, fetch Fetch, logger log.Interface, apply func(*config.Document),
+	store Store, reads func() bool, rank, order func() int, fetch Fetch, logger log.Interface, apply func(*config.Document),
 ) *ConfigFollower {
-	return &ConfigFollower{store: store, reads: reads, rank: rank, fetch: fetch, logger: logger, apply: apply, hinted: make(chan struct{}, 1)}
+	return &ConfigFollower{
+		store: store, reads: reads, rank: rank, order: order, fetch: fetch, logger: logger, apply: apply,
+		hinted: make(chan struct{}, 1),
+	}
 }
 
 // Hint notes the version of an instance that reads the store.
@@ -75,13 +77,15 @@
 	newer := version > f.hint
 	f.hint, f.hintAt = max(f.hint, version), time.Now()
 	f.mu.Unlock()
-	f.heard.Store(true)
 	signal(f.hinted)
 	if newer && f.reading.Load() && f.behind() {
 		f.Refresh() // the read in progress may wait for an answer that was lost
 	}
 }
 
+// Wake makes the follower look again at its place in the order.
+func (f *ConfigFollower) Wake() { signal(f.hinted) }
+
 // awaitHint returns when the store should be read: at once where this instance
 // watches it, else when another instance has a newer version
 // that cannot be had from it, or when none has named its version for a while.
@@ -106,11 +110,8 @@
 	}
 }
 
-// Watches returns whether this instance waits at the store for new versions. The
-// rank says nothing before another instance was heard.
-func (f *ConfigFollower) Watches() bool {
-	return f.reads() || f.heard.Load() && f.rank() < watchers
-}
+// Watches returns whether this instance waits at the store for new versions.
+func (f *ConfigFollower) Watches() bool { return f.reads() || f.order() < watchers }
 
 // CatchUp reads a newer version from another instance, if there is one. A read
 // in progress then waits for an answer that was lost, and is begun anew.
@@ -127,7 +128,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	current := f.current.Load()
-	return current == nil || f.hint > current.Version
+	return current == nil && f.hint > 0 || current != nil && f.hint > current.Version
 }
 
 // fetchFromPeer reads the newer version from another instance, which saves a
--- a/registry/config_follower_test.go
+++ b/registry/config_follower_test.go
@@ -26,7 +26,7 @@
 // noPeer is a Fetch without any other instance.
 func noPeer(int64) ([]byte, string) { return nil, "" }
 
-// The ranks of the followers in tests. The first reads the registry too.
+// The places of the followers in tests. The first reads the registry too.
 const (
 	reader  = 0
 	watcher = watchers - 1
@@ -39,7 +39,7 @@
 	t.Helper()
 	var mu sync.Mutex
 	var versions []int64
-	f := NewConfigFollower(store, func() bool { return rank == reader }, func() int { return rank }, fetch, quiet, func(d *config.Document) {
+	f := NewConfigFollower(store, func() bool { return rank == reader }, func() int { return rank }, func() int { return rank }, fetch, quiet, func(d *config.Document) {
 		mu.Lock()
 		defer mu.Unlock()
 		versions = append(versions, d.Version)
@@ -126,6 +126,27 @@
 	})
 }
 
+// Guards against instances that all wait at the store for the first
+// configuration.
+func TestFirstConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		f, versions := follow(t, store, other, func(above int64) ([]byte, string) {
+			if above >= 5 {
+				return nil, ""
+			}
+			return []byte(documentOf(5)), "peer"
+		})
+		time.Sleep(hintTimeout - 100*time.Millisecond)
+		f.Hint(5)
+		synctest.Wait()
+		reads, newest := store.counts()
+		assert.Equal(t, reads, 0)
+		assert.Equal(t, newest, 1)
+		assert.DeepEqual(t, versions(), []int64{5})
+	})
+}
+
 // Guards against a call of the store for a version that another instance can
 // give, and against a version that is missed when it cannot.
 func TestFetchFromPeer(t *testing.T) {
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -105,6 +105,9 @@
 // Refresh asks for a read at once.
 func (f *TargetFollower) Refresh() { signal(f.wanted) }
 
+// Wake makes the follower look again at its place in the order.
+func (f *TargetFollower) Wake() { signal(f.heard) }
+
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
