--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -144,8 +144,10 @@
 // does not have yet.
 func TestNewsArePassedOn(t *testing.T) {
 	first := startNode(t, "a-1")
-	nodes := []*node{first, startNode(t, "a-2", first.address)}
-	for i := range 5 {
+	const others = 5 // in the other zone
+	nodes := make([]*node, 0, 2+others)
+	nodes = append(nodes, first, startNode(t, "a-2", first.address))
+	for i := range others {
 		nodes = append(nodes, startNodeIn(t, "b", fmt.Sprintf("b-%d", i), first.address))
 	}
 	introduce(nodes...)
--- a/routing/scan.go
+++ b/routing/scan.go
@@ -21,19 +21,34 @@
 	if len(order) == 0 {
 		return nil, false
 	}
+	if best := d.justReported(r); best.target != nil {
+		if l := d.take(r, best, expected, 0); l != nil {
+			return l, true
+		}
+	}
 	switch {
 	case late:
 		order = d.nearest(order)
 	case !r.Repeat && d.awaitsNear(r):
 		order = d.near(order)
 	}
-	asked := 0
-	if best := d.justReported(r); best.target != nil {
+	best, asked := d.askForBest(order)
+	if best.target == nil {
+		return nil, true
+	}
+	if late || d.worthTaking(r, best, expected) {
 		if l := d.take(r, best, expected, asked); l != nil {
 			return l, true
 		}
 	}
-	var best candidate
+	best.release()
+	return nil, true
+}
+
+// askForBest asks the candidates in rounds until one of them is good. It returns
+// the best one, which has no target when none may take the request, and the
+// number of probes.
+func (d *Dispatcher) askForBest(order []candidate) (best candidate, asked int) {
 	askedFar := false
 	for range probeRounds {
 		round := order[:min(probeWidth, len(order))]
@@ -49,18 +64,7 @@
 			break
 		}
 	}
-	if best.target == nil {
-		return nil, true
-	}
-	if !late && !d.worthTaking(r, best, expected) {
-		best.release()
-		return nil, true
-	}
-	if l := d.take(r, best, expected, asked); l != nil {
-		return l, true
-	}
-	best.release()
-	return nil, true
+	return best, asked
 }
 
 // justReported returns a near target whose report is as good as an answer now,
