registry: the configuration is not asked for while the registry is away

Cause: while the store is away no news come, so that every instance read both the registry and the configuration by itself, each about every three seconds.

Change: an instance that is not among the first two waits with the configuration until the registry is back, which wakes it. A request for a read also ends the pause after a failed one. TestFewCallTheStoreWhileItIsAway fails without it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -57,8 +57,10 @@
 	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger),
 		peer.WithOnNews(d.hearNews), peer.WithSeeds(seedsOf(s)), peer.WithActive(d.planner.IsActive))
 	d.registry = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, d.members.ReadOrder, d.noteTarget,
-		func() { d.config.Refresh() }, logger)
-	d.config = registry.NewConfigFollower(store, d.registry.Reads, d.members.Rank, d.members.ReadOrder, d.fetchConfig, logger, d.applyConfig)
+		d.noteReturn, logger)
+	d.config = registry.NewConfigFollower(store, registry.Place{
+		Reads: d.registry.Reads, Away: d.registry.Failing, Rank: d.members.Rank, Order: d.members.ReadOrder,
+	}, d.fetchConfig, logger, d.applyConfig)
 	d.announcer = registry.NewAnnouncer(store, d.members, logger)
 	d.freshness = newFreshness(d.registry, d.config, s.Budgets.DrainDelay, d.notePause)
 	d.relay = relay.NewServer(d.config, d.table, relay.WithRecorder(d.recorder), relay.WithLogger(logger),
@@ -120,6 +122,13 @@
 		WithField("source", source).Info("target changed its state")
 }
 
+// noteReturn is called when the registry can be read again: the configuration
+// may have changed meanwhile.
+func (d *Daemon) noteReturn() {
+	d.config.Refresh()
+	d.config.Wake()
+}
+
 func (d *Daemon) noteMembers() {
 	sharing := routing.Sharing{Known: d.members.Count(), Active: d.planner.Active()}
 	if d.table.SetSharing(sharing) {
--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -28,11 +28,8 @@
 
 // ConfigFollower keeps the newest configuration. The version never goes back.
 type ConfigFollower struct {
-	store Store
-	// reads tells whether this instance reads the store for the others.
-	reads  func() bool
-	rank   func() int
-	order  func() int
+	store  Store
+	place  Place
 	fetch  Fetch
 	logger log.Interface
 	apply  func(*config.Document)
@@ -55,6 +52,16 @@
 	hintAt time.Time
 }
 
+// Place says which part an instance takes in reading the store.
+type Place struct {
+	// Reads tells whether it reads the registry for the others, and Away whether
+	// its last read of that failed.
+	Reads, Away func() bool
+	// Rank is the number of living instances before it, and Order its place
+	// among those that read the store when they hear nothing.
+	Rank, Order func() int
+}
+
 // Fetch reads the configuration of another instance that has one above the
 // version, and names the instance. The text is nil when none can be had.
 type Fetch func(above int64) (raw []byte, source string)
@@ -63,10 +70,10 @@
 // The instances that read the store for the others and the first ones in the
 // order wait there for new versions; the others hear of them.
 func NewConfigFollower(
-	store Store, reads func() bool, rank, order func() int, fetch Fetch, logger log.Interface, apply func(*config.Document),
+	store Store, place Place, fetch Fetch, logger log.Interface, apply func(*config.Document),
 ) *ConfigFollower {
 	return &ConfigFollower{
-		store: store, reads: reads, rank: rank, order: order, fetch: fetch, logger: logger, apply: apply,
+		store: store, place: place, fetch: fetch, logger: logger, apply: apply,
 		hinted: make(chan struct{}, 1),
 	}
 }
@@ -88,7 +95,8 @@
 
 // awaitHint returns when the store should be read: at once where this instance
 // watches it, else when another instance has a newer version
-// that cannot be had from it, or when none has named its version for a while.
+// that cannot be had from it, or when none has named its version for a while
+// although the store answers.
 func (f *ConfigFollower) awaitHint(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.mu.Lock()
@@ -97,6 +105,9 @@
 		}
 		left := hintTimeout - time.Since(f.hintAt)
 		f.mu.Unlock()
+		if left <= 0 && f.place.Away() {
+			left = hintTimeout // the reads of the registry will find the store again
+		}
 		if left <= 0 || f.Watches() || f.behind() && !f.fetchFromPeer() {
 			return
 		}
@@ -111,7 +122,7 @@
 }
 
 // Watches returns whether this instance waits at the store for new versions.
-func (f *ConfigFollower) Watches() bool { return f.reads() || f.order() < watchers }
+func (f *ConfigFollower) Watches() bool { return f.place.Reads() || f.place.Order() < watchers }
 
 // CatchUp reads a newer version from another instance, if there is one. A read
 // in progress then waits for an answer that was lost, and is begun anew.
@@ -178,7 +189,7 @@
 // Run follows the store until the context ends.
 func (f *ConfigFollower) Run(ctx context.Context) error {
 	from := int64(unknownOffset)
-	pause := backoff{rank: f.rank}
+	pause := backoff{rank: f.place.Rank}
 	for ctx.Err() == nil {
 		reading, cancel := context.WithCancel(ctx)
 		f.interrupt.Store(&cancel)
--- a/registry/config_follower_test.go
+++ b/registry/config_follower_test.go
@@ -33,13 +33,18 @@
 	other   = watchers
 )
 
+func placeOf(rank int, away bool) Place {
+	order := func() int { return rank }
+	return Place{Reads: func() bool { return rank == reader }, Away: func() bool { return away }, Rank: order, Order: order}
+}
+
 // follow runs a follower until the test ends and returns the versions that came
 // into force.
 func follow(t *testing.T, store Store, rank int, fetch Fetch) (*ConfigFollower, func() []int64) {
 	t.Helper()
 	var mu sync.Mutex
 	var versions []int64
-	f := NewConfigFollower(store, func() bool { return rank == reader }, func() int { return rank }, func() int { return rank }, fetch, quiet, func(d *config.Document) {
+	f := NewConfigFollower(store, placeOf(rank, false), fetch, quiet, func(d *config.Document) {
 		mu.Lock()
 		defer mu.Unlock()
 		versions = append(versions, d.Version)
@@ -126,6 +131,27 @@
 	})
 }
 
+// Guards against instances that all call a store that is away, and against one
+// that is not found again.
+func TestFewCallTheStoreWhileItIsAway(t *testing.T) {
+	for _, rank := range []int{watcher, other} {
+		synctest.Test(t, func(t *testing.T) {
+			store := newFakeStore()
+			store.fail(platform.ErrUnavailable)
+			f := NewConfigFollower(store, placeOf(rank, true), noPeer, quiet, func(*config.Document) {})
+			ctx, cancel := context.WithCancel(context.Background())
+			var running sync.WaitGroup
+			running.Go(func() { _ = f.Run(ctx) })
+			time.Sleep(time.Minute)
+			_, newest := store.counts()
+			assert.Equal(t, newest > 10, rank == watcher, "%d calls", newest)
+			assert.Assert(t, newest >= 1)
+			cancel()
+			running.Wait()
+		})
+	}
+}
+
 // Guards against instances that all wait at the store for the first
 // configuration.
 func TestFirstConfiguration(t *testing.T) {
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -171,6 +171,7 @@
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
+	case <-f.wanted:
 	case <-f.heard:
 		f.directory.Expire()
 		f.await(ctx)
