peer: a dead instance is missed soon after news as well

Cause: news and first packets announced the next heartbeat after 3 s, also those of instances that callers are sent to, which beat every 0.5 s. Such an instance that died after them stayed in the entry answers for up to 7.8 s, not 1.3 s. Found by reading.

Change: each packet announces the interval that its receiver will see. The log lines of a request name the time that earlier attempts took.

--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -138,16 +138,14 @@
 		case <-ticker.C:
 		}
 		near, far, forgotten = near+activeInterval, far+activeInterval, forgotten+activeInterval
-		active, zone := m.active(), m.directory.Self().Zone
-		if active || near >= idleInterval {
+		nearNext, farNext := m.intervals()
+		if near >= nearNext {
 			near = 0
-			m.sendTo(m.heartbeat(active), func(in membership.Instance) bool { return in.Zone == zone })
+			m.sendTo(m.heartbeat(nearNext), m.isNear)
 		}
-		if active && far >= farInterval {
+		if m.active() && far >= farNext {
 			far = 0
-			packet := m.heartbeat(active)
-			packet.IntervalMs = uint32(farInterval.Milliseconds())
-			m.sendTo(packet, func(in membership.Instance) bool { return in.Zone != zone })
+			m.sendTo(m.heartbeat(farNext), func(in membership.Instance) bool { return !m.isNear(in) })
 		}
 		if forgotten >= forgetInterval {
 			forgotten = 0
@@ -156,11 +154,21 @@
 	}
 }
 
-func (m *Mesh) heartbeat(active bool) *peerpb.Packet {
-	interval := idleInterval
-	if active {
-		interval = activeInterval
+// intervals returns the times between the heartbeats to the own zone and to
+// others. What does not beat to other zones is not missed there.
+func (m *Mesh) intervals() (near, far time.Duration) {
+	if m.active() {
+		return activeInterval, farInterval
 	}
+	return idleInterval, idleInterval
+}
+
+// isNear returns whether the instance is in the own zone.
+func (m *Mesh) isNear(in membership.Instance) bool { return in.Zone == m.directory.Self().Zone }
+
+// heartbeat returns a packet without what does not change. It announces the next
+// one after the interval.
+func (m *Mesh) heartbeat(interval time.Duration) *peerpb.Packet {
 	return &peerpb.Packet{Sender: heartbeatToWire(m.directory.Self()), IntervalMs: uint32(interval.Milliseconds())}
 }
 
@@ -168,9 +176,8 @@
 // the seeds are asked for a packet in return; of other zones it is enough to
 // know the instances that callers are sent to, which beat by themselves.
 func (m *Mesh) Introduce() {
-	zone := m.directory.Self().Zone
-	m.sendTo(&peerpb.Packet{Hello: true}, func(in membership.Instance) bool { return in.Zone == zone })
-	m.sendTo(&peerpb.Packet{}, func(in membership.Instance) bool { return in.Zone != zone })
+	m.sendTo(&peerpb.Packet{Hello: true}, m.isNear)
+	m.sendTo(&peerpb.Packet{}, func(in membership.Instance) bool { return !m.isNear(in) })
 	m.greetSeeds()
 }
 
@@ -188,19 +195,17 @@
 func (m *Mesh) Announce() { m.announce(false) }
 
 func (m *Mesh) announce(everywhere bool) {
-	zone := m.directory.Self().Zone
-	m.sendTo(&peerpb.Packet{}, func(in membership.Instance) bool { return everywhere || in.Zone == zone })
+	m.sendTo(&peerpb.Packet{}, func(in membership.Instance) bool { return everywhere || m.isNear(in) })
 }
 
 // AnnounceVersion tells the instances of the zone at once which configuration
 // this one has, and those that pass news on in other zones where it is the first
 // to have it.
 func (m *Mesh) AnnounceVersion(first bool) {
-	zone := m.directory.Self().Zone
-	packet := m.heartbeat(false)
-	m.sendTo(packet, func(in membership.Instance) bool { return in.Zone == zone })
+	near, far := m.intervals()
+	m.sendTo(m.heartbeat(near), m.isNear)
 	if first {
-		m.sendToLeads(packet)
+		m.sendToLeads(m.heartbeat(far))
 	}
 }
 
@@ -230,15 +235,14 @@
 }
 
 func (m *Mesh) sendNews(news News) {
-	packet := m.heartbeat(false)
+	near, far := m.intervals()
+	packet := m.heartbeat(near)
 	packet.News = newsToWire(news)
-	zone := m.directory.Self().Zone
-	m.sendTo(packet, func(in membership.Instance) bool { return in.Zone == zone })
-	if m.directory.ReadOrder() > 0 {
-		return
+	m.sendTo(packet, m.isNear)
+	if m.directory.ReadOrder() == 0 {
+		packet.PassOn, packet.IntervalMs = true, uint32(far.Milliseconds())
+		m.sendToLeads(packet)
 	}
-	packet.PassOn = true
-	m.sendToLeads(packet)
 }
 
 // sendToLeads sends a packet to the instances that pass news on to their zones.
@@ -252,10 +256,9 @@
 // passOn sends a packet of another zone to the instances of the own one. They
 // hear of a new configuration once it can be read within the zone.
 func (m *Mesh) passOn(packet *peerpb.Packet) {
-	self := m.directory.Self()
 	packet.PassOn, packet.PassedOn = false, true
-	packet.Sender.ConfigVersion = min(packet.Sender.GetConfigVersion(), self.ConfigVersion)
-	m.sendTo(packet, func(in membership.Instance) bool { return in.Zone == self.Zone })
+	packet.Sender.ConfigVersion = min(packet.Sender.GetConfigVersion(), m.directory.Self().ConfigVersion)
+	m.sendTo(packet, m.isNear)
 }
 
 func (m *Mesh) sendTo(packet *peerpb.Packet, chosen func(membership.Instance) bool) {
@@ -276,7 +279,8 @@
 func (m *Mesh) encode(packet *peerpb.Packet) []byte {
 	if packet.Sender == nil {
 		packet.Sender = instanceToWire(m.directory.Self())
-		packet.IntervalMs = uint32(idleInterval.Milliseconds())
+		_, far := m.intervals()
+		packet.IntervalMs = uint32(far.Milliseconds())
 	}
 	packet.Clock = uint64(m.clock.Now())
 	data, err := proto.Marshal(packet)
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,13 +38,18 @@
 }
 
 func startNodeIn(t *testing.T, zone, id string, seeds ...netip.AddrPort) *node {
+	t.Helper()
+	return startNodeAt(t, time.Now, zone, id, seeds...)
+}
+
+func startNodeAt(t *testing.T, clock func() time.Time, zone, id string, seeds ...netip.AddrPort) *node {
 	t.Helper()
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	assert.NilError(t, err)
 	n := &node{address: netip.MustParseAddrPort(conn.LocalAddr().String())}
 	n.directory = membership.NewDirectory(membership.Instance{
 		ID: id, Zone: zone, Incarnation: 1, State: membership.Ready, PeerAddress: n.address, CallerAddress: n.address, AdminAddress: n.address,
-	})
+	}, membership.WithClock(clock))
 	n.mesh = NewMesh(n.directory, timeline.NewClock(time.Now), WithSeeds(seeds), WithOnNews(func(news News) {
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -173,6 +179,22 @@
 	}
 }
 
+// Guards against a dead instance that stays in the answers for long because it
+// sent news last.
+func TestDeathAfterNews(t *testing.T) {
+	first := startNode(t, "a-1")
+	var late atomic.Int64 // of the second's clock
+	second := startNodeAt(t, func() time.Time { return time.Now().Add(time.Duration(late.Load())) }, "a", "a-2", first.address)
+	introduce(first, second)
+	first.mesh.Spread(News{From: 5, To: 6}, nil)
+	waitFor(t, "news", func() bool { return len(second.heard()) > 0 })
+	waitFor(t, "the first is missed", func() bool {
+		late.Add(int64(3 * activeInterval))
+		return len(second.directory.Ready()) == 1
+	})
+	assert.Assert(t, late.Load() < int64(4*3*activeInterval), "missed after %s", time.Duration(late.Load()))
+}
+
 // Guards against instances that are not the first and send their news to all
 // zones.
 func TestNewsOfLaterReadersStayInTheirZone(t *testing.T) {
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -189,6 +189,9 @@
 	if c.route != nil {
 		f["route"], f["service"], f["tries"] = c.route.Name, c.service, c.sent
 	}
+	if c.spent > 0 {
+		f["spent"] = c.spent.Round(time.Millisecond).String()
+	}
 	if t != nil {
 		d := t.lease.Decision
 		f["target"], f["waited"], f["probes"] = t.lease.Target().ID, d.Waited.Round(time.Microsecond).String(), d.Probes
