registry: a version is not late when the read for it crosses its append

Cause: a read that reaches the store while a version is being appended is not answered when the append is done, but when its own wait is over. Both instances that wait at the store had begun their reads of 4 s at the same moment, after the version before, and got the version 4 s late.

Ruled out: failed calls (none in the log), lost datagrams, the fetch between instances (10 ms after the first instance had it).

Change: the first instance waits for one second at a time. When the registry is back, the pause after a failed read ends as well. TestReadDuringAnAppend fails without the first, TestLostLongPoll failed once without the second, since a read that timed out at the same moment began a pause.

--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -17,6 +17,10 @@
 	// longPoll is how long a read waits for a new configuration. An answer that
 	// was lost with its connection is waited for as long.
 	longPoll = 4 * time.Second
+	// firstLongPoll is that time for the first instance. A read that reaches the
+	// store while a version is being appended may return only when its wait is
+	// over.
+	firstLongPoll = time.Second
 	// hintTimeout is the time without word of a reader's version after which any
 	// instance waits at the store itself.
 	hintTimeout = 1500 * time.Millisecond
@@ -207,7 +211,9 @@
 			from = unknownOffset
 		case err != nil:
 			f.note(err)
-			pause.wait(ctx)
+			if pause.wait(reading); reading.Err() != nil {
+				from = unknownOffset
+			}
 			f.awaitHint(ctx)
 		default:
 			f.note(nil)
@@ -248,9 +254,13 @@
 		f.readAt.Store(&began)
 		return batch.Next, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, longPoll+callTimeout)
+	wait := longPoll
+	if f.place.Order() == 0 {
+		wait = firstLongPoll
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	batch, err := f.store.Read(ctx, platform.ConfigTopic, from, longPoll)
+	batch, err := f.store.Read(ctx, platform.ConfigTopic, from, wait)
 	if err != nil {
 		return 0, err
 	}
--- a/registry/config_follower_test.go
+++ b/registry/config_follower_test.go
@@ -240,6 +240,21 @@
 	}
 }
 
+// Guards against a version that is late because the read that waits for it had
+// reached the store while it was being appended.
+func TestReadDuringAnAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(platform.ConfigTopic, "config", documentOf(5))
+		store.setLate(true)
+		_, versions := follow(t, store, reader, noPeer)
+		time.Sleep(10 * time.Millisecond)
+		store.put(platform.ConfigTopic, "config", documentOf(6))
+		time.Sleep(firstLongPoll)
+		assert.DeepEqual(t, versions(), []int64{5, 6})
+	})
+}
+
 // Guards against instances that all trust one which waits for a lost answer: its
 // hints go on and name the old version.
 func TestSecondWatcher(t *testing.T) {
--- a/registry/fake_test.go
+++ b/registry/fake_test.go
@@ -27,7 +27,9 @@
 	first   map[platform.Topic]int64
 	failure error
 	// silent makes the reads that begin now never end by themselves.
-	silent  bool
+	silent bool
+	// late makes the reads that begin now answer only when their wait is over.
+	late    bool
 	changed chan struct{}
 	reads   int
 	newest  int
@@ -53,6 +55,12 @@
 	s.silent = silent
 }
 
+func (s *fakeStore) setLate(late bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = late
+}
+
 func (s *fakeStore) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -108,8 +116,12 @@
 	defer timer.Stop()
 	s.mu.Lock()
 	s.reads++
-	silent := s.silent
+	silent, late := s.silent, s.late
 	s.mu.Unlock()
+	if late {
+		sleep(ctx, wait)
+		wait = 0
+	}
 	if silent {
 		<-ctx.Done()
 		return platform.Batch{}, ctx.Err()
