peer, registry: news go to all zones when the first reader is silent

Cause: since news cross to each zone once, readers other than the first told their own zone only. When the first was killed and a zone could not reach the store, that zone heard nothing, though instances of other zones had read that a target left.

--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -222,24 +222,24 @@
 	}
 }
 
-// Spread sends news of the registry to the instances of the own zone. The first
-// of all living instances sends them to the other zones as well. Each datagram
-// covers a range of offsets of its own, so that a lost one shows.
-func (m *Mesh) Spread(news News, offsets []int64) {
+// Spread sends news of the registry to the instances of the own zone, or of all
+// zones. Each datagram covers a range of offsets of its own, so that a lost one
+// shows.
+func (m *Mesh) Spread(news News, offsets []int64, everywhere bool) {
 	for len(news.Changes) > newsChanges {
 		part := News{From: news.From, To: offsets[newsChanges], Changes: news.Changes[:newsChanges], SinceOutage: news.SinceOutage}
-		m.sendNews(part)
+		m.sendNews(part, everywhere)
 		news.From, news.Changes, offsets = part.To, news.Changes[newsChanges:], offsets[newsChanges:]
 	}
-	m.sendNews(news)
+	m.sendNews(news, everywhere)
 }
 
-func (m *Mesh) sendNews(news News) {
+func (m *Mesh) sendNews(news News, everywhere bool) {
 	near, far := m.intervals()
 	packet := m.heartbeat(near)
 	packet.News = newsToWire(news)
 	m.sendTo(packet, m.isNear)
-	if m.directory.ReadOrder() == 0 {
+	if everywhere {
 		packet.PassOn, packet.IntervalMs = true, uint32(far.Milliseconds())
 		m.sendToLeads(packet)
 	}
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -31,10 +31,10 @@
 	minOutage = 1500 * time.Millisecond
 )
 
-// Spreader passes news of the registry on to the other instances. The offsets
-// are those of the changes.
+// Spreader passes news of the registry on to the instances of the own zone or
+// to those of all zones. The offsets are those of the changes.
 type Spreader interface {
-	Spread(news peer.News, offsets []int64)
+	Spread(news peer.News, offsets []int64, everywhere bool)
 }
 
 // TargetFollower keeps the directory of targets up to date. One instance reads
@@ -56,6 +56,7 @@
 	next    int64
 	freshAt time.Time // the time as of which the state holds
 	readAt  time.Time // the last read by this instance
+	newsAt  time.Time // when news of another instance came, with or without a gap
 	// heard receives a value when news made a read needless, and wanted when a
 	// read is needed at once.
 	heard       chan struct{}
@@ -203,6 +204,8 @@
 	f.mu.Lock()
 	from, began := f.next, f.clock()
 	outage := f.failing && began.Sub(f.freshAt) > minOutage && from != unknownOffset
+	// Where news come but have gaps, the other zones have them from their sender.
+	silence := began.Sub(f.newsAt) >= readInterval
 	f.mu.Unlock()
 	if from == unknownOffset {
 		batch, err := f.store.Newest(ctx, platform.TargetTopic)
@@ -223,7 +226,7 @@
 	f.tell(effective, "store")
 	f.advance(batch.Next, began, true)
 	f.spreader.Spread(peer.News{From: from, To: batch.Next, Changes: effective, SinceOutage: f.sinceOutage()},
-		offsetsOf(effective, batch.Records))
+		offsetsOf(effective, batch.Records), silence)
 	return nil
 }
 
@@ -270,6 +273,7 @@
 	}
 	f.tell(f.directory.Apply(news.Changes), "news")
 	f.mu.Lock()
+	f.newsAt = f.clock()
 	known := f.next != unknownOffset && news.From <= f.next
 	if known {
 		f.next = max(f.next, news.To)
