registry: what was missed with a dropped history is told to others

Cause: after the store had dropped its history an instance read all entries and told nobody what had changed. An instance that could not reach the store had a gap before all later news and went on with its old state; news then never became complete for it. Found by the soak beside other load: n-03 could not reach the store from 30.19 s on, the history was dropped at 29.97 s, and a target that left then got 6 requests of it later than 2 s.

With it: entries that lapsed while the store was away were removed at once when its history was dropped as well, since the first read after the outage was then one of all entries.

Change: an instance that knew the entries until the history was dropped sends the changes as news from there on, if they fit into one datagram, and logs them. The first read after an outage holds removals back in either way. TestNewsOfDroppedHistory fails without it.

--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -29,9 +29,9 @@
 const (
 	// maxPacket is the size of the largest datagram, in bytes.
 	maxPacket = 64 << 10
-	// newsChanges bounds the changes in one datagram, so that it fits into one
+	// MaxNewsChanges bounds the changes in one datagram, so that it fits into one
 	// packet of the network.
-	newsChanges = 8
+	MaxNewsChanges = 8
 	// leadsOfZone is the number of instances of another zone that news are sent
 	// to. Each passes them on, so that the death of one goes unnoticed.
 	leadsOfZone = 2
@@ -226,10 +226,10 @@
 // zones. Each datagram covers a range of offsets of its own, so that a lost one
 // shows.
 func (m *Mesh) Spread(news News, offsets []int64, everywhere bool) {
-	for len(news.Changes) > newsChanges {
-		part := News{From: news.From, To: offsets[newsChanges], Changes: news.Changes[:newsChanges], SinceOutage: news.SinceOutage}
+	for len(news.Changes) > MaxNewsChanges {
+		part := News{From: news.From, To: offsets[MaxNewsChanges], Changes: news.Changes[:MaxNewsChanges], SinceOutage: news.SinceOutage}
 		m.sendNews(part, everywhere)
-		news.From, news.Changes, offsets = part.To, news.Changes[newsChanges:], offsets[newsChanges:]
+		news.From, news.Changes, offsets = part.To, news.Changes[MaxNewsChanges:], offsets[MaxNewsChanges:]
 	}
 	m.sendNews(news, everywhere)
 }
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -103,7 +103,7 @@
 	b := startNode(t, "b", a.address)
 	waitFor(t, "a knows b", func() bool { return len(a.directory.Ready()) == 2 })
 	a.directory.SetConfigVersion(7)
-	const count = 2*newsChanges + 3
+	const count = 2*MaxNewsChanges + 3
 	changes, offsets := make([]targets.Change, 0, count), make([]int64, 0, count)
 	for i := range count {
 		target := &targets.Target{
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -52,8 +52,10 @@
 	clock     func() time.Time
 
 	mu sync.Mutex
-	// next is the offset from which the state is not known.
+	// next is the offset from which the state is not known, and expired the one
+	// before the history was dropped.
 	next    int64
+	expired int64
 	freshAt time.Time // the time as of which the state holds
 	readAt  time.Time // the last read by this instance
 	newsAt  time.Time // when news of another instance came, with or without a gap
@@ -75,7 +77,7 @@
 ) *TargetFollower {
 	return &TargetFollower{
 		store: store, directory: directory, spreader: spreader, rank: rank, order: order, onChange: onChange, onReturn: onReturn, logger: logger, clock: time.Now,
-		next: unknownOffset, heard: make(chan struct{}, 1), wanted: make(chan struct{}, 1),
+		next: unknownOffset, expired: unknownOffset, heard: make(chan struct{}, 1), wanted: make(chan struct{}, 1),
 	}
 }
 
@@ -126,7 +128,7 @@
 		case ctx.Err() != nil:
 		case errors.Is(err, platform.ErrExpired):
 			f.logger.Info("history of the registry has expired, reading all entries")
-			f.setNext(unknownOffset)
+			f.expire()
 		case err != nil:
 			f.note(err)
 			f.awaitNews(ctx, pause.next())
@@ -139,10 +141,10 @@
 	return nil
 }
 
-func (f *TargetFollower) setNext(next int64) {
+func (f *TargetFollower) expire() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.next = next
+	f.next, f.expired = unknownOffset, f.next
 }
 
 // await returns when the next read is due: later for each place in the order,
@@ -203,19 +205,13 @@
 	defer cancel()
 	f.mu.Lock()
 	from, began := f.next, f.clock()
-	outage := f.failing && began.Sub(f.freshAt) > minOutage && from != unknownOffset
+	known := from != unknownOffset || f.expired != unknownOffset
+	outage := known && f.failing && began.Sub(f.freshAt) > minOutage
 	// Where news come but have gaps, the other zones have them from their sender.
 	silence := began.Sub(f.newsAt) >= readInterval
 	f.mu.Unlock()
 	if from == unknownOffset {
-		batch, err := f.store.Newest(ctx, platform.TargetTopic)
-		if err != nil {
-			return err
-		}
-		f.endOutage(outage)
-		f.directory.Replace(f.entries(batch.Records))
-		f.advance(batch.Next, began, false)
-		return nil
+		return f.readAll(ctx, began, outage, silence)
 	}
 	batch, err := f.store.Read(ctx, platform.TargetTopic, from, 0)
 	if err != nil {
@@ -230,6 +226,31 @@
 	return nil
 }
 
+// readAll reads all entries. Where this instance knew them until the history was
+// dropped, others may have missed the same changes and be unable to read: it
+// tells them, if one datagram holds what has changed.
+func (f *TargetFollower) readAll(ctx context.Context, began time.Time, outage, everywhere bool) error {
+	batch, err := f.store.Newest(ctx, platform.TargetTopic)
+	if err != nil {
+		return err
+	}
+	f.endOutage(outage)
+	effective := f.directory.Replace(f.entries(batch.Records))
+	f.mu.Lock()
+	from := f.expired
+	f.expired = unknownOffset
+	f.mu.Unlock()
+	f.advance(batch.Next, began, false)
+	if from == unknownOffset {
+		return nil // all entries are new to a starting instance
+	}
+	f.tell(effective, "store")
+	if len(effective) <= peer.MaxNewsChanges {
+		f.spreader.Spread(peer.News{From: from, To: batch.Next, Changes: effective, SinceOutage: f.sinceOutage()}, nil, everywhere)
+	}
+	return nil
+}
+
 // endOutage notes that the registry answers again.
 func (f *TargetFollower) endOutage(ended bool) {
 	if !ended {
--- a/registry/target_follower_test.go
+++ b/registry/target_follower_test.go
@@ -157,6 +157,37 @@
 	}
 }
 
+// Guards against changes that are lost for instances which cannot read the store
+// when its history is dropped, and against entries that lapsed in an outage and
+// are removed at once because the history was dropped as well.
+func TestNewsOfDroppedHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(platform.TargetTopic, "i", registration("ready", 1))
+		store.put(platform.TargetTopic, "j", registration("ready", 1))
+		w := &wire{}
+		first := func() int { return 0 }
+		directory := targets.NewDirectory()
+		f := NewTargetFollower(store, directory, link{w, 0}, first, first, ignore, func() {}, quiet)
+		assert.NilError(t, f.read(context.Background()))
+		assert.Equal(t, len(w.sent), 0)
+		f.note(platform.ErrUnavailable)
+		time.Sleep(2 * minOutage)
+		store.put(platform.TargetTopic, "i", registration("draining", 2))
+		store.put(platform.TargetTopic, "j", "")
+		store.expire(platform.TargetTopic)
+		assert.ErrorIs(t, f.read(context.Background()), platform.ErrExpired)
+		f.expire()
+		assert.NilError(t, f.read(context.Background()))
+		assert.Equal(t, len(w.sent), 1)
+		assert.Equal(t, w.sent[0].From, int64(2))
+		assert.Equal(t, w.sent[0].To, int64(4))
+		assert.Equal(t, len(w.sent[0].Changes), 2)
+		assert.Assert(t, w.sent[0].SinceOutage > 0)
+		assert.Equal(t, ready(directory), 1)
+	})
+}
+
 // Guards against news with a gap before them that count as complete.
 func TestGapInNews(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -16,6 +16,9 @@
 	// A zone that could not reach the store heard nothing of a leaving target
 	// while the first reader was dead: later readers told their own zone only.
 	251823199, 3601858960,
+	// An instance that could not reach the store missed what happened before the
+	// history was dropped: a read of all entries was not told to others.
+	2479946651,
 }
 
 // Guards against broken guarantees under overlapping faults of processes, the
--- a/targets/directory.go
+++ b/targets/directory.go
@@ -85,23 +85,29 @@
 	d.outageEnded = at
 }
 
-// Replace applies the complete content of the registry.
-func (d *Directory) Replace(all []Target) {
+// Replace applies the complete content of the registry. It returns the changes
+// that lead there from what was known, like Apply.
+func (d *Directory) Replace(all []Target) []Change {
 	d.mu.Lock()
 	listed := make(map[string]bool, len(all))
 	moved := map[string]bool{}
+	var effective []Change
 	for i := range all {
 		listed[all[i].ID] = true
-		d.apply(&all[i], moved)
+		if d.apply(&all[i], moved) {
+			effective = append(effective, Change{ID: all[i].ID, Target: &all[i]})
+		}
 	}
 	for id, e := range d.entries {
 		if !listed[id] {
 			d.remove(id, e, moved)
+			effective = append(effective, Change{ID: id})
 		}
 	}
 	d.loaded = true
 	d.mu.Unlock()
 	d.announce(moved)
+	return effective
 }
 
 // Apply applies changes in their order. It returns those that changed more
