registry: the test of the first configuration guards against what it names; comments

The test's other instance had the configuration from the start, so that it passed as well where every instance waits at the store. Now it has it when it names it; the test fails with the former condition. The comments of two constants and functions are wrapped anew. No change of behaviour.

--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -24,8 +24,8 @@
 	// hintTimeout is the time without word of a reader's version after which any
 	// instance waits at the store itself.
 	hintTimeout = 1500 * time.Millisecond
-	// watchers is the number of instances, by their order, that wait at the store for
-	// new versions: the answer to one of them may be lost with its connection,
+	// watchers is the number of instances, by their order, that wait at the store
+	// for new versions: the answer to one of them may be lost with its connection,
 	// which shows only after seconds.
 	watchers = 2
 )
@@ -98,9 +98,9 @@
 func (f *ConfigFollower) Wake() { signal(f.hinted) }
 
 // awaitHint returns when the store should be read: at once where this instance
-// watches it, else when another instance has a newer version
-// that cannot be had from it, or when none has named its version for a while
-// although the store answers.
+// watches it, else when another instance has a newer version that cannot be had
+// from it, or when none has named its version for a while although the store
+// answers.
 func (f *ConfigFollower) awaitHint(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.mu.Lock()
--- a/registry/config_follower_test.go
+++ b/registry/config_follower_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,13 +158,15 @@
 func TestFirstConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newFakeStore()
+		var published atomic.Bool
 		f, versions := follow(t, store, other, func(above int64) ([]byte, string) {
-			if above >= 5 {
+			if !published.Load() || above >= 5 {
 				return nil, ""
 			}
 			return []byte(documentOf(5)), "peer"
 		})
 		time.Sleep(hintTimeout - 100*time.Millisecond)
+		published.Store(true)
 		f.Hint(5)
 		synctest.Wait()
 		reads, newest := store.counts()
