registry: keep a Refresh that arrives between two reads

Cause: ConfigFollower.Run replaced cancelRead at the start of each read. A Refresh after the last check of the previous context and before that canceled nothing, so that the next read was a long poll and the newest version was not read at once. Change: Refresh sets a flag, which the next read takes after it has replaced cancelRead.

--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -49,6 +49,9 @@
 	// or, after it, the wait for the next one.
 	readInProgress atomic.Bool
 	cancelRead     atomic.Pointer[context.CancelFunc]
+	// refreshRequested is set by Refresh until a read starts. Without it, a request
+	// that arrives after the wait for the next read would cancel nothing and be lost.
+	refreshRequested atomic.Bool
 
 	// wakeup receives a value when another instance has reported its version or
 	// the read order has changed.
@@ -200,6 +203,7 @@
 // watcher reads it at once. Any other instance first waits until a read is due,
 // unless Refresh ended the wait after a successful read.
 func (f *ConfigFollower) Refresh() {
+	f.refreshRequested.Store(true)
 	if cancel := f.cancelRead.Load(); cancel != nil {
 		(*cancel)()
 	}
@@ -212,6 +216,11 @@
 	for ctx.Err() == nil {
 		readCtx, cancel := context.WithCancel(ctx)
 		f.cancelRead.Store(&cancel)
+		// The flag is cleared only after cancelRead is replaced: a Refresh that is
+		// not seen here cancels this read.
+		if f.refreshRequested.Swap(false) {
+			from = unknownOffset
+		}
 		f.readInProgress.Store(true)
 		next, err := f.read(readCtx, from)
 		f.readInProgress.Store(false)
