peer: announce the interval for the local zone in complete packets

Cause: a complete packet announced only the interval for remote zones, 2 s. If it was the last packet of an instance, its own zone considered it dead after 5.2 s instead of 1.3 s. Change: a complete packet announces both intervals; the receiver uses the one for its zone. An instance of an older version ignores the new field.

--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -297,13 +297,13 @@
 func (m *Mesh) send(packet *peerpb.Packet, to netip.AddrPort) { m.write(m.encode(packet), to) }
 
 // encode encodes a packet with the current timestamp. Without a sender it becomes
-// a complete packet of this instance. A complete packet may go to any zone, and
-// always announces the interval for remote zones.
+// a complete packet of this instance. A complete packet may go to any zone and
+// announces the intervals for the local zone and for remote zones.
 func (m *Mesh) encode(packet *peerpb.Packet) []byte {
 	if packet.Sender == nil {
 		packet.Sender = instanceToWire(m.directory.Self())
-		_, remote := m.intervals()
-		packet.IntervalMs = uint32(remote.Milliseconds())
+		local, remote := m.intervals()
+		packet.IntervalMs, packet.LocalIntervalMs = uint32(remote.Milliseconds()), uint32(local.Milliseconds())
 	}
 	packet.Clock = uint64(m.clock.Now())
 	data, err := proto.Marshal(packet)
@@ -361,7 +361,7 @@
 		return err
 	}
 	m.clock.Observe(timeline.Timestamp(packet.GetClock()))
-	known := m.directory.RecordPacket(sender, time.Duration(packet.GetIntervalMs())*time.Millisecond)
+	known := m.directory.RecordPacket(sender, m.announcedInterval(&packet, sender))
 	if packet.GetNews() != nil {
 		update, err := updateFromWire(packet.GetNews())
 		if err != nil {
@@ -382,6 +382,16 @@
 	return nil
 }
 
+// announcedInterval returns the time until the next heartbeat that the sender of a
+// packet announces to the local zone.
+func (m *Mesh) announcedInterval(packet *peerpb.Packet, sender membership.Instance) time.Duration {
+	interval := packet.GetIntervalMs()
+	if local := packet.GetLocalIntervalMs(); local > 0 && m.isLocal(sender) {
+		interval = local
+	}
+	return time.Duration(interval) * time.Millisecond
+}
+
 // Stats returns the current counters.
 func (m *Mesh) Stats() Stats {
 	return Stats{
