daemon: shut down gracefully when a component fails

Cause: after the instance had become ready, an error of a component other than the server for callers ended the context of all others without a graceful shutdown. The listener for callers stayed open, and the first SIGTERM started no shutdown. Change: a failed component is logged and ends the same context as a signal does. Before: TestFailedComponentStopsInstance times out when a failure does not end that context. After: it passes.

--- a/daemon/run.go
+++ b/daemon/run.go
@@ -36,43 +36,69 @@
 	catchUpInterval = 500 * time.Millisecond
 )
 
-// errStopped cancels the group of components after a graceful shutdown.
-var errStopped = errors.New("instance stopped")
-
 // server is a component that serves connections on an address.
 type server struct {
+	name    string
 	address netip.AddrPort
 	serve   func(net.Listener) error
 }
 
-// Run serves until stopCtx ends, then shuts down gracefully.
-func (d *Daemon) Run(stopCtx context.Context) error {
+// servers returns the servers of the instance.
+func (d *Daemon) servers() []server {
+	return []server{
+		{"server for callers", d.settings.Callers.Listen, d.relay.Serve},
+		{"entry server", d.settings.Callers.Entry, d.entryServer.Serve},
+		{"readiness server", d.settings.Callers.Ready, d.entryServer.Serve},
+		{"administration server", d.settings.Admin.Listen, d.admin.Serve},
+	}
+}
+
+// Run serves until stopCtx ends or a component fails, then shuts down gracefully. It
+// returns the error of the first component that failed.
+func (d *Daemon) Run(stopCtx context.Context) error { return d.run(stopCtx, d.servers()) }
+
+func (d *Daemon) run(stopCtx context.Context, servers []server) error {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(d.settings.Peers.Listen))
 	if err != nil {
 		return trace.Wrap(err, "listen for peers on %s", d.settings.Peers.Listen)
 	}
-	group, ctx := errgroup.WithContext(context.Background())
-	for _, s := range []server{
-		{d.settings.Callers.Listen, d.relay.Serve},
-		{d.settings.Callers.Entry, d.entryServer.Serve},
-		{d.settings.Callers.Ready, d.entryServer.Serve},
-		{d.settings.Admin.Listen, d.admin.Serve},
-	} {
+	stopCtx, stop := context.WithCancel(stopCtx)
+	defer stop()
+	// ctx ends after the graceful shutdown, during which all components still run.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group errgroup.Group
+	start := func(name string, component func() error) {
+		group.Go(func() error {
+			err := component()
+			if err == nil {
+				return nil
+			}
+			d.logger.WithError(err).WithField("component", name).Error("component failed, the instance stops")
+			stop()
+			return trace.Wrap(err, "%s", name)
+		})
+	}
+	for _, s := range servers {
 		l, err := net.Listen("tcp", s.address.String()) //nolint:noctx // The listener stays open as long as the daemon runs.
 		if err != nil {
 			return errors.Join(trace.Wrap(err, "listen on %s", s.address), conn.Close())
 		}
-		group.Go(func() error { return s.serve(l) })
+		start(s.name, func() error { return s.serve(l) })
 	}
 	d.recorder.Record(timeline.Event{Kind: timeline.InstanceStarted})
 	d.logger.WithField("callers", d.settings.Callers.Listen.String()).WithField("zone", d.settings.Instance.Zone).
 		Info("instance started")
-	group.Go(func() error { return d.mesh.Run(ctx, conn) })
-	group.Go(func() error { return d.configFollower.Run(ctx) })
-	group.Go(func() error { return d.targetFollower.Run(ctx) })
-	group.Go(func() error { return d.register(ctx) })
-	group.Go(func() error { return d.catchUpConfig(ctx) })
-	group.Go(func() error { return d.serveUntilStopped(ctx, stopCtx) })
+	start("exchange with peers", func() error { return d.mesh.Run(ctx, conn) })
+	start("configuration follower", func() error { return d.configFollower.Run(ctx) })
+	start("target follower", func() error { return d.targetFollower.Run(ctx) })
+	start("registration", func() error { return d.register(ctx) })
+	start("configuration catch-up", func() error { return d.catchUpConfig(ctx) })
+	group.Go(func() error {
+		defer cancel()
+		d.serveUntilStopped(stopCtx)
+		return nil
+	})
 	group.Go(func() error {
 		<-ctx.Done()
 		shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
@@ -82,11 +108,8 @@
 		return nil
 	})
 	err = group.Wait()
-	if errors.Is(err, errStopped) {
-		d.recorder.Record(timeline.Event{Kind: timeline.InstanceStopped})
-		d.logger.Info("instance stopped")
-		return nil
-	}
+	d.recorder.Record(timeline.Event{Kind: timeline.InstanceStopped})
+	d.logger.Info("instance stopped")
 	return err
 }
 
@@ -102,37 +125,27 @@
 }
 
 // serveUntilStopped accepts callers once configuration and targets are loaded. When
-// stopCtx ends, it shuts down gracefully and returns errStopped. If another
-// component fails before the instance is ready, it does the same, and Run returns
-// the error of that component. If one fails later, it returns nil without a
-// graceful shutdown.
-func (d *Daemon) serveUntilStopped(ctx, stopCtx context.Context) error {
-	if d.waitReady(ctx, stopCtx) {
+// stopCtx ends, it shuts down gracefully.
+func (d *Daemon) serveUntilStopped(stopCtx context.Context) {
+	if d.waitReady(stopCtx) {
 		d.members.SetState(membership.Ready)
 		d.mesh.AnnounceState()
 		d.logger.WithField("version", d.configFollower.Current().Version).WithField("targets", d.targets.Count()).
 			Info("instance is ready")
-		select {
-		case <-stopCtx.Done():
-		case <-ctx.Done():
-			return nil
-		}
+		<-stopCtx.Done()
 	}
 	d.stop()
-	return errStopped
 }
 
 // waitReady waits until configuration and targets are loaded. It returns false if
-// stopCtx ends or another component fails first.
-func (d *Daemon) waitReady(ctx, stopCtx context.Context) bool {
+// stopCtx ends first.
+func (d *Daemon) waitReady(stopCtx context.Context) bool {
 	ticker := time.NewTicker(readyPollInterval)
 	defer ticker.Stop()
 	for d.configFollower.Current() == nil || !d.targets.Loaded() {
 		select {
 		case <-stopCtx.Done():
 			return false
-		case <-ctx.Done():
-			return false
 		case <-ticker.C:
 		}
 	}
--- /dev/null
+++ b/daemon/run_test.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/platform"
+	"rhubarbrelay/settings"
+	"rhubarbrelay/standin"
+)
+
+const (
+	testTimeout = 20 * time.Second
+	testConfig  = `{"version":1,"limits":{},"listeners":[{"host":"a.example","rules":[{"name":"r","kind":"safe","slo-ms":400,` +
+		`"priority":1,"match":{"path-prefix":"/"},"action":{"service":"s","timeout-ms":1000,"attempts":2}}]}],` +
+		`"clusters":[{"name":"s","health-path":"/h","max-conns":10,"protocol":"h1"}]}`
+)
+
+// newTestDaemon returns an instance on unused loopback addresses, whose store has a
+// configuration, and the lines that it logs.
+func newTestDaemon(t *testing.T) (*Daemon, *memory.Handler) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	store := standin.NewStore()
+	store.Put(string(platform.ConfigTopic), platform.ConfigKey, []byte(testConfig))
+	served := make(chan error, 1)
+	go func() { served <- store.Serve(l) }()
+	t.Cleanup(func() {
+		assert.NilError(t, store.Close())
+		assert.NilError(t, <-served)
+	})
+	s, err := settings.Parse("test.ini", fmt.Appendf(nil,
+		"[instance]\nid = a-1\nzone = a\nregion = r\n[callers]\nlisten = %s\nentry = %s\nready = %s\n[peers]\nlisten = %s\n"+
+			"[admin]\nlisten = %s\n[store]\naddress = %s\n[stop]\ngrace = 1s\n",
+		unusedAddress(t), unusedAddress(t), unusedAddress(t), unusedAddress(t), unusedAddress(t), l.Addr()))
+	assert.NilError(t, err)
+	lines := memory.New()
+	return New(s, &log.Logger{Handler: lines, Level: log.InfoLevel}), lines
+}
+
+func unusedAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, l.Close()) }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// Guards against a component that fails after the instance has become ready and
+// leaves a process that still listens for callers but neither works nor stops.
+func TestFailedComponentStopsInstance(t *testing.T) {
+	d, lines := newTestDaemon(t)
+	errBroken := errors.New("broken")
+	failServer := make(chan struct{})
+	servers := append(d.servers(), server{
+		name: "test server", address: unusedAddress(t),
+		serve: func(l net.Listener) error {
+			<-failServer
+			return errors.Join(errBroken, l.Close())
+		},
+	})
+	stopCtx, cancel := context.WithCancel(context.Background())
+	defer cancel() // ends the instance if the test fails
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.run(stopCtx, servers) }()
+	for deadline := time.Now().Add(testTimeout); !d.ready(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "instance did not become ready")
+	}
+	close(failServer)
+	select {
+	case err := <-stopped:
+		assert.ErrorIs(t, err, errBroken)
+	case <-time.After(testTimeout):
+		t.Fatal("instance did not stop")
+	}
+	messages := map[string]int{}
+	for _, entry := range lines.Entries {
+		messages[entry.Message]++
+	}
+	for _, want := range []string{"component failed, the instance stops", "instance leaving", "instance stopped"} {
+		assert.Equal(t, messages[want], 1, "lines with %q", want)
+	}
+}
