daemon: combine log lines about changed targets and instances

Change: at most one line a second for each of the two, with the number of changes; a single change is still logged at once, and the timeline has every change. TestChangesAreCombined fails with one line for each change.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,6 +28,7 @@
 	settings       *settings.Settings
 	logger         log.Interface
 	recorder       *timeline.Recorder
+	changeLog      *changeLog
 	members        *membership.Directory
 	selector       *entry.Selector
 	mesh           *peer.Mesh
@@ -46,7 +47,7 @@
 func New(s *settings.Settings, logger log.Interface) *Daemon {
 	clock := timeline.NewClock(time.Now)
 	store := platform.NewStore(s.Store.Address)
-	d := &Daemon{settings: s, logger: logger, recorder: timeline.NewRecorder(s.Instance.ID, clock)}
+	d := &Daemon{settings: s, logger: logger, recorder: timeline.NewRecorder(s.Instance.ID, clock), changeLog: newChangeLog(logger)}
 	d.targets = targets.NewDirectory(targets.WithOnChange(d.onTargetsChanged))
 	d.table = routing.NewTable(routingSettings(s), d.targets)
 	d.members = membership.NewDirectory(membership.Instance{
@@ -122,8 +123,7 @@
 	}
 	event.Kind, event.Detail = kind, state
 	d.recorder.Record(event)
-	d.logger.WithField("target", change.ID).WithField("service", event.Service).WithField("state", state).
-		WithField("source", source).Info("target changed its state")
+	d.changeLog.addTarget(change, source)
 }
 
 // onRegistryRecovered reads the configuration again after an outage of the target
@@ -136,7 +136,7 @@
 func (d *Daemon) onMembersChanged() {
 	counts := routing.InstanceCounts{Known: d.members.Count(), Active: d.selector.ActiveCount()}
 	if d.table.SetInstanceCounts(counts) {
-		d.logger.WithField("known", counts.Known).WithField("active", counts.Active).Info("number of instances changed")
+		d.changeLog.setInstanceCounts(counts)
 	}
 }
 
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -108,6 +108,7 @@
 		return nil
 	})
 	err = group.Wait()
+	d.changeLog.flush()
 	d.recorder.Record(timeline.Event{Kind: timeline.InstanceStopped})
 	d.logger.Info("instance stopped")
 	return err
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -308,7 +308,7 @@
 	if update.SinceOutage > 0 {
 		f.directory.SetOutageEnd(f.clock().Add(-update.SinceOutage))
 	}
-	f.notifyChanges(f.directory.Apply(update.Changes), "news")
+	f.notifyChanges(f.directory.Apply(update.Changes), "peer")
 	f.mu.Lock()
 	f.lastUpdateAt = f.clock()
 	contiguous := f.nextOffset != unknownOffset && update.From <= f.nextOffset
