daemon: a starting instance reads its state from another instance

Cause, traced on 312 instances and 600 targets (run until second 1 of traffic): each instance registered, listed the instances, read all targets and the configuration. The store appends registrations one after the other, 4 ms each, so that 312 of them take longer than the time limit of 1 s: 971 to 1,173 calls timed out, were repeated, and made the queue longer. Until an instance had the list, it did not know the read order, had gaps in the target updates, and read the store itself 250 to 500 times a second. Change: an instance that starts joins through another one, which sends it the instances, the targets with their offset and the configuration, and introduces it to the others in batches. Only if none can, it reads the store. Three instances of each zone are registered.

--- a/admin/server.go
+++ b/admin/server.go
@@ -23,6 +23,7 @@
 	MetricsPath  = "/metrics"
 	TimelinePath = "/timeline"
 	ConfigPath   = "/config"
+	JoinPath     = "/join"
 )
 
 const (
@@ -37,6 +38,9 @@
 	Status() Status
 	// RawConfig returns the active configuration as it was published.
 	RawConfig() []byte
+	// Join returns the encoded state for an instance that starts and sends the
+	// request. An error means that it must join through another instance.
+	Join(request []byte) ([]byte, error)
 }
 
 // EventSource provides the events that the instance recorded.
@@ -54,8 +58,7 @@
 }
 
 // NewServer returns a server that requires the bearer token unless it is empty.
-// ConfigPath never requires one, because other instances read the configuration
-// there.
+// ConfigPath and JoinPath never require one, because other instances use them.
 func NewServer(instance Instance, events EventSource, token string, logger log.Interface) *Server {
 	s := &Server{instance: instance, events: events, token: token, logger: logger}
 	s.http = &fasthttp.Server{
@@ -79,11 +82,15 @@
 func (s *Server) Shutdown(ctx context.Context) { _ = s.http.ShutdownWithContext(ctx) }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	if path == JoinPath && ctx.IsPost() {
+		s.writeJoinResponse(ctx)
+		return
+	}
 	if !ctx.IsGet() {
 		ctx.Error("method is not GET", fasthttp.StatusMethodNotAllowed)
 		return
 	}
-	path := string(ctx.Path())
 	if path == ConfigPath {
 		s.writeConfig(ctx)
 		return
@@ -119,6 +126,17 @@
 	ctx.SetBody(rawConfig)
 }
 
+func (s *Server) writeJoinResponse(ctx *fasthttp.RequestCtx) {
+	state, err := s.instance.Join(ctx.PostBody())
+	if err != nil {
+		s.logger.WithError(err).WithField("from", ctx.RemoteAddr().String()).Debug("join request refused")
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetContentType("application/x-protobuf")
+	ctx.SetBody(state)
+}
+
 func (s *Server) writeTimeline(ctx *fasthttp.RequestCtx) {
 	args := ctx.QueryArgs()
 	filter := timeline.Filter{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -41,6 +42,10 @@
 	relay          *relay.Server
 	entryServer    *relay.EntryServer
 	admin          *admin.Server
+	// joining is the number of instances that join through this one now, hasJoined
+	// whether any has.
+	joining   atomic.Int64
+	hasJoined atomic.Bool
 }
 
 // New returns an instance that has not been started.
@@ -154,6 +159,9 @@
 // ready reports whether the instance accepts callers.
 func (d *Daemon) ready() bool { return d.members.Self().State == membership.Ready }
 
+// loaded reports whether configuration and targets are known.
+func (d *Daemon) loaded() bool { return d.configFollower.Current() != nil && d.targets.Loaded() }
+
 // Status returns the state of the instance for operators.
 func (d *Daemon) Status() admin.Status {
 	status := admin.Status{
--- /dev/null
+++ b/daemon/joiner.go
@@ -0,0 +1,167 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+
+	"rhubarbrelay/membership"
+	"rhubarbrelay/peer"
+)
+
+const (
+	// joinPollInterval is the time between two checks for an instance to join through.
+	joinPollInterval = 25 * time.Millisecond
+	// greetInterval is the time between two packets to the seeds, which may start later
+	// than this instance.
+	greetInterval = 100 * time.Millisecond
+	// maxJoinDelay limits the random time between two attempts, so that instances that
+	// start at the same time do not return together to the few that can answer.
+	maxJoinDelay = 150 * time.Millisecond
+	// idleJoinInterval is the time between two checks once the state is loaded from the
+	// store.
+	idleJoinInterval = time.Second
+	// seedContactTimeout is how long a seed waits for an instance that is alive before
+	// it loads the state from the store, contactTimeout how long any other instance
+	// does, up to twice as long at random.
+	seedContactTimeout = 40 * time.Millisecond
+	contactTimeout     = 400 * time.Millisecond
+	// loadTimeout replaces contactTimeout once an instance is known that is alive but
+	// still loads the state itself.
+	loadTimeout = 1200 * time.Millisecond
+	// remoteJoinShare is the probability of each check of joining through an instance
+	// of a remote zone if none of the local zone is ready. Only a few instances of a
+	// zone do so; the others then read from these.
+	remoteJoinShare = 0.2
+	// maxSnapshotAge is the age of the targets in a snapshot above which an instance
+	// prefers the store, unless it could not read that for storeTimeout.
+	maxSnapshotAge = 2 * time.Second
+	storeTimeout   = 1500 * time.Millisecond
+)
+
+// joiner makes a starting instance join the others: it reads their state from one of
+// them, which tells the others of it. So a start of all instances does not read the
+// store once for each of them.
+type joiner struct {
+	members *membership.Directory
+	// greet asks the seeds for a packet.
+	greet func()
+	// fetch joins through an instance and returns its state.
+	fetch func(through membership.Instance) (peer.Snapshot, error)
+	// restore takes over a snapshot whose ages refer to the given time.
+	restore func(snapshot peer.Snapshot, source string, at time.Time)
+	// loaded reports whether the instance has its state, hasJoined whether another
+	// instance has joined through this one.
+	loaded, hasJoined func() bool
+	// hasSeeds is set if there are seeds, isSeed if this instance is one of them.
+	hasSeeds, isSeed bool
+	logger           log.Interface
+}
+
+// run joins through another instance. It calls loadFromStore, once, when none can
+// provide the state in time. It returns when this instance has joined, another one
+// has joined through it, or the context ends.
+func (j *joiner) run(ctx context.Context, loadFromStore func()) {
+	start := time.Now()
+	factor := 1 + rand.Float64()
+	var lastGreeting time.Time
+	var usesStoreSince time.Time // zero until the state is loaded from the store
+	for ctx.Err() == nil && !j.hasJoined() {
+		if through, ok := j.candidate(); ok {
+			if j.joinThrough(through, j.acceptsOldState(usesStoreSince)) {
+				return
+			}
+			sleepContext(ctx, rand.N(maxJoinDelay))
+		}
+		if usesStoreSince.IsZero() && time.Since(start) >= j.storeDelay(factor) {
+			usesStoreSince = time.Now()
+			loadFromStore()
+		}
+		if time.Since(lastGreeting) >= greetInterval && !j.loaded() {
+			lastGreeting = time.Now()
+			j.greet()
+		}
+		if j.loaded() {
+			sleepContext(ctx, idleJoinInterval)
+			continue
+		}
+		sleepContext(ctx, joinPollInterval)
+	}
+}
+
+// storeDelay returns the time after the start at which the state is loaded from the
+// store. The factor spreads it over the instances.
+func (j *joiner) storeDelay(factor float64) time.Duration {
+	switch {
+	case !j.hasSeeds:
+		return 0 // the others are found through the store
+	case j.isSeed:
+		return seedContactTimeout
+	}
+	delay := contactTimeout
+	if len(j.members.Sightings()) > 1 {
+		delay = loadTimeout
+	}
+	return time.Duration(factor * float64(delay))
+}
+
+// acceptsOldState reports whether targets that were read long ago are accepted: when
+// this instance has its own, or has failed to read them from the store.
+func (j *joiner) acceptsOldState(usesStoreSince time.Time) bool {
+	return j.loaded() || !usesStoreSince.IsZero() && time.Since(usesStoreSince) > storeTimeout
+}
+
+// candidate returns a random instance to join through: one with the newest
+// configuration among the ready instances, of the local zone if there is one.
+func (j *joiner) candidate() (membership.Instance, bool) {
+	self := j.members.Self()
+	var local, remote []membership.Instance
+	newest := int64(0)
+	for _, in := range j.members.Ready() {
+		switch {
+		case in.ID == self.ID || in.ConfigVersion < newest:
+			continue
+		case in.ConfigVersion > newest:
+			newest, local, remote = in.ConfigVersion, nil, nil
+		}
+		if in.Zone == self.Zone {
+			local = append(local, in)
+		} else {
+			remote = append(remote, in)
+		}
+	}
+	if len(local) == 0 && rand.Float64() < remoteJoinShare {
+		local = remote
+	}
+	if len(local) == 0 {
+		return membership.Instance{}, false
+	}
+	return local[rand.IntN(len(local))], true
+}
+
+// joinThrough reads the state from an instance and reports whether it succeeded.
+func (j *joiner) joinThrough(in membership.Instance, acceptOld bool) bool {
+	at := time.Now()
+	snapshot, err := j.fetch(in)
+	if err != nil {
+		j.logger.WithField("peer", in.ID).WithError(err).Debug("state cannot be read from another instance")
+		return false
+	}
+	if snapshot.Targets.Age > maxSnapshotAge && !acceptOld {
+		j.logger.WithField("peer", in.ID).WithField("age", snapshot.Targets.Age.String()).Info("state of another instance is too old")
+		return false
+	}
+	j.restore(snapshot, in.ID, at)
+	return true
+}
+
+func sleepContext(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -90,9 +90,19 @@
 	d.logger.WithField("callers", d.settings.Callers.Listen.String()).WithField("zone", d.settings.Instance.Zone).
 		Info("instance started")
 	start("exchange with peers", func() error { return d.mesh.Run(ctx, conn) })
-	start("configuration follower", func() error { return d.configFollower.Run(ctx) })
-	start("target follower", func() error { return d.targetFollower.Run(ctx) })
-	start("registration", func() error { return d.register(ctx) })
+	// The followers read the store only if the state cannot be read from another
+	// instance: followersDue ends once that is decided.
+	followersDue, startFollowers := context.WithCancel(ctx)
+	defer startFollowers()
+	follow := func(run func(context.Context) error) func() error {
+		return func() error {
+			<-followersDue.Done()
+			return run(ctx)
+		}
+	}
+	start("configuration follower", follow(d.configFollower.Run))
+	start("target follower", follow(d.targetFollower.Run))
+	start("membership", func() error { return d.join(ctx, startFollowers) })
 	start("configuration catch-up", func() error { return d.catchUpConfig(ctx) })
 	group.Go(func() error {
 		defer cancel()
@@ -114,17 +124,6 @@
 	return err
 }
 
-// register registers the instance in the store, which also lists the other
-// instances. As these determine the read order, it then makes the followers check
-// their position again. It also sends a hello to the known instances and the seeds.
-func (d *Daemon) register(ctx context.Context) error {
-	d.registrar.Register(ctx)
-	d.targetFollower.Wake()
-	d.configFollower.Wake()
-	d.mesh.SendHello()
-	return nil
-}
-
 // serveUntilStopped accepts callers once configuration and targets are loaded. When
 // stopCtx ends, it shuts down gracefully.
 func (d *Daemon) serveUntilStopped(stopCtx context.Context) {
@@ -143,7 +142,7 @@
 func (d *Daemon) waitReady(stopCtx context.Context) bool {
 	ticker := time.NewTicker(readyPollInterval)
 	defer ticker.Stop()
-	for d.configFollower.Current() == nil || !d.targets.Loaded() {
+	for !d.loaded() {
 		select {
 		case <-stopCtx.Done():
 			return false
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -228,6 +228,13 @@
 	return rank
 }
 
+// ZoneRank returns the number of instances of the local zone that are presumed alive
+// and have a lower ID.
+func (d *Directory) ZoneRank() int {
+	_, zoneRank := d.ranks()
+	return zoneRank
+}
+
 // firstReaders is the number of instances at the start of the read order, which
 // are the lowest IDs of all zones. The instances of each zone come after them.
 const firstReaders = 2
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -75,19 +75,41 @@
 	return in, nil
 }
 
+func sightingToWire(s membership.Sighting) *peerpb.Sighting {
+	return &peerpb.Sighting{Instance: instanceToWire(s.Instance), SilenceMs: uint32(s.Silence.Milliseconds())}
+}
+
+func sightingsFromWire(messages []*peerpb.Sighting) ([]membership.Sighting, error) {
+	sightings := make([]membership.Sighting, 0, len(messages))
+	for _, m := range messages {
+		in, err := instanceFromWire(m.GetInstance())
+		if err != nil {
+			return nil, err
+		}
+		sightings = append(sightings, membership.Sighting{Instance: in, Silence: time.Duration(m.GetSilenceMs()) * time.Millisecond})
+	}
+	return sightings, nil
+}
+
 func updateToWire(update TargetUpdate) *peerpb.TargetNews {
 	m := &peerpb.TargetNews{FromOffset: update.From, ToOffset: update.To, OutageEndedMs: update.SinceOutage.Milliseconds()}
 	for _, c := range update.Changes {
-		w := &peerpb.Target{Id: c.ID}
-		if t := c.Target; t != nil {
-			w.Born, w.Service, w.Address, w.Zone, w.Version = t.StartedMS, t.Service, t.Address.String(), t.Zone, t.Version
-			w.Slots, w.Sequence, w.ColdMs = int32(t.Slots), t.Sequence, t.WarmupLeft.Milliseconds()
-			w.State = peerpb.TargetState_TARGET_STATE_READY
-			if t.State == targets.Draining {
-				w.State = peerpb.TargetState_TARGET_STATE_DRAINING
-			}
-		}
-		m.Changes = append(m.Changes, w)
+		m.Changes = append(m.Changes, changeToWire(c))
+	}
+	return m
+}
+
+func changeToWire(c targets.Change) *peerpb.Target {
+	m := &peerpb.Target{Id: c.ID}
+	t := c.Target
+	if t == nil {
+		return m
+	}
+	m.Born, m.Service, m.Address, m.Zone, m.Version = t.StartedMS, t.Service, t.Address.String(), t.Zone, t.Version
+	m.Slots, m.Sequence, m.ColdMs = int32(t.Slots), t.Sequence, t.WarmupLeft.Milliseconds()
+	m.State = peerpb.TargetState_TARGET_STATE_READY
+	if t.State == targets.Draining {
+		m.State = peerpb.TargetState_TARGET_STATE_DRAINING
 	}
 	return m
 }
@@ -98,22 +120,31 @@
 		SinceOutage: time.Duration(m.GetOutageEndedMs()) * time.Millisecond,
 	}
 	for _, w := range m.GetChanges() {
-		c := targets.Change{ID: w.GetId()}
-		if w.GetState() != peerpb.TargetState_TARGET_STATE_UNSPECIFIED {
-			address, err := netip.ParseAddrPort(w.GetAddress())
-			if err != nil {
-				return TargetUpdate{}, fmt.Errorf("%w: invalid address of target %q: %w", ErrMalformed, c.ID, err)
-			}
-			c.Target = &targets.Target{
-				ID: c.ID, StartedMS: w.GetBorn(), Service: w.GetService(), Address: address, Zone: w.GetZone(),
-				Version: w.GetVersion(), Slots: int(w.GetSlots()), Sequence: w.GetSequence(),
-				WarmupLeft: time.Duration(w.GetColdMs()) * time.Millisecond,
-			}
-			if w.GetState() == peerpb.TargetState_TARGET_STATE_DRAINING {
-				c.Target.State = targets.Draining
-			}
+		c, err := changeFromWire(w)
+		if err != nil {
+			return TargetUpdate{}, err
 		}
 		update.Changes = append(update.Changes, c)
 	}
 	return update, nil
 }
+
+func changeFromWire(m *peerpb.Target) (targets.Change, error) {
+	c := targets.Change{ID: m.GetId()}
+	if m.GetState() == peerpb.TargetState_TARGET_STATE_UNSPECIFIED {
+		return c, nil
+	}
+	address, err := netip.ParseAddrPort(m.GetAddress())
+	if err != nil {
+		return c, fmt.Errorf("%w: invalid address of target %q: %w", ErrMalformed, c.ID, err)
+	}
+	c.Target = &targets.Target{
+		ID: c.ID, StartedMS: m.GetBorn(), Service: m.GetService(), Address: address, Zone: m.GetZone(),
+		Version: m.GetVersion(), Slots: int(m.GetSlots()), Sequence: m.GetSequence(),
+		WarmupLeft: time.Duration(m.GetColdMs()) * time.Millisecond,
+	}
+	if m.GetState() == peerpb.TargetState_TARGET_STATE_DRAINING {
+		c.Target.State = targets.Draining
+	}
+	return c, nil
+}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -1,6 +1,7 @@
 // Package peer exchanges datagrams with the other instances: heartbeats with the
 // sender's state, and updates of the target registry, so that one instance can
-// read the registry for all.
+// read the registry for all. It also encodes the state that a starting instance
+// reads from another one.
 package peer
 
 import (
@@ -86,8 +87,12 @@
 	seeds     []netip.AddrPort
 	active    func() bool
 
-	mu   sync.Mutex
-	conn *net.UDPConn // nil before Run
+	mu     sync.Mutex            // guards the fields below
+	conn   *net.UDPConn          // nil before Run
+	joined []membership.Sighting // the other instances are not told of these yet
+
+	// joinedSignal receives a value when joined has got an element.
+	joinedSignal chan struct{}
 
 	packetsIn, packetsOut, bytesIn, bytesOut, malformed, sendErrors atomic.Uint64
 }
@@ -112,7 +117,10 @@
 
 // NewMesh returns a mesh, which sends and receives nothing before Run.
 func NewMesh(directory *membership.Directory, clock *timeline.Clock, opts ...Option) *Mesh {
-	m := &Mesh{directory: directory, clock: clock, logger: log.Log, onUpdate: func(TargetUpdate) {}, active: func() bool { return true }}
+	m := &Mesh{
+		directory: directory, clock: clock, logger: log.Log, onUpdate: func(TargetUpdate) {}, active: func() bool { return true },
+		joinedSignal: make(chan struct{}, 1),
+	}
 	for _, opt := range opts {
 		opt(m)
 	}
@@ -131,6 +139,7 @@
 		return conn.Close()
 	})
 	group.Go(func() error { return m.sendHeartbeats(ctx) })
+	group.Go(func() error { return m.sendIntroductions(ctx) })
 	return group.Wait()
 }
 
@@ -139,7 +148,7 @@
 func (m *Mesh) sendHeartbeats(ctx context.Context) error {
 	ticker := time.NewTicker(activeInterval)
 	defer ticker.Stop()
-	m.sendHelloToSeeds()
+	m.GreetSeeds()
 	var sinceLocal, sinceRemote, sinceRemoval time.Duration
 	for {
 		select {
@@ -192,11 +201,11 @@
 func (m *Mesh) SendHello() {
 	m.sendTo(&peerpb.Packet{Hello: true}, m.isLocal)
 	m.sendTo(&peerpb.Packet{}, func(in membership.Instance) bool { return !m.isLocal(in) })
-	m.sendHelloToSeeds()
+	m.GreetSeeds()
 }
 
-// sendHelloToSeeds requests a complete packet from each seed.
-func (m *Mesh) sendHelloToSeeds() {
+// GreetSeeds sends a complete packet to each seed and requests one in return.
+func (m *Mesh) GreetSeeds() {
 	self := m.directory.Self()
 	for _, seed := range m.seeds {
 		if seed != self.PeerAddress {
@@ -370,6 +379,11 @@
 		update.ConfigVersion = sender.ConfigVersion
 		m.onUpdate(update)
 	}
+	if len(packet.GetJoined()) > 0 {
+		if err := m.handleIntroduction(&packet); err != nil {
+			return err
+		}
+	}
 	if packet.GetPassOn() {
 		m.forward(&packet)
 	}
--- /dev/null
+++ b/peer/snapshot.go
@@ -0,0 +1,70 @@
+package peer
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"rhubarbrelay/membership"
+	"rhubarbrelay/peer/peerpb"
+	"rhubarbrelay/targets"
+)
+
+// Snapshot is the state that a starting instance reads from another one in place of
+// the store.
+type Snapshot struct {
+	Instances []membership.Sighting
+	Targets   TargetState
+	// Config is the active configuration as it was published.
+	Config []byte
+}
+
+// TargetState holds all registered targets.
+type TargetState struct {
+	Targets []targets.Target
+	// Next is the offset of the registry's log before which all changes are contained
+	// in Targets.
+	Next int64
+	// Age is the time since Targets was last known to be complete.
+	Age time.Duration
+}
+
+// EncodeSnapshot encodes a snapshot as a protobuf message.
+func EncodeSnapshot(s Snapshot) ([]byte, error) {
+	m := &peerpb.Snapshot{NextOffset: s.Targets.Next, TargetAgeMs: uint32(s.Targets.Age.Milliseconds()), Config: s.Config}
+	for _, in := range s.Instances {
+		m.Instances = append(m.Instances, sightingToWire(in))
+	}
+	for i := range s.Targets.Targets {
+		t := &s.Targets.Targets[i]
+		m.Targets = append(m.Targets, changeToWire(targets.Change{ID: t.ID, Target: t}))
+	}
+	return proto.Marshal(m)
+}
+
+// DecodeSnapshot decodes a snapshot. It rejects the whole snapshot if any part of it
+// is malformed; the error wraps ErrMalformed.
+func DecodeSnapshot(data []byte) (Snapshot, error) {
+	var m peerpb.Snapshot
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return Snapshot{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	instances, err := sightingsFromWire(m.GetInstances())
+	if err != nil {
+		return Snapshot{}, err
+	}
+	s := Snapshot{Instances: instances, Config: m.GetConfig()}
+	s.Targets.Next, s.Targets.Age = m.GetNextOffset(), time.Duration(m.GetTargetAgeMs())*time.Millisecond
+	for _, w := range m.GetTargets() {
+		c, err := changeFromWire(w)
+		if err != nil {
+			return Snapshot{}, err
+		}
+		if c.Target == nil {
+			return Snapshot{}, fmt.Errorf("%w: target %q has no state", ErrMalformed, c.ID)
+		}
+		s.Targets.Targets = append(s.Targets.Targets, *c.Target)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/peer/snapshot_test.go
@@ -0,0 +1,83 @@
+package peer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/membership"
+	"rhubarbrelay/targets"
+)
+
+func testSnapshot() Snapshot {
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	return Snapshot{
+		Instances: []membership.Sighting{
+			{Instance: membership.Instance{
+				ID: "a", Zone: "z", Incarnation: 3, CallerAddress: address, PeerAddress: address, AdminAddress: address, State: membership.Ready, ConfigVersion: 4,
+			}, Silence: 1500 * time.Millisecond},
+		},
+		Targets: TargetState{
+			Targets: []targets.Target{
+				{ID: "t-1", StartedMS: 5, Service: "s", Address: address, Zone: "z", Version: "v", Slots: 4, Sequence: 6, WarmupLeft: time.Second},
+				{ID: "t-2", StartedMS: 5, Service: "s", Address: address, Zone: "z", Version: "v", Slots: 4, State: targets.Draining},
+			},
+			Next: 77, Age: 300 * time.Millisecond,
+		},
+		Config: []byte(`{"version":4}`),
+	}
+}
+
+// Guards against state that a starting instance receives altered.
+func TestSnapshotCodec(t *testing.T) {
+	want := testSnapshot()
+	data, err := EncodeSnapshot(want)
+	assert.NilError(t, err)
+	got, err := DecodeSnapshot(data)
+	assert.NilError(t, err)
+	assert.Equal(t, fmt.Sprintf("%+v", got), fmt.Sprintf("%+v", want))
+}
+
+// Guards against a truncated or altered snapshot that ends the process. One that is
+// accepted can be encoded again.
+func FuzzDecodeSnapshot(f *testing.F) {
+	data, err := EncodeSnapshot(testSnapshot())
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Add(data[:len(data)/2])
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := DecodeSnapshot(data)
+		if err != nil {
+			assert.ErrorIs(t, err, ErrMalformed)
+			return
+		}
+		_, err = EncodeSnapshot(s)
+		assert.NilError(t, err)
+	})
+}
+
+// Guards against a snapshot that is accepted in part: a starting instance would
+// serve with some of the targets missing.
+func TestSnapshotIsRejectedAsAWhole(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Snapshot)
+	}{
+		{"instance without ID", func(s *Snapshot) { s.Instances[0].Instance.ID = "" }},
+		{"target without address", func(s *Snapshot) { s.Targets.Targets[1].Address = netip.AddrPort{} }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := testSnapshot()
+			tt.change(&s)
+			data, err := EncodeSnapshot(s)
+			assert.NilError(t, err)
+			_, err = DecodeSnapshot(data)
+			assert.ErrorIs(t, err, ErrMalformed)
+		})
+	}
+}
--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -209,10 +209,14 @@
 	}
 }
 
-// Run follows the store until the context ends.
+// Run follows the store until the context ends. It reads the newest configuration at
+// once unless ApplyIfNewer was called.
 func (f *ConfigFollower) Run(ctx context.Context) error {
 	from := int64(unknownOffset)
 	retryDelay := backoff{rank: f.role.Rank}
+	if f.Current() != nil {
+		f.waitUntilReadDue(ctx)
+	}
 	for ctx.Err() == nil {
 		readCtx, cancel := context.WithCancel(ctx)
 		f.cancelRead.Store(&cancel)
--- a/registry/fake_test.go
+++ b/registry/fake_test.go
@@ -161,3 +161,9 @@
 	s.put(topic, key, string(value))
 	return nil
 }
+
+func (s *fakeStore) appendCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.appends
+}
--- a/registry/registrar.go
+++ b/registry/registrar.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -11,9 +13,23 @@
 	"rhubarbrelay/platform"
 )
 
-// deregisterTimeout limits the call that removes the registration of this
-// instance at shutdown.
-const deregisterTimeout = time.Second
+const (
+	// contactsPerZone is the number of instances of each zone that are registered.
+	// Starting instances find the others through them if no seed responds. There is
+	// more than one, so that some are alive after the failure of others.
+	contactsPerZone = 3
+	// contactCheckInterval is the mean time between two checks whether this instance
+	// has become one of them.
+	contactCheckInterval = time.Second
+	// registerTimeout limits the call that registers this instance. The store appends
+	// the records of a topic one after the other: when many instances register at the
+	// same time, a call waits for those before it, and repeating it would make all of
+	// them wait longer. The store itself rejects a call that would wait 2 s.
+	registerTimeout = 3 * time.Second
+	// deregisterTimeout limits the call that removes the registration of this
+	// instance at shutdown.
+	deregisterTimeout = time.Second
+)
 
 // Registrar registers this instance in the store and reads the registrations of
 // the others.
@@ -21,6 +37,9 @@
 	store     Store
 	directory *membership.Directory
 	logger    log.Interface
+	// attempted is set before the first call that registers this instance, which the
+	// store may execute even if it fails. registered is set after a successful one.
+	attempted, registered atomic.Bool
 }
 
 // NewRegistrar returns a registrar that registers the instance directory.Self() and
@@ -29,13 +48,36 @@
 	return &Registrar{store: store, directory: directory, logger: logger}
 }
 
+// Run registers this instance once it is among the first contactsPerZone instances
+// of its zone that are presumed alive, by ID. It returns when the instance is
+// registered or the context ends.
+func (r *Registrar) Run(ctx context.Context) error {
+	retryDelay := backoff{rank: r.directory.Rank}
+	for {
+		sleep(ctx, contactCheckInterval/2+rand.N(contactCheckInterval))
+		if ctx.Err() != nil || r.registered.Load() {
+			return nil
+		}
+		if r.directory.ZoneRank() >= contactsPerZone {
+			continue
+		}
+		if err := r.register(ctx); err != nil {
+			r.logger.WithError(err).Warn("instance could not be registered, retrying")
+			retryDelay.wait(ctx)
+		}
+	}
+}
+
 // Register registers this instance and then reads all registrations. In this
 // order, at least one of two instances that start at the same time finds the
 // other. It retries until it succeeds or the context ends.
 func (r *Registrar) Register(ctx context.Context) {
 	retryDelay := backoff{rank: r.directory.Rank}
 	for ctx.Err() == nil {
-		err := r.registerOnce(ctx)
+		err := r.register(ctx)
+		if err == nil {
+			err = r.list(ctx)
+		}
 		if err == nil {
 			return
 		}
@@ -44,23 +86,36 @@
 	}
 }
 
-func (r *Registrar) registerOnce(ctx context.Context) error {
+// register registers this instance, unless it is registered already.
+func (r *Registrar) register(ctx context.Context) error {
+	if r.registered.Load() {
+		return nil
+	}
 	self := r.directory.Self()
 	value, err := peer.EncodeInstance(self)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
+	r.attempted.Store(true)
 	if err := r.store.Append(ctx, platform.InstanceTopic, self.ID, value); err != nil {
 		return err
 	}
+	r.registered.Store(true)
+	return nil
+}
+
+// list adds all registered instances to the directory.
+func (r *Registrar) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	batch, err := r.store.Newest(ctx, platform.InstanceTopic)
 	if err != nil {
 		return err
 	}
 	for _, record := range batch.Records {
-		if record.Value == nil || record.Key == self.ID {
+		if record.Value == nil || record.Key == r.directory.Self().ID {
 			continue
 		}
 		instance, err := peer.DecodeInstance(record.Value)
@@ -74,10 +129,13 @@
 	return nil
 }
 
-// Deregister removes the registration of this instance. If that fails, the
-// registration stays in the store, and instances that start later send packets to
-// its address until they remove the instance from their directories.
+// Deregister removes the registration of this instance, if it may have one. If that
+// fails, the registration stays in the store, and instances that start later send
+// packets to its address until they remove the instance from their directories.
 func (r *Registrar) Deregister(ctx context.Context) {
+	if !r.attempted.Load() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
 	defer cancel()
 	if err := r.store.Append(ctx, platform.InstanceTopic, r.directory.Self().ID, nil); err != nil {
--- /dev/null
+++ b/registry/registrar_test.go
@@ -0,0 +1,88 @@
+package registry
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/membership"
+	"rhubarbrelay/platform"
+)
+
+// Guards against a store call for the registration of each of hundreds of instances,
+// and against a zone without registered instances after those have failed: instances
+// that start later would not find the others.
+func TestOnlyFirstInstancesAreRegistered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances = 20
+		store := newFakeStore()
+		address := netip.MustParseAddrPort("10.0.0.1:80")
+		directories := make([]*membership.Directory, instances)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		for i := range instances {
+			self := membership.Instance{ID: fmt.Sprintf("i-%02d", i), Zone: "a", Incarnation: 1, PeerAddress: address}
+			directories[i] = membership.NewDirectory(self)
+		}
+		const interval = time.Minute
+		for _, d := range directories {
+			for _, other := range directories {
+				d.RecordPacket(other.Self(), interval)
+			}
+			registrar := NewRegistrar(store, d, discardLogger)
+			running.Go(func() { assert.Check(t, registrar.Run(ctx)) })
+		}
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, store.appendCount(), contactsPerZone)
+
+		for _, d := range directories[contactsPerZone:] {
+			for i := range contactsPerZone {
+				leaving := directories[i].Self()
+				leaving.State = membership.Leaving
+				d.RecordPacket(leaving, interval)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, store.appendCount(), 2*contactsPerZone)
+		cancel()
+		running.Wait()
+	})
+}
+
+// Guards against a call that removes a registration which was never written, and
+// against a registration that stays because its call seemed to have failed.
+func TestDeregister(t *testing.T) {
+	tests := []struct {
+		name     string
+		register func(r *Registrar, s *fakeStore)
+		calls    int
+	}{
+		{"never registered", func(*Registrar, *fakeStore) {}, 0},
+		{"registered", func(r *Registrar, _ *fakeStore) { _ = r.register(context.Background()) }, 1},
+		{"outcome unknown", func(r *Registrar, s *fakeStore) {
+			s.fail(errResponseLost)
+			_ = r.register(context.Background())
+			s.fail(nil)
+		}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			store := newFakeStore()
+			directory := membership.NewDirectory(membership.Instance{ID: "a", Zone: "a", Incarnation: 2})
+			r := NewRegistrar(store, directory, discardLogger)
+			tt.register(r, store)
+			before := store.appendCount()
+			r.Deregister(context.Background())
+			assert.Equal(t, store.appendCount()-before, tt.calls)
+			batch, err := store.Newest(context.Background(), platform.InstanceTopic)
+			assert.NilError(t, err)
+			assert.Equal(t, len(batch.Records), 0)
+		})
+	}
+}
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -122,9 +122,41 @@
 	}
 }
 
-// Run follows the registry until the context ends.
+// State returns the known targets. ok is false if they were never read completely or
+// their place in the log is not known.
+func (f *TargetFollower) State() (state peer.TargetState, ok bool) {
+	f.mu.Lock()
+	// The offset is read before the targets: changes that are applied in between are
+	// applied twice by the receiver, and none is missing.
+	state.Next = f.nextOffset
+	state.Age = f.clock().Sub(f.freshAt)
+	f.mu.Unlock()
+	if state.Next == unknownOffset || !f.directory.Loaded() {
+		return peer.TargetState{}, false
+	}
+	state.Targets = f.directory.All()
+	return state, true
+}
+
+// Restore takes over the targets that another instance knew at the given time, unless
+// this instance has read them already. It is called before Run or while Run reads.
+func (f *TargetFollower) Restore(state peer.TargetState, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.nextOffset != unknownOffset || f.directory.Loaded() {
+		return
+	}
+	f.directory.Replace(state.Targets)
+	f.nextOffset, f.freshAt = state.Next, at.Add(-state.Age)
+}
+
+// Run follows the registry until the context ends. It reads the registry at once
+// unless Restore was called.
 func (f *TargetFollower) Run(ctx context.Context) error {
 	retryDelay := backoff{rank: f.rank}
+	if f.directory.Loaded() {
+		f.waitUntilReadDue(ctx)
+	}
 	for ctx.Err() == nil {
 		err := f.read(ctx)
 		f.directory.RemoveDue()
@@ -247,6 +279,12 @@
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	restored := f.nextOffset != unknownOffset
+	f.mu.Unlock()
+	if restored {
+		return nil // Restore was called during the read; its state may be newer
+	}
 	f.recordOutageEnd(outage)
 	effective := f.directory.Replace(f.decodeTargets(batch.Records))
 	f.mu.Lock()
--- a/targets/directory.go
+++ b/targets/directory.go
@@ -238,6 +238,17 @@
 	return found
 }
 
+// All returns the registered targets, including draining ones.
+func (d *Directory) All() []Target {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := make([]Target, 0, len(d.entries))
+	for _, e := range d.entries {
+		all = append(all, *e.target)
+	}
+	return all
+}
+
 // Count returns the number of registered targets.
 func (d *Directory) Count() int {
 	d.mu.Lock()
