daemon: all instances of a small deployment read the store at once

Change: registrations state how many instances are known. An instance that finds no ready one within 40 ms lists them; in a deployment of fewer than 64 it reads the store at once. At a first start (setting first_start) it waits, as before this change. Test: TestRestartOfAllWithLateSeeds fails without the count for 15 instances.

--- a/daemon/herd_test.go
+++ b/daemon/herd_test.go
@@ -73,7 +73,7 @@
 		seeds = append(seeds, fmt.Sprintf("%s.%d:8082", network, 10+i))
 	}
 	s, err := settings.Parse("test.ini", fmt.Appendf(nil,
-		"[instance]\nid = i-%03d\nzone = z-%d\nregion = r\n[callers]\nlisten = %[3]s:8080\nentry = %[3]s:8083\nready = %[3]s:8084\n"+
+		"[instance]\nid = i-%03d\nzone = z-%d\nregion = r\nfirst_start = true\n[callers]\nlisten = %[3]s:8080\nentry = %[3]s:8083\nready = %[3]s:8084\n"+
 			"[peers]\nlisten = %[3]s:8081\nseeds = %[4]s\n[admin]\nlisten = %[3]s:8082\n[store]\naddress = %[5]s.1:7000\n[stop]\ngrace = 1s\n",
 		number, number%herdZones, host, strings.Join(seeds, ","), network))
 	assert.NilError(t, err)
--- a/daemon/join.go
+++ b/daemon/join.go
@@ -35,6 +35,7 @@
 	return &joiner{
 		members: d.members, greet: d.mesh.GreetSeeds, fetch: d.fetchState, restore: d.restoreState,
 		loaded: d.loaded, hasJoined: d.hasJoined.Load, logger: d.logger,
+		countInstances: d.countInstances, firstStart: d.settings.Instance.FirstStart,
 		hasSeeds: len(seeds) > 0, isSeed: slices.Contains(seeds, d.settings.Peers.Listen),
 	}
 }
@@ -53,6 +54,19 @@
 	return d.registrar.Run(ctx)
 }
 
+// countInstances returns the number of instances in the deployment as far as the
+// registered ones tell, or 0 if these cannot be listed. It greets them, so that this
+// instance can join through them.
+func (d *Daemon) countInstances(ctx context.Context) int {
+	size, err := d.registrar.List(ctx)
+	if err != nil {
+		d.logger.WithError(err).Warn("registered instances cannot be listed")
+		return 0
+	}
+	d.mesh.SendHello()
+	return size
+}
+
 // registerAtStart registers the instance in the store, which also lists the other
 // registered instances. As these determine the read order, it then makes the
 // followers check their position again.
--- a/daemon/joiner.go
+++ b/daemon/joiner.go
@@ -23,11 +23,16 @@
 	// idleJoinInterval is the time between two checks once the state is loaded from the
 	// store.
 	idleJoinInterval = time.Second
-	// seedContactTimeout is how long a seed waits for an instance that is alive before
-	// it loads the state from the store, contactTimeout how long any other instance
-	// does, up to twice as long at random.
-	seedContactTimeout = 40 * time.Millisecond
-	contactTimeout     = 400 * time.Millisecond
+	// firstContactTimeout is how long an instance waits for a ready one before it finds
+	// out how many instances there are. In a small deployment, and if it is a seed, it
+	// then loads the state from the store.
+	firstContactTimeout = 40 * time.Millisecond
+	// largeDeployment is the number of instances from which on it is slower for all of
+	// them to read the store than to wait for one that has.
+	largeDeployment = 64
+	// contactTimeout is how long an instance of a large deployment waits for one that
+	// is alive before it loads the state from the store, up to twice as long at random.
+	contactTimeout = 400 * time.Millisecond
 	// loadTimeout replaces contactTimeout once an instance is known that is alive but
 	// still loads the state itself.
 	loadTimeout = 1200 * time.Millisecond
@@ -55,50 +60,77 @@
 	// loaded reports whether the instance has its state, hasJoined whether another
 	// instance has joined through this one.
 	loaded, hasJoined func() bool
+	// countInstances returns the number of instances in the deployment as far as it can
+	// be found out, 0 if not at all.
+	countInstances func(ctx context.Context) int
 	// hasSeeds is set if there are seeds, isSeed if this instance is one of them.
 	hasSeeds, isSeed bool
-	logger           log.Interface
+	// firstStart is set if all instances start for the first time.
+	firstStart bool
+	logger     log.Interface
+}
+
+// storeFallback decides when a starting instance loads the state from the store.
+type storeFallback struct {
+	start   time.Time
+	factor  float64 // spreads the decision over the instances
+	counted bool    // whether the instances were counted, or need not be
+	small   bool    // whether the deployment is known to be small
+	usedAt  time.Time
 }
 
 // run joins through another instance. It calls loadFromStore, once, when none can
 // provide the state in time. It returns when this instance has joined, another one
 // has joined through it, or the context ends.
 func (j *joiner) run(ctx context.Context, loadFromStore func()) {
-	start := time.Now()
-	factor := 1 + rand.Float64()
+	fallback := storeFallback{start: time.Now(), factor: 1 + rand.Float64(), counted: j.firstStart || j.isSeed || !j.hasSeeds}
 	var lastGreeting time.Time
-	var usesStoreSince time.Time // zero until the state is loaded from the store
 	for ctx.Err() == nil && !j.hasJoined() {
 		if through, ok := j.candidate(); ok {
-			if j.joinThrough(through, j.acceptsOldState(usesStoreSince)) {
+			if j.joinThrough(through, j.acceptsOldState(&fallback)) {
 				return
 			}
 			sleepContext(ctx, rand.N(maxJoinDelay))
 		}
-		if usesStoreSince.IsZero() && time.Since(start) >= j.storeDelay(factor) {
-			usesStoreSince = time.Now()
+		if j.isStoreDue(ctx, &fallback) {
+			fallback.usedAt = time.Now()
 			loadFromStore()
 		}
-		if time.Since(lastGreeting) >= greetInterval && !j.loaded() {
-			lastGreeting = time.Now()
-			j.greet()
-		}
 		if j.loaded() {
 			sleepContext(ctx, idleJoinInterval)
 			continue
 		}
+		if time.Since(lastGreeting) >= greetInterval {
+			lastGreeting = time.Now()
+			j.greet()
+		}
 		sleepContext(ctx, joinPollInterval)
 	}
 }
 
+// isStoreDue reports whether the state must be loaded from the store now. It counts
+// the instances when that decides.
+func (j *joiner) isStoreDue(ctx context.Context, fallback *storeFallback) bool {
+	if !fallback.usedAt.IsZero() {
+		return false
+	}
+	elapsed := time.Since(fallback.start)
+	if !fallback.counted && elapsed >= firstContactTimeout {
+		fallback.counted = true
+		size := j.countInstances(ctx)
+		fallback.small = size > 0 && size < largeDeployment
+	}
+	return fallback.small || elapsed >= j.storeDelay(fallback.factor)
+}
+
 // storeDelay returns the time after the start at which the state is loaded from the
-// store. The factor spreads it over the instances.
+// store.
 func (j *joiner) storeDelay(factor float64) time.Duration {
 	switch {
 	case !j.hasSeeds:
 		return 0 // the others are found through the store
 	case j.isSeed:
-		return seedContactTimeout
+		return firstContactTimeout
 	}
 	delay := contactTimeout
 	if len(j.members.Sightings()) > 1 {
@@ -109,8 +141,8 @@
 
 // acceptsOldState reports whether targets that were read long ago are accepted: when
 // this instance has its own, or has failed to read them from the store.
-func (j *joiner) acceptsOldState(usesStoreSince time.Time) bool {
-	return j.loaded() || !usesStoreSince.IsZero() && time.Since(usesStoreSince) > storeTimeout
+func (j *joiner) acceptsOldState(fallback *storeFallback) bool {
+	return j.loaded() || !fallback.usedAt.IsZero() && time.Since(fallback.usedAt) > storeTimeout
 }
 
 // candidate returns a random instance to join through: one with the newest
--- a/daemon/joiner_test.go
+++ b/daemon/joiner_test.go
@@ -32,8 +32,9 @@
 	members    *membership.Directory
 	joiner     *joiner
 	address    netip.AddrPort
-	seed       bool
+	registered bool
 
+	running             atomic.Bool
 	hasState, hasJoined atomic.Bool
 	joining             atomic.Int64
 	loadedAt            atomic.Pointer[time.Time]
@@ -44,9 +45,12 @@
 	instances  []*simulatedInstance
 	byAddress  map[netip.AddrPort]*simulatedInstance
 	storeLoads atomic.Int64
-	joins      atomic.Int64
+	// registeredSize is the number of instances that registrations state.
+	registeredSize int
 	// storeDown makes every read of the store fail, seedsDown every seed not respond.
 	storeDown, seedsDown bool
+	// seedDelay is how much later than the others the seeds start.
+	seedDelay time.Duration
 }
 
 func newSimulatedDeployment(zones, instancesPerZone int) *simulatedDeployment {
@@ -54,13 +58,13 @@
 	for z := range zones {
 		for i := range instancesPerZone {
 			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(z), byte(i >> 8), byte(i)}), 80)
-			in := &simulatedInstance{deployment: d, address: address, seed: z < 3 && i == 0}
+			in := &simulatedInstance{deployment: d, address: address, registered: i < 3}
 			in.members = membership.NewDirectory(membership.Instance{
 				ID: fmt.Sprintf("i-%d-%03d", z, i), Zone: fmt.Sprint("z-", z), Incarnation: 1, PeerAddress: address, CallerAddress: address, AdminAddress: address,
 			})
 			in.joiner = &joiner{
 				members: in.members, greet: in.greet, fetch: in.fetch, restore: in.restore, loaded: in.hasState.Load, hasJoined: in.hasJoined.Load,
-				hasSeeds: true, isSeed: in.seed, logger: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+				countInstances: in.countInstances, hasSeeds: true, isSeed: z < 3 && i == 0, logger: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 			}
 			d.instances = append(d.instances, in)
 			d.byAddress[address] = in
@@ -69,18 +73,36 @@
 	return d
 }
 
+// countInstances greets the registered instances, as the daemon does.
+func (in *simulatedInstance) countInstances(context.Context) int {
+	time.Sleep(2 * simulatedDelay)
+	for _, other := range in.deployment.instances {
+		if other.registered && other != in {
+			in.exchangePackets(other)
+		}
+	}
+	return in.deployment.registeredSize
+}
+
 func (in *simulatedInstance) greet() {
-	for _, seed := range in.deployment.instances {
-		if !seed.seed || seed == in || in.deployment.seedsDown {
-			continue
+	for _, other := range in.deployment.instances {
+		if other.joiner.isSeed && other != in && !in.deployment.seedsDown {
+			in.exchangePackets(other)
 		}
-		time.AfterFunc(simulatedDelay, func() {
-			seed.members.RecordPacket(in.members.Self(), simulatedHeartbeat)
-			time.AfterFunc(simulatedDelay, func() { in.members.RecordPacket(seed.members.Self(), simulatedHeartbeat) })
-		})
 	}
 }
 
+// exchangePackets sends a packet to another instance, which responds if it runs.
+func (in *simulatedInstance) exchangePackets(other *simulatedInstance) {
+	time.AfterFunc(simulatedDelay, func() {
+		if !other.running.Load() {
+			return
+		}
+		other.members.RecordPacket(in.members.Self(), simulatedHeartbeat)
+		time.AfterFunc(simulatedDelay, func() { in.members.RecordPacket(other.members.Self(), simulatedHeartbeat) })
+	})
+}
+
 func (in *simulatedInstance) fetch(through membership.Instance) (peer.Snapshot, error) {
 	provider := in.deployment.byAddress[through.AdminAddress]
 	time.Sleep(2 * simulatedDelay)
@@ -90,7 +112,6 @@
 	}
 	defer provider.joining.Add(-1)
 	provider.hasJoined.Store(true)
-	in.deployment.joins.Add(1)
 	joined := membership.Sighting{Instance: in.members.Self()}
 	provider.members.AddSightings([]membership.Sighting{joined})
 	for _, s := range provider.members.Sightings() {
@@ -143,8 +164,12 @@
 	start := time.Now()
 	for i, in := range d.instances {
 		delay := time.Duration(i*7919%300) * time.Millisecond
+		if in.joiner.isSeed {
+			delay += d.seedDelay
+		}
 		running.Go(func() {
 			time.Sleep(delay)
+			in.running.Store(true)
 			in.joiner.run(ctx, in.loadFromStore)
 		})
 	}
@@ -177,6 +202,9 @@
 		t.Run(fmt.Sprint(5*perZone), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				d := newSimulatedDeployment(5, perZone)
+				for _, in := range d.instances {
+					in.joiner.firstStart = true
+				}
 				slowest := d.start(t, 10*time.Second)
 				assert.Equal(t, d.loaded(), 5*perZone)
 				// The seeds, and instances that by chance find no seed in time.
@@ -187,6 +215,38 @@
 	}
 }
 
+// Guards against a small deployment that is not available after all its instances
+// were killed, because they wait for seeds that start later, and against a large one
+// in which each instance then reads the store.
+func TestRestartOfAllWithLateSeeds(t *testing.T) {
+	const startSpread = 300 * time.Millisecond
+	tests := []struct {
+		perZone  int
+		maxLoads int64
+		within   time.Duration // for all but the seeds
+	}{
+		{3, 15, startSpread + 200*time.Millisecond},
+		{60, 30, startSpread + 3*time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(5*tt.perZone), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newSimulatedDeployment(5, tt.perZone)
+				d.registeredSize = 5 * tt.perZone
+				d.seedDelay = 500 * time.Millisecond
+				start := time.Now()
+				d.start(t, 10*time.Second)
+				assert.Equal(t, d.loaded(), 5*tt.perZone)
+				assert.Assert(t, d.storeLoads.Load() <= tt.maxLoads, "%d reads of the store", d.storeLoads.Load())
+				for _, in := range d.instances {
+					took := in.loadedAt.Load().Sub(start)
+					assert.Assert(t, in.joiner.isSeed || took < tt.within, "%s took %s", in.members.Self().ID, took)
+				}
+			})
+		})
+	}
+}
+
 // Guards against instances that never become ready because the seeds are down or
 // stale: each then reads the store itself, within a second.
 func TestStartWithoutSeeds(t *testing.T) {
@@ -229,6 +289,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				d := newSimulatedDeployment(1, 2)
 				d.storeDown = tt.storeDown
+				d.instances[0].running.Store(true)
 				d.instances[0].setLoaded()
 				in := d.instances[1]
 				in.joiner.fetch = func(through membership.Instance) (peer.Snapshot, error) {
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -24,6 +24,24 @@
 	return instanceFromWire(&m)
 }
 
+// EncodeRegistration encodes the registration of an instance in the store.
+// knownInstances is the number of instances that it knows.
+func EncodeRegistration(in membership.Instance, knownInstances int) ([]byte, error) {
+	m := instanceToWire(in)
+	m.KnownInstances = int32(knownInstances)
+	return proto.Marshal(m)
+}
+
+// DecodeRegistration decodes a registration. The error wraps ErrMalformed.
+func DecodeRegistration(data []byte) (in membership.Instance, knownInstances int, err error) {
+	var m peerpb.Instance
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return membership.Instance{}, 0, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	in, err = instanceFromWire(&m)
+	return in, int(m.GetKnownInstances()), err
+}
+
 // instanceToWire converts an instance with all its fields. The states on the wire
 // are the values of membership.State plus one, because 0 is STATE_UNSPECIFIED.
 func instanceToWire(in membership.Instance) *peerpb.Instance {
--- a/registry/registrar.go
+++ b/registry/registrar.go
@@ -38,8 +38,11 @@
 	directory *membership.Directory
 	logger    log.Interface
 	// attempted is set before the first call that registers this instance, which the
-	// store may execute even if it fails. registered is set after a successful one.
-	attempted, registered atomic.Bool
+	// store may execute even if it fails.
+	attempted atomic.Bool
+	// registeredCount is the number of known instances in the registration, 0 if there
+	// is none.
+	registeredCount atomic.Int64
 }
 
 // NewRegistrar returns a registrar that registers the instance directory.Self() and
@@ -48,26 +51,35 @@
 	return &Registrar{store: store, directory: directory, logger: logger}
 }
 
-// Run registers this instance once it is among the first contactsPerZone instances
-// of its zone that are presumed alive, by ID. It returns when the instance is
-// registered or the context ends.
+// Run keeps this instance registered while it is among the first contactsPerZone
+// instances of its zone that are presumed alive, by ID, until the context ends. It
+// registers it again when the number of known instances has doubled or halved.
 func (r *Registrar) Run(ctx context.Context) error {
 	retryDelay := backoff{rank: r.directory.Rank}
 	for {
 		sleep(ctx, contactCheckInterval/2+rand.N(contactCheckInterval))
-		if ctx.Err() != nil || r.registered.Load() {
+		if ctx.Err() != nil {
 			return nil
 		}
-		if r.directory.ZoneRank() >= contactsPerZone {
+		if r.directory.ZoneRank() >= contactsPerZone || !r.outdated() {
 			continue
 		}
 		if err := r.register(ctx); err != nil {
 			r.logger.WithError(err).Warn("instance could not be registered, retrying")
 			retryDelay.wait(ctx)
+			continue
 		}
+		retryDelay.reset()
 	}
 }
 
+// outdated reports whether this instance is not registered, or with less than half or
+// more than twice the number of instances that it knows.
+func (r *Registrar) outdated() bool {
+	registered, known := r.registeredCount.Load(), int64(r.directory.Count())
+	return known >= 2*registered || 2*known <= registered
+}
+
 // Register registers this instance and then reads all registrations. In this
 // order, at least one of two instances that start at the same time finds the
 // other. It retries until it succeeds or the context ends.
@@ -76,7 +88,7 @@
 	for ctx.Err() == nil {
 		err := r.register(ctx)
 		if err == nil {
-			err = r.list(ctx)
+			_, err = r.List(ctx)
 		}
 		if err == nil {
 			return
@@ -86,13 +98,10 @@
 	}
 }
 
-// register registers this instance, unless it is registered already.
+// register registers this instance.
 func (r *Registrar) register(ctx context.Context) error {
-	if r.registered.Load() {
-		return nil
-	}
-	self := r.directory.Self()
-	value, err := peer.EncodeInstance(self)
+	self, known := r.directory.Self(), r.directory.Count()
+	value, err := peer.EncodeRegistration(self, known)
 	if err != nil {
 		return err
 	}
@@ -102,31 +111,37 @@
 	if err := r.store.Append(ctx, platform.InstanceTopic, self.ID, value); err != nil {
 		return err
 	}
-	r.registered.Store(true)
+	r.registeredCount.Store(int64(known))
 	return nil
 }
 
-// list adds all registered instances to the directory.
-func (r *Registrar) list(ctx context.Context) error {
+// List adds all registered instances to the directory. It returns the number of
+// instances in the deployment as far as the registrations tell: the highest number
+// that one of them states, or the number of registrations if that is higher.
+func (r *Registrar) List(ctx context.Context) (size int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	batch, err := r.store.Newest(ctx, platform.InstanceTopic)
 	if err != nil {
-		return err
+		return 0, err
 	}
+	size = len(batch.Records)
 	for _, record := range batch.Records {
-		if record.Value == nil || record.Key == r.directory.Self().ID {
+		if record.Value == nil {
 			continue
 		}
-		instance, err := peer.DecodeInstance(record.Value)
+		instance, known, err := peer.DecodeRegistration(record.Value)
 		if err != nil {
 			r.logger.WithError(err).WithField("key", record.Key).Warn("registration of another instance is invalid and ignored")
 			continue
 		}
-		r.directory.AddRegistered(instance)
+		size = max(size, known)
+		if record.Key != r.directory.Self().ID {
+			r.directory.AddRegistered(instance)
+		}
 	}
 	r.directory.SetListed()
-	return nil
+	return size, nil
 }
 
 // Deregister removes the registration of this instance, if it may have one. If that
--- a/registry/registrar_test.go
+++ b/registry/registrar_test.go
@@ -55,6 +55,30 @@
 	})
 }
 
+// Guards against registrations that state a number of instances of long ago, by which
+// starting instances decide whether all of them may read the store.
+func TestRegistrationFollowsSize(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		address := netip.MustParseAddrPort("10.0.0.1:80")
+		d := membership.NewDirectory(membership.Instance{ID: "a", Zone: "a", PeerAddress: address, CallerAddress: address, AdminAddress: address})
+		registrar := NewRegistrar(store, d, discardLogger)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { assert.Check(t, registrar.Run(ctx)) })
+		for i, want := range []int{1, 2, 2, 4, 4, 4, 4, 8} {
+			time.Sleep(10 * time.Second)
+			size, err := registrar.List(ctx)
+			assert.NilError(t, err)
+			assert.Equal(t, size, want, "with %d instances", i+1)
+			d.RecordPacket(membership.Instance{ID: fmt.Sprint("b-", i), Zone: "b", PeerAddress: address}, time.Hour)
+		}
+		assert.Equal(t, store.appendCount(), 4)
+		cancel()
+		running.Wait()
+	})
+}
+
 // Guards against a call that removes a registration which was never written, and
 // against a registration that stays because its call seemed to have failed.
 func TestDeregister(t *testing.T) {
--- a/settings/reader.go
+++ b/settings/reader.go
@@ -129,6 +129,11 @@
 	return text
 }
 
+// flag reads a key that is true or false. The default is false.
+func (r *reader) flag(section, key string) bool {
+	return r.choice(section, key, "false", "true", "false") == "true"
+}
+
 func (r *reader) token(section, key string) string {
 	text, ok := r.optional(section, key)
 	if ok && (len(text) < minTokenLength || strings.ContainsFunc(text, func(c rune) bool { return c <= ' ' || c > '~' })) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -74,6 +74,9 @@
 	Region string
 	// Memory is the memory limit of the process in bytes.
 	Memory int
+	// FirstStart is set if the whole system starts for the first time, so that no other
+	// instance has any state yet.
+	FirstStart bool
 }
 
 // Callers configures the callers' listeners.
@@ -168,7 +171,8 @@
 	return &Settings{
 		Instance: Instance{
 			ID: r.name("instance", "id"), Zone: r.name("instance", "zone"), Region: r.name("instance", "region"),
-			Memory: r.size("instance", "memory", DefaultMemory, minMemory, maxMemory),
+			Memory:     r.size("instance", "memory", DefaultMemory, minMemory, maxMemory),
+			FirstStart: r.flag("instance", "first_start"),
 		},
 		Callers: Callers{
 			Listen:         r.listener("callers", "listen"),
