limits: an instance gets its share of the retry slack a window after its start

Cause: a budget starts with its whole share of the slack. An instance that restarts gets it again within the same window, and one that joins gets a share of what the others, who divided the slack without it, may have used. TestRetryBudgetWhileInstancesChange, a model of up to 12 instances that start, restart and fail, finds 73 retries in a window that allows 58 in its first tries. Change: no slack for the first window and 2 s, within which the others learn of the start; the part that grows with the requests is available at once. Ruled out: a share that grows over the window; it still adds up to more.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,6 +28,7 @@
 type Daemon struct {
 	settings       *settings.Settings
 	logger         log.Interface
+	startedAt      time.Time
 	recorder       *timeline.Recorder
 	changeLog      *changeLog
 	members        *membership.Directory
@@ -52,9 +53,9 @@
 func New(s *settings.Settings, logger log.Interface) *Daemon {
 	clock := timeline.NewClock(time.Now)
 	store := platform.NewStore(s.Store.Address)
-	d := &Daemon{settings: s, logger: logger, recorder: timeline.NewRecorder(s.Instance.ID, clock), changeLog: newChangeLog(logger)}
+	d := &Daemon{settings: s, logger: logger, startedAt: time.Now(), recorder: timeline.NewRecorder(s.Instance.ID, clock), changeLog: newChangeLog(logger)}
 	d.targets = targets.NewDirectory(targets.WithOnChange(d.onTargetsChanged))
-	d.table = routing.NewTable(routingSettings(s), d.targets)
+	d.table = routing.NewTable(d.routingSettings(s), d.targets)
 	d.members = membership.NewDirectory(membership.Instance{
 		ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: time.Now().UnixMilli(),
 		CallerAddress: s.Callers.Listen, PeerAddress: s.Peers.Listen, AdminAddress: s.Admin.Listen,
@@ -76,11 +77,11 @@
 	return d
 }
 
-func routingSettings(s *settings.Settings) routing.Settings {
+func (d *Daemon) routingSettings(s *settings.Settings) routing.Settings {
 	return routing.Settings{
 		Zone: s.Instance.Zone,
 		Retries: limits.RetryLimits{
-			Ratio: s.Budgets.RetryRatio, Slack: s.Budgets.RetrySlack, Window: s.Budgets.RetryWindow,
+			Ratio: s.Budgets.RetryRatio, Slack: s.Budgets.RetrySlack, Window: s.Budgets.RetryWindow, Since: d.startedAt,
 		},
 		ProbesPerSecond: s.Budgets.ProbesPerSecond,
 	}
--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -54,7 +54,7 @@
 		d.logger.WithError(err).Error("settings cannot be reloaded; the current ones stay active")
 		return
 	}
-	d.table.SetSettings(routingSettings(s))
+	d.table.SetSettings(d.routingSettings(s))
 	d.entryServer.SetTTL(s.Callers.EntryTTL)
 	d.logger.WithFields(log.Fields{
 		"entry_ttl": s.Callers.EntryTTL.String(), "retry_ratio": s.Budgets.RetryRatio, "retry_slack": s.Budgets.RetrySlack,
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -40,6 +40,91 @@
 	})
 }
 
+// budgetModel is a deployment whose instances start, restart and fail while requests
+// are retried. An instance that starts knows all others; the others learn of it after
+// a delay.
+type budgetModel struct {
+	limits  RetryLimits
+	now     time.Time
+	budgets []*RetryBudget // by instance, nil unless it runs
+	seen    []bool         // whether the instance has ever run: a failed one stays known for a minute
+	// learnAt is when each instance learns of the last start.
+	learnAt []time.Time
+}
+
+func (m *budgetModel) knownInstances() int {
+	n := 0
+	for _, seen := range m.seen {
+		if seen {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *budgetModel) start(i int, delays []time.Duration) {
+	m.seen[i] = true
+	limits := m.limits
+	limits.Since = m.now
+	m.budgets[i] = NewRetryBudget(limits, m.knownInstances(), func() time.Time { return m.now })
+	for j := range m.learnAt {
+		m.learnAt[j] = m.now.Add(delays[j])
+	}
+}
+
+// advance lets time pass, in which instances learn of starts.
+func (m *budgetModel) advance(pause time.Duration) {
+	m.now = m.now.Add(pause)
+	for i, b := range m.budgets {
+		if b != nil && !m.now.Before(m.learnAt[i]) {
+			b.SetInstances(m.knownInstances())
+		}
+	}
+}
+
+// Guards against instances that together make more retries in some window than the
+// limits allow while their number changes: one that restarts must not use its share
+// of the slack again, and one that joins must not use a share that the others have
+// used already.
+func TestRetryBudgetWhileInstancesChange(t *testing.T) {
+	const maxInstances = 12
+	limits := RetryLimits{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
+	rapid.Check(t, func(t *rapid.T) {
+		m := &budgetModel{
+			limits: limits, now: time.Unix(1_700_000_000, 0), budgets: make([]*RetryBudget, maxInstances),
+			seen: make([]bool, maxInstances), learnAt: make([]time.Time, maxInstances),
+		}
+		var requests, retries []time.Time
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			m.advance(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			i := rapid.IntRange(0, maxInstances-1).Draw(t, "instance")
+			if m.budgets[i] == nil {
+				delays := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) time.Duration {
+					return time.Duration(rapid.IntRange(0, int(maxNoticeDelay.Milliseconds())).Draw(t, "delay")) * time.Millisecond
+				}), maxInstances, maxInstances).Draw(t, "delays")
+				m.start(i, delays)
+				continue
+			}
+			if rapid.IntRange(0, 9).Draw(t, "failure") == 0 {
+				m.budgets[i] = nil
+				continue
+			}
+			if rapid.Bool().Draw(t, "request") {
+				m.budgets[i].Deposit()
+				requests = append(requests, m.now)
+			}
+			for m.budgets[i].Allow() {
+				retries = append(retries, m.now)
+			}
+			since := m.now.Add(-limits.Window)
+			allowed := limits.Ratio*float64(countAfter(requests, since)) + limits.Slack
+			if used := float64(countAfter(retries, since)); used > allowed {
+				t.Fatalf("%g retries in a window that allows %g", used, allowed)
+			}
+		}
+	})
+}
+
 func countAfter(times []time.Time, since time.Time) int {
 	n := 0
 	for _, at := range times {
--- a/limits/retry_budget.go
+++ b/limits/retry_budget.go
@@ -14,6 +14,9 @@
 	// request before it waits for a target, even if its caller disconnects
 	// before it is sent.
 	retryFraction = 0.85
+	// maxNoticeDelay is the time within which the other instances learn that one has
+	// started.
+	maxNoticeDelay = 2 * time.Second
 )
 
 // RetryLimits limits the retries of a service, including hedges.
@@ -25,6 +28,10 @@
 	Slack float64
 	// Window is the duration over which requests and retries are counted.
 	Window time.Duration
+	// Since is when this instance started. It gets its share of the slack only after a
+	// Window and the time in which the others learn of it: its predecessor may have used
+	// the share, or the others, who divided the slack without it.
+	Since time.Time
 }
 
 // RetryBudget is one instance's share of the retry budget of a service. The
@@ -84,7 +91,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance()
-	allowance := b.limits.Ratio*float64(b.requests) + b.limits.Slack/float64(b.knownInstances)
+	allowance := b.limits.Ratio * float64(b.requests)
+	if b.clock().Sub(b.limits.Since) > b.limits.Window+maxNoticeDelay {
+		allowance += b.limits.Slack / float64(b.knownInstances)
+	}
 	if float64(b.retries+1) > retryFraction*allowance {
 		return false
 	}
