registry: do not broadcast many missed changes to the zone

Cause: an instance that has missed a datagram reads the store and sends what it found to its zone again. After many targets have registered at the same time, many instances have missed some, each sends dozens of datagrams to all others, and these miss more. An instance that receives no updates at all still broadcasts everything. TestManyMissedChangesAreNotBroadcast fails without the change.

--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -266,6 +266,11 @@
 	effective := f.directory.Apply(f.decodeChanges(batch.Records))
 	f.notifyChanges(effective, "store")
 	f.recordRead(batch.Next, start, true)
+	if !noUpdates && len(effective) > peer.MaxUpdateChanges {
+		// The other instances have received most of these changes. If each instance that
+		// missed some broadcast all of them, the datagrams would make others miss more.
+		return nil
+	}
 	f.broadcaster.BroadcastUpdate(peer.TargetUpdate{From: from, To: batch.Next, Changes: effective, SinceOutage: f.timeSinceOutage()},
 		offsetsOf(effective, batch.Records), noUpdates)
 	return nil
--- a/registry/target_follower_test.go
+++ b/registry/target_follower_test.go
@@ -160,6 +160,42 @@
 	}
 }
 
+// Guards against an overload by datagrams after many targets have registered at the
+// same time: each of the instances that missed some of the changes sends all of them
+// to its zone again.
+func TestManyMissedChangesAreNotBroadcast(t *testing.T) {
+	tests := []struct {
+		name   string
+		missed int
+		update peer.TargetUpdate // received just before the read
+		sent   int
+	}{
+		{"few", peer.MaxUpdateChanges, peer.TargetUpdate{From: 900, To: 901}, 1},
+		{"many", peer.MaxUpdateChanges + 1, peer.TargetUpdate{From: 900, To: 901}, 0},
+		{"many, no updates", peer.MaxUpdateChanges + 1, peer.TargetUpdate{}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				network := &fakeNetwork{}
+				order := func() int { return 5 }
+				f := NewTargetFollower(store, targets.NewDirectory(), fakeBroadcaster{network, 0}, order, order, ignoreChange, func() {}, discardLogger)
+				assert.NilError(t, f.read(context.Background()))
+				for i := range tt.missed {
+					store.put(platform.TargetTopic, fmt.Sprint("t-", i), registration("ready", 1))
+				}
+				time.Sleep(2 * time.Second)
+				if tt.update.To > 0 {
+					f.ApplyUpdate(tt.update)
+				}
+				assert.NilError(t, f.read(context.Background()))
+				assert.Equal(t, len(network.sent), tt.sent)
+			})
+		})
+	}
+}
+
 // Guards against changes that are lost for the instances that cannot read the store,
 // because the reader does not broadcast them after the history has expired. Also
 // guards against the immediate removal of targets whose registrations expired during
