bodies: read bodies within a limited memory

Cause: a response without an end was read up to 16 MB, and allocated 49 to 66 MB on the way, also when it answered a probe, of which a request may send nine; a request body was read up to 64 MB before the configured limit was checked. A few of either at once end a process of 184 MB. Change: bodies are read as they arrive, by one function for requests and responses. Those above 64 KB draw on a memory for all requests and one for all responses, sized by the settings. A request that does not fit now is refused with 503, one that never fits with 413; a response that does not fit fails its try. The body of a probe's response is read up to 4 KB. Ruled out: one memory for both, of which waiting requests hold what their responses need, so that of 20 at once none was served; reserving as the buffers grow, by which all of them fail halfway.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"rhubarbrelay/admin"
+	"rhubarbrelay/bodies"
 	"rhubarbrelay/config"
 	"rhubarbrelay/entry"
 	"rhubarbrelay/limits"
@@ -24,6 +25,14 @@
 	"rhubarbrelay/timeline"
 )
 
+// The fractions of the memory of the process that the large bodies of all requests,
+// each in two copies, and those of all responses may hold. The rest is for small ones,
+// connections, the state, and garbage.
+const (
+	requestMemoryFraction  = 0.25
+	responseMemoryFraction = 0.15
+)
+
 // Daemon is one running instance with all its components.
 type Daemon struct {
 	settings       *settings.Settings
@@ -71,7 +80,8 @@
 	d.registrar = registry.NewRegistrar(store, d.members, logger)
 	d.freshness = newFreshness(d.targetFollower, d.configFollower, s.Budgets.DrainDelay, d.recordSuspension)
 	d.relay = relay.NewServer(d.configFollower, d.table, relay.WithRecorder(d.recorder), relay.WithLogger(logger),
-		relay.WithFreshness(d.freshness), relay.WithMaxConnections(s.Callers.MaxConnections))
+		relay.WithFreshness(d.freshness), relay.WithMaxConnections(s.Callers.MaxConnections),
+		relay.WithMemory(newMemory(s, requestMemoryFraction), newMemory(s, responseMemoryFraction)))
 	d.entryServer = relay.NewEntryServer(d.selector, s.Callers.EntryTTL, d.ready, logger)
 	d.admin = admin.NewServer(d, d.recorder, s.Admin.Token, logger)
 	return d
@@ -87,6 +97,10 @@
 	}
 }
 
+func newMemory(s *settings.Settings, fraction float64) *bodies.Memory {
+	return bodies.NewMemory(int(fraction * float64(s.Instance.Memory)))
+}
+
 // seedAddresses returns the seeds with the peer port of this instance, which all
 // instances share.
 func seedAddresses(s *settings.Settings) []netip.AddrPort {
--- a/relay/body.go
+++ b/relay/body.go
@@ -1,15 +1,12 @@
 package relay
 
 import (
-	"errors"
 	"io"
-	"slices"
 
 	"github.com/valyala/fasthttp"
-)
 
-// initialBodyBuffer is the initial size of a body buffer in bytes.
-const initialBodyBuffer = 4 << 10
+	"rhubarbrelay/bodies"
+)
 
 // configureBodyRead makes fasthttp pass the body on as a stream after it has
 // read one byte. By default fasthttp waits for the first 8 KB of a body, even
@@ -34,8 +31,8 @@
 		return nil
 	}
 	length := req.Header.ContentLength()
-	var err error
-	c.body, err = readAll(c.body[:0], stream, s.http.MaxRequestBodySize)
+	body, err := bodies.ReadAll(c.body[:0], stream, length, s.maxRequestBody(), c.reservation)
+	c.body = body
 	// fasthttp returns io.EOF both at the end of the body and when the connection
 	// is closed early.
 	if err == nil && length >= 0 && len(c.body) != length {
@@ -48,22 +45,12 @@
 	return nil
 }
 
-// readAll appends all bytes of r to dst. It returns fasthttp.ErrBodyTooLarge if
-// the result exceeds limit bytes.
-func readAll(dst []byte, r io.Reader, limit int) ([]byte, error) {
-	for {
-		if len(dst) == cap(dst) {
-			dst = slices.Grow(dst, max(initialBodyBuffer, len(dst)))
-		}
-		n, err := r.Read(dst[len(dst):cap(dst)])
-		dst = dst[:len(dst)+n]
-		switch {
-		case len(dst) > limit:
-			return dst, fasthttp.ErrBodyTooLarge
-		case errors.Is(err, io.EOF):
-			return dst, nil
-		case err != nil:
-			return dst, err
-		}
+// maxRequestBody returns the limit for the size of a request body in bytes: that of
+// the active configuration if it is lower than that of the server.
+func (s *Server) maxRequestBody() int {
+	limit := s.http.MaxRequestBodySize
+	if document := s.config.Current(); document != nil && document.Limits.MaxBodyBytes > 0 {
+		limit = min(limit, document.Limits.MaxBodyBytes)
 	}
+	return limit
 }
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"rhubarbrelay/bodies"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/timeline"
 )
@@ -35,6 +36,7 @@
 	call        *call
 	finished    chan *try
 	inFlight    []*try
+	started     []*try
 	unsentTries int
 }
 
@@ -45,6 +47,11 @@
 		server: s, caller: caller, req: req, call: c,
 		finished: make(chan *try, c.route.MaxTries+maxUnsentTries+1),
 	}
+	defer func() {
+		for _, t := range r.started {
+			t.abandon()
+		}
+	}()
 	if err := r.startTry(false); err != nil {
 		s.refuseUndispatched(resp, c, err, caller.closed())
 		return
@@ -111,6 +118,21 @@
 	return max(expected, time.Duration(hedgeObjectiveFraction*float64(r.call.route.Objective)))
 }
 
+// allowsFurtherTry reports whether the request may be sent to one more target within
+// its limit of tries, its deadline and the memory.
+func (r *dispatchState) allowsFurtherTry() bool {
+	c := r.call
+	return c.sentTries < c.route.MaxTries && time.Until(c.deadline) >= minTryTime && r.reserveCopy()
+}
+
+// reserveCopy reserves the memory for the copy of a large request that a further try
+// sends, and reports whether there was enough. That of the first try is reserved when
+// the request is read.
+func (r *dispatchState) reserveCopy() bool {
+	body := r.req.Body()
+	return len(body) <= bodies.SmallBody || r.call.reservation.Add((len(body)+1)/requestCopies) == nil
+}
+
 // startTry acquires a target and starts a try on it.
 func (r *dispatchState) startTry(isRetry bool) error {
 	c := r.call
@@ -126,9 +148,11 @@
 	t := &try{
 		lease: lease, req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(),
 		deadline: c.deadline, started: time.Now(), number: c.sentTries,
+		reservation: bodies.NewReservation(r.server.responseMemory, 1),
 	}
 	r.req.CopyTo(t.req)
 	r.inFlight = append(r.inFlight, t)
+	r.started = append(r.started, t)
 	c.lastTry = t
 	go t.run(r.finished)
 	return nil
@@ -168,10 +192,10 @@
 	if badRequest || !failed.notRun() && !c.route.Idempotent || len(r.inFlight) > 0 && !failed.notRun() {
 		return false
 	}
-	unsent := failed.err != nil && failed.notRun()
-	if c.sentTries >= c.route.MaxTries || r.unsentTries > maxUnsentTries || time.Until(c.deadline) < minTryTime || r.caller.Err() != nil {
+	if r.unsentTries > maxUnsentTries || r.caller.Err() != nil || !r.allowsFurtherTry() {
 		return false
 	}
+	unsent := failed.err != nil && failed.notRun()
 	if !unsent && !c.dispatcher.AllowRetry() {
 		return false
 	}
@@ -186,7 +210,7 @@
 // still in flight.
 func (r *dispatchState) hedge() {
 	c := r.call
-	if !c.route.Idempotent || len(r.inFlight) != 1 || c.sentTries >= c.route.MaxTries || time.Until(c.deadline) < minTryTime {
+	if !c.route.Idempotent || len(r.inFlight) != 1 || !r.allowsFurtherTry() {
 		return
 	}
 	if !c.dispatcher.AllowRetry() || r.startTry(true) != nil {
--- a/relay/request.go
+++ b/relay/request.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"rhubarbrelay/bodies"
 	"rhubarbrelay/config"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/routing"
@@ -20,6 +21,9 @@
 	// for reuse, so that idle connections do not hold the memory of their largest
 	// bodies.
 	maxPooledBody = 64 << 10
+	// requestCopies is the number of copies of a request body: the one that was read
+	// and that of a try, which may outlive the request.
+	requestCopies = 2
 )
 
 // call is the state of a caller's request while it is handled.
@@ -42,6 +46,7 @@
 	triedTargets []targets.Incarnation
 	header       headerInspection
 	body         []byte
+	reservation  *bodies.Reservation // for body
 	lastTry      *try
 }
 
@@ -59,7 +64,9 @@
 	defer s.inProgress.Add(-1)
 	ctx.Response.ReleaseBody(maxPooledBody)
 	c := s.calls.Get().(*call) //nolint:errcheck,forcetypeassert // The pool holds nothing else.
+	c.reservation = bodies.NewReservation(s.requestMemory, requestCopies)
 	s.relayRequest(ctx, c)
+	c.reservation.Release()
 	ctx.Request.ResetBody() // the body refers to the call's buffer
 	c.reset()
 	s.calls.Put(c)
--- a/relay/response.go
+++ b/relay/response.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 
+	"rhubarbrelay/bodies"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/timeline"
@@ -103,7 +104,12 @@
 // forwardResponse forwards a target's response to the caller.
 func (s *Server) forwardResponse(resp *fasthttp.Response, c *call, t *try) {
 	skipBody := resp.SkipBody
-	t.resp.CopyTo(resp)
+	if body := t.resp.Body(); len(body) > bodies.SmallBody {
+		t.resp.Header.CopyTo(&resp.Header)
+		resp.SetBodyStream(t.takeBody(body), len(body))
+	} else {
+		t.resp.CopyTo(resp)
+	}
 	resp.SkipBody = skipBody
 	c.header.stripResponse(&resp.Header)
 	platform.RemoveInternalHeaders(&resp.Header)
@@ -148,12 +154,18 @@
 // the request.
 const shedRetryAfter = 100 * time.Millisecond
 
+// memoryRetryAfter is the value of the Retry-After header when large bodies hold the
+// memory of the instance: sending one takes about as long.
+const memoryRetryAfter = 500 * time.Millisecond
+
 // refuseUndispatched responds to a request for which no target was acquired.
 func (s *Server) refuseUndispatched(resp *fasthttp.Response, c *call, err error, callerClosed bool) {
 	var refusal *routing.RefusalError
 	switch {
 	case callerClosed:
 		s.fail(resp, c, callerClosedFailure(false))
+	case errors.Is(err, bodies.ErrNoMemory):
+		s.fail(resp, c, readFailure(err))
 	case errors.As(err, &refusal):
 		cause := refusedNoCapacity
 		if errors.Is(err, routing.ErrNoTarget) {
@@ -176,9 +188,11 @@
 	var smallBuffer *fasthttp.ErrSmallBuffer
 	var netErr net.Error
 	switch {
+	case errors.Is(err, bodies.ErrNoMemory):
+		return unavailableFailure(refusedMemory, "instance has no memory for the request", memoryRetryAfter)
 	case errors.As(err, &smallBuffer):
 		return notRunFailure(fasthttp.StatusRequestHeaderFieldsTooLarge, "request header is too large")
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, bodies.ErrTooLarge):
 		return notRunFailure(fasthttp.StatusRequestEntityTooLarge, "request body is too large")
 	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &netErr) && netErr.Timeout():
 		return notRunFailure(fasthttp.StatusRequestTimeout, "request did not arrive in time")
--- a/relay/server.go
+++ b/relay/server.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 
+	"rhubarbrelay/bodies"
 	"rhubarbrelay/config"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/timeline"
@@ -85,6 +86,10 @@
 	http              *fasthttp.Server
 	// maxConnections limits the number of connections from callers.
 	maxConnections int
+	// requestMemory and responseMemory limit the large bodies of all requests and all
+	// responses; nil means no limit. They are separate, so that requests that wait for
+	// their responses do not hold the memory that those need.
+	requestMemory, responseMemory *bodies.Memory
 }
 
 // Option configures a Server.
@@ -104,6 +109,12 @@
 // WithMaxConnections limits the number of connections from callers.
 func WithMaxConnections(n int) Option { return func(s *Server) { s.maxConnections = n } }
 
+// WithMemory limits the bytes that the large bodies of all requests and those of all
+// responses hold. A request that does not fit is refused.
+func WithMemory(requests, responses *bodies.Memory) Option {
+	return func(s *Server) { s.requestMemory, s.responseMemory = requests, responses }
+}
+
 // WithMaxRequestBody limits the size of a request body in bytes.
 func WithMaxRequestBody(size int) Option { return func(s *Server) { s.http.MaxRequestBodySize = size } }
 
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -16,6 +16,7 @@
 	refusedInput        refusalCause = iota // the request is invalid, too large or incomplete at the read timeout, or matches no route
 	refusedNoCapacity                       // no target had capacity in time
 	refusedNoTarget                         // the service is unknown or has no available target
+	refusedMemory                           // large bodies hold the memory of the instance
 	refusedStale                            // the instance's state is too old, or it has no configuration yet
 	refusedConnections                      // the limit of connections from callers was reached
 	refusedUnreachable                      // nothing could be sent to a target
@@ -28,7 +29,7 @@
 
 // refusalCauseNames are the metric names of the causes.
 var refusalCauseNames = [refusalCauses]string{
-	"input", "too_late", "no_target", "stale", "connections", "unreachable", "shed", "deadline", "caller_closed", "internal",
+	"input", "too_late", "no_target", "memory", "stale", "connections", "unreachable", "shed", "deadline", "caller_closed", "internal",
 }
 
 // The range in microseconds and the precision of the latency histogram.
--- a/relay/try.go
+++ b/relay/try.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"rhubarbrelay/bodies"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/upstream"
@@ -22,6 +23,8 @@
 	deadline time.Time
 	started  time.Time
 	number   int
+	// reservation is for the body of the response.
+	reservation *bodies.Reservation
 
 	// The result. It may be read after run has sent the try to done.
 	err  error
@@ -31,6 +34,8 @@
 	activeConn *upstream.Conn
 	canceled   bool
 	superseded bool
+	ended      bool // whether run has ended
+	abandoned  bool // whether the handler of the request has ended
 }
 
 // run sends the request, releases the lease and sends the try to done.
@@ -40,9 +45,25 @@
 		t.info = platform.ReadResponseInfo(&t.resp.Header)
 	}
 	t.lease.Release(t.outcome(), t.info)
+	t.mu.Lock()
+	t.ended = true
+	if t.abandoned {
+		t.reservation.Release()
+	}
+	t.mu.Unlock()
 	done <- t
 }
 
+// abandon releases the memory of the try now or, if it is in flight, when it ends.
+func (t *try) abandon() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.abandoned = true
+	if t.ended {
+		t.reservation.Release()
+	}
+}
+
 func (t *try) roundTrip() error {
 	conn, err := t.lease.Conn(t.deadline)
 	if err != nil {
@@ -61,7 +82,7 @@
 		return upstream.ErrNotSent
 	}
 	platform.SetTargetHeaders(&t.req.Header, t.lease.Target().ID, left)
-	err = conn.RoundTrip(t.req, t.resp, t.deadline.Add(responseMargin))
+	err = conn.RoundTrip(t.req, t.resp, t.deadline.Add(responseMargin), t.reservation)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.canceled {
@@ -99,7 +120,7 @@
 		return routing.Superseded
 	case canceled:
 		return routing.Inconclusive
-	case errors.Is(t.err, upstream.ErrPoolExhausted), errors.Is(t.err, upstream.ErrPoolClosed):
+	case errors.Is(t.err, upstream.ErrPoolExhausted), errors.Is(t.err, upstream.ErrPoolClosed), errors.Is(t.err, bodies.ErrNoMemory):
 		return routing.Inconclusive
 	case errors.Is(t.err, upstream.ErrNotSent):
 		return routing.Unreachable
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -12,13 +12,17 @@
 
 	"github.com/valyala/fasthttp"
 
+	"rhubarbrelay/bodies"
 	"rhubarbrelay/platform"
 )
 
 const (
 	// maxResponseHeader limits the size of a response header in bytes.
 	maxResponseHeader = 8 << 10
-	writeBufferSize   = 4 << 10
+	// maxProbeBody limits the body of a response to a probe in bytes. The body is not
+	// used.
+	maxProbeBody    = 4 << 10
+	writeBufferSize = 4 << 10
 	// maxResponseReads limits the headers that readHeader reads for one response,
 	// including those of the 1xx responses that it skips, and the responses that
 	// readResponse reads for one request, including the responses to other requests
@@ -105,7 +109,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	platform.InitProbeRequest(req, c.pool.host, c.pool.destination.HealthPath)
-	if err := c.roundTrip(req, resp, deadline); err != nil {
+	if err := c.roundTrip(req, resp, deadline, bodyLimit{size: maxProbeBody}); err != nil {
 		return platform.ResponseInfo{}, false, err
 	}
 	info = platform.ReadResponseInfo(&resp.Header)
@@ -118,9 +122,10 @@
 }
 
 // RoundTrip sends the request once and reads the complete response before the
-// deadline. The error wraps ErrNotSent or ErrOutcomeUnknown.
-func (c *Conn) RoundTrip(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
-	if err := c.roundTrip(req, resp, deadline); err != nil {
+// deadline. The memory of a large body is added to the reservation, which the caller
+// releases. The error wraps ErrNotSent or ErrOutcomeUnknown.
+func (c *Conn) RoundTrip(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, reservation *bodies.Reservation) error {
+	if err := c.roundTrip(req, resp, deadline, bodyLimit{c.pool.maxResponseBody, reservation}); err != nil {
 		return err
 	}
 	c.updateReuse(resp)
@@ -146,14 +151,14 @@
 
 // roundTrip implements RoundTrip and Probe, which call updateReuse once they have
 // accepted the response.
-func (c *Conn) roundTrip(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
+func (c *Conn) roundTrip(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, limit bodyLimit) error {
 	c.bytesSent = 0
 	if err := c.netConn.SetDeadline(deadline); err != nil {
 		c.noReuse = true
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	if len(req.Body()) >= concurrentBodySize {
-		return c.roundTripConcurrently(req, resp)
+		return c.roundTripConcurrently(req, resp, limit)
 	}
 	if err := c.writeRequest(req); err != nil {
 		c.noReuse = true
@@ -162,16 +167,16 @@
 		}
 		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
-	return c.readResponse(req, resp)
+	return c.readResponse(req, resp, limit)
 }
 
 // roundTripConcurrently reads the response while the request is being written.
 // If the response is complete first, the connection is closed: the target would
 // read the next request as the rest of this body.
-func (c *Conn) roundTripConcurrently(req *fasthttp.Request, resp *fasthttp.Response) error {
+func (c *Conn) roundTripConcurrently(req *fasthttp.Request, resp *fasthttp.Response, limit bodyLimit) error {
 	sent := make(chan bool, 1)
 	go func() { sent <- c.writeRequest(req) == nil }()
-	err := c.readResponse(req, resp)
+	err := c.readResponse(req, resp, limit)
 	select {
 	case complete := <-sent:
 		if !complete {
@@ -200,10 +205,10 @@
 
 // readResponse reads the response to the request. It skips responses to other
 // requests.
-func (c *Conn) readResponse(req *fasthttp.Request, resp *fasthttp.Response) error {
+func (c *Conn) readResponse(req *fasthttp.Request, resp *fasthttp.Response, limit bodyLimit) error {
 	id := platform.RequestID(&req.Header)
 	for range maxResponseReads {
-		if err := c.readOneResponse(req, resp); err != nil {
+		if err := c.readOneResponse(req, resp, limit); err != nil {
 			c.noReuse = true
 			return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 		}
@@ -236,7 +241,7 @@
 	return nil
 }
 
-func (c *Conn) readOneResponse(req *fasthttp.Request, resp *fasthttp.Response) error {
+func (c *Conn) readOneResponse(req *fasthttp.Request, resp *fasthttp.Response, limit bodyLimit) error {
 	resp.Reset()
 	resp.SkipBody = req.Header.IsHead()
 	if err := c.readHeader(resp); err != nil {
@@ -245,28 +250,43 @@
 	if !hasBody(resp) {
 		return nil
 	}
-	err := resp.ReadBody(c.reader, c.pool.maxResponseBody)
-	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return errBodyTooLarge
-	case err != nil:
+	return c.readBody(resp, limit)
+}
+
+// bodyLimit limits the body of one response, in bytes, and holds its reservation.
+type bodyLimit struct {
+	size        int
+	reservation *bodies.Reservation
+}
+
+// lengthUntilEOF is the value of fasthttp's ContentLength for a body that ends with
+// the connection.
+const lengthUntilEOF = -2
+
+// readBody reads the body and the trailer of a response. It does not use fasthttp's
+// own reading of a whole body, which allocates the announced length at once.
+func (c *Conn) readBody(resp *fasthttp.Response, limit bodyLimit) error {
+	resp.StreamBody = true
+	if err := resp.ReadBody(c.reader, 0); err != nil {
 		return err
 	}
-	switch resp.Header.ContentLength() {
-	case lengthChunked:
-		return resp.Header.ReadTrailer(c.reader)
-	case lengthUntilEOF:
+	length := resp.Header.ContentLength()
+	body, err := bodies.ReadAll(nil, resp.BodyStream(), length, limit.size, limit.reservation)
+	if closeErr := resp.CloseBodyStream(); err == nil {
+		err = closeErr
+	}
+	resp.StreamBody = false
+	if err != nil {
+		return err
+	}
+	if length == lengthUntilEOF {
+		resp.Header.SetContentLength(len(body))
 		c.noReuse = true
 	}
+	resp.SetBodyRaw(body)
 	return nil
 }
 
-// The values of fasthttp's ContentLength for bodies without a Content-Length.
-const (
-	lengthChunked  = -1
-	lengthUntilEOF = -2
-)
-
 func (c *Conn) readHeader(resp *fasthttp.Response) error {
 	for range maxResponseReads {
 		if err := resp.Header.Read(c.reader); err != nil {
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -183,7 +183,7 @@
 	req.SetBodyString(strings.Repeat("x", 32<<20))
 	req.Header.SetContentLength(32 << 20)
 	c := acquire(t, p)
-	assert.NilError(t, c.RoundTrip(req, resp, time.Now().Add(testTimeout)))
+	assert.NilError(t, c.RoundTrip(req, resp, time.Now().Add(testTimeout), nil))
 	assert.Equal(t, resp.StatusCode(), 503)
 	c.Release()
 	assert.Equal(t, p.openConns, 0)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -24,7 +24,6 @@
 // Causes that are wrapped together with ErrOutcomeUnknown.
 var (
 	errOtherRequest      = errors.New("response belongs to another request")
-	errBodyTooLarge      = errors.New("response body is too large")
 	errSwitchedProtocols = errors.New("target switched protocols")
 	errTooManyInterim    = errors.New("too many interim responses")
 	errContentEncoding   = errors.New("response has a content encoding")
