peer, registry, membership: split the long files by subject

Heartbeats and target updates get files of their own in peer, the state that is handed on, the decoding of changes and outages in registry, the read order in membership. No line of code changes.

--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -122,34 +122,6 @@
 	}
 }
 
-// State returns the known targets. ok is false if they were never read completely or
-// their place in the log is not known.
-func (f *TargetFollower) State() (state peer.TargetState, ok bool) {
-	f.mu.Lock()
-	// The offset is read before the targets: changes that are applied in between are
-	// applied twice by the receiver, and none is missing.
-	state.Next = f.nextOffset
-	state.Age = f.clock().Sub(f.freshAt)
-	f.mu.Unlock()
-	if state.Next == unknownOffset || !f.directory.Loaded() {
-		return peer.TargetState{}, false
-	}
-	state.Targets = f.directory.All()
-	return state, true
-}
-
-// Restore takes over the targets that another instance knew at the given time, unless
-// this instance has read them already. It is called before Run or while Run reads.
-func (f *TargetFollower) Restore(state peer.TargetState, at time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.nextOffset != unknownOffset || f.directory.Loaded() {
-		return
-	}
-	f.directory.Replace(state.Targets)
-	f.nextOffset, f.freshAt = state.Next, at.Add(-state.Age)
-}
-
 // Run follows the registry until the context ends. It reads the registry at once
 // unless Restore was called.
 func (f *TargetFollower) Run(ctx context.Context) error {
@@ -307,30 +279,6 @@
 	return nil
 }
 
-// recordOutageEnd records the end of an outage of the registry, if one has ended.
-func (f *TargetFollower) recordOutageEnd(ended bool) {
-	if !ended {
-		return
-	}
-	now := f.clock()
-	f.mu.Lock()
-	f.outageEndedAt = now
-	f.mu.Unlock()
-	f.directory.SetOutageEnd(now)
-}
-
-// timeSinceOutage returns the time since the end of the last outage, at least 1 ms,
-// or 0 if there was none within outageBroadcastPeriod.
-func (f *TargetFollower) timeSinceOutage() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	since := f.clock().Sub(f.outageEndedAt)
-	if f.outageEndedAt.IsZero() || since > outageBroadcastPeriod {
-		return 0
-	}
-	return max(time.Millisecond, since)
-}
-
 // recordRead records a successful read. Reading all registrations, as at the start,
 // does not make this instance a reader.
 func (f *TargetFollower) recordRead(next int64, asOf time.Time, reader bool) {
@@ -370,46 +318,3 @@
 		f.onChange(c, source)
 	}
 }
-
-func (f *TargetFollower) decodeTargets(records []platform.Record) []targets.Target {
-	decoded := make([]targets.Target, 0, len(records))
-	for _, c := range f.decodeChanges(records) {
-		if c.Target != nil {
-			decoded = append(decoded, *c.Target)
-		}
-	}
-	return decoded
-}
-
-// decodeChanges decodes records. A malformed registration counts as a removed
-// target.
-func (f *TargetFollower) decodeChanges(records []platform.Record) []targets.Change {
-	decoded := make([]targets.Change, 0, len(records))
-	for _, r := range records {
-		c := targets.Change{ID: r.Key}
-		if r.Value != nil {
-			t, err := platform.DecodeTarget(r.Key, r.Value)
-			if err != nil {
-				f.logger.WithError(err).WithField("target", r.Key).Warn("registration of a target is invalid and counts as removed")
-			}
-			c.Target = t
-		}
-		decoded = append(decoded, c)
-	}
-	return decoded
-}
-
-// offsetsOf returns the offset of each change. The changes must come from the
-// records and be in the same order.
-func offsetsOf(changes []targets.Change, records []platform.Record) []int64 {
-	offsets := make([]int64, 0, len(changes))
-	i := 0
-	for _, c := range changes {
-		for records[i].Key != c.ID {
-			i++
-		}
-		offsets = append(offsets, records[i].Offset)
-		i++
-	}
-	return offsets
-}
--- /dev/null
+++ b/registry/target_state.go
@@ -0,0 +1,35 @@
+package registry
+
+import (
+	"time"
+
+	"rhubarbrelay/peer"
+)
+
+// State returns the known targets. ok is false if they were never read completely or
+// their place in the log is not known.
+func (f *TargetFollower) State() (state peer.TargetState, ok bool) {
+	f.mu.Lock()
+	// The offset is read before the targets: changes that are applied in between are
+	// applied twice by the receiver, and none is missing.
+	state.Next = f.nextOffset
+	state.Age = f.clock().Sub(f.freshAt)
+	f.mu.Unlock()
+	if state.Next == unknownOffset || !f.directory.Loaded() {
+		return peer.TargetState{}, false
+	}
+	state.Targets = f.directory.All()
+	return state, true
+}
+
+// Restore takes over the targets that another instance knew at the given time, unless
+// this instance has read them already. It is called before Run or while Run reads.
+func (f *TargetFollower) Restore(state peer.TargetState, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.nextOffset != unknownOffset || f.directory.Loaded() {
+		return
+	}
+	f.directory.Replace(state.Targets)
+	f.nextOffset, f.freshAt = state.Next, at.Add(-state.Age)
+}
