targets: do not hand on a target whose removal is delayed

Cause: after an outage of the store, a target whose registration was removed stays for 2.2 s, as it may register again. An instance that starts in this time took it over from another one, and reads the log only from an offset after the removal: it used the target until the process ended. Change: the state that is handed on leaves such targets out. If one registers again, the starting instance reads that from the log. TestDelayedRemovalIsNotHandedOn fails without the change.

--- a/registry/target_state.go
+++ b/registry/target_state.go
@@ -18,7 +18,7 @@
 	if state.Next == unknownOffset || !f.directory.Loaded() {
 		return peer.TargetState{}, false
 	}
-	state.Targets = f.directory.All()
+	state.Targets = f.directory.Registered()
 	return state, true
 }
 
--- /dev/null
+++ b/registry/target_state_test.go
@@ -0,0 +1,94 @@
+package registry
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/peer"
+	"rhubarbrelay/platform"
+	"rhubarbrelay/targets"
+)
+
+// handOn returns a follower that has taken over the state of another one.
+func handOn(t *testing.T, from *TargetFollower, store Store) (*TargetFollower, *targets.Directory) {
+	t.Helper()
+	state, ok := from.State()
+	assert.Assert(t, ok)
+	directory := targets.NewDirectory()
+	order := func() int { return 0 }
+	f := NewTargetFollower(store, directory, fakeBroadcaster{&fakeNetwork{}, 0}, order, order, ignoreChange, func() {}, discardLogger)
+	f.Restore(state, time.Now())
+	return f, directory
+}
+
+// Guards against a starting instance that uses a target forever whose registration
+// was removed: an instance that hands its state on delays removals after an outage,
+// and the removal is before the offset from which the starting one reads.
+func TestDelayedRemovalIsNotHandedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(platform.TargetTopic, "i", registration("ready", 1))
+		store.put(platform.TargetTopic, "j", registration("ready", 1))
+		network, directories := startTargetFollowers(t, store, 1)
+		time.Sleep(3 * time.Second)
+		store.fail(platform.ErrUnavailable)
+		time.Sleep(5 * time.Second)
+		store.put(platform.TargetTopic, "i", "")
+		store.fail(nil)
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, readyCount(directories[0]), 2) // the removal of i is delayed
+		f, directory := handOn(t, network.followers[0], store)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		defer running.Wait()
+		defer cancel()
+		running.Go(func() { _ = f.Run(ctx) })
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, readyCount(directory), 1)
+		assert.Equal(t, readyCount(directories[0]), 1)
+	})
+}
+
+// Guards against a starting instance that reads the store although it has the state,
+// misses changes after that state, or counts it as more recent than it is.
+func TestRestoredState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(platform.TargetTopic, "i", registration("ready", 1))
+		network, _ := startTargetFollowers(t, store, 1)
+		time.Sleep(100 * time.Millisecond)
+		_, newest := store.counts()
+		f, directory := handOn(t, network.followers[0], store)
+		assert.Equal(t, f.Age(), 100*time.Millisecond)
+		assert.Equal(t, readyCount(directory), 1)
+		store.put(platform.TargetTopic, "i", registration("draining", 2))
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		defer running.Wait()
+		defer cancel()
+		running.Go(func() { _ = f.Run(ctx) })
+		time.Sleep(readInterval)
+		assert.Equal(t, readyCount(directory), 0)
+		_, newestAfter := store.counts()
+		assert.Equal(t, newestAfter, newest)
+	})
+}
+
+// Guards against an old state from another instance that replaces a later one which
+// this instance has read itself.
+func TestRestoreKeepsOwnState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(platform.TargetTopic, "i", registration("draining", 2))
+		network, directories := startTargetFollowers(t, store, 1)
+		time.Sleep(100 * time.Millisecond)
+		old := targets.Target{ID: "i", StartedMS: 1, Service: "s", Sequence: 1}
+		network.followers[0].Restore(peer.TargetState{Targets: []targets.Target{old}, Next: 1}, time.Now())
+		assert.Equal(t, readyCount(directories[0]), 0)
+	})
+}
--- a/targets/directory.go
+++ b/targets/directory.go
@@ -238,15 +238,19 @@
 	return found
 }
 
-// All returns the registered targets, including draining ones.
-func (d *Directory) All() []Target {
+// Registered returns the targets whose registration is not known to be removed,
+// including draining ones. Those whose removal is delayed are missing: an instance
+// that takes over this state would not learn of the removal.
+func (d *Directory) Registered() []Target {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	all := make([]Target, 0, len(d.entries))
+	registered := make([]Target, 0, len(d.entries))
 	for _, e := range d.entries {
-		all = append(all, *e.target)
+		if e.removeAt.IsZero() {
+			registered = append(registered, *e.target)
+		}
 	}
-	return all
+	return registered
 }
 
 // Count returns the number of registered targets.
