registry: registrations state the size of the zone

Cause: a registration stated how many instances its sender knew. Remote instances that are not active send no heartbeats and are removed after a minute, so that in a running deployment of 144 instances in four zones each knows some 45; all would read the store at once after a loss of all. Change: it states the number of instances in its zone, which heartbeats keep up, and the size of the deployment is the sum over the zones. TestListedSize fails without it.

--- a/membership/readorder.go
+++ b/membership/readorder.go
@@ -13,6 +13,21 @@
 	return zoneRank
 }
 
+// ZoneCount returns the number of known instances of the local zone, this one
+// included. Unlike Count, it does not shrink when remote instances that send no
+// heartbeats to this zone are removed.
+func (d *Directory) ZoneCount() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	count := 1
+	for _, m := range d.members {
+		if m.instance.Zone == d.self.Zone {
+			count++
+		}
+	}
+	return count
+}
+
 // firstReaders is the number of instances at the start of the read order, which
 // are the lowest IDs of all zones. The instances of each zone come after them.
 const firstReaders = 2
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -25,21 +25,21 @@
 }
 
 // EncodeRegistration encodes the registration of an instance in the store.
-// knownInstances is the number of instances that it knows.
-func EncodeRegistration(in membership.Instance, knownInstances int) ([]byte, error) {
+// zoneInstances is the number of instances of its zone that it knows.
+func EncodeRegistration(in membership.Instance, zoneInstances int) ([]byte, error) {
 	m := instanceToWire(in)
-	m.KnownInstances = int32(knownInstances)
+	m.ZoneInstances = int32(zoneInstances)
 	return proto.Marshal(m)
 }
 
 // DecodeRegistration decodes a registration. The error wraps ErrMalformed.
-func DecodeRegistration(data []byte) (in membership.Instance, knownInstances int, err error) {
+func DecodeRegistration(data []byte) (in membership.Instance, zoneInstances int, err error) {
 	var m peerpb.Instance
 	if err := proto.Unmarshal(data, &m); err != nil {
 		return membership.Instance{}, 0, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	in, err = instanceFromWire(&m)
-	return in, int(m.GetKnownInstances()), err
+	return in, int(m.GetZoneInstances()), err
 }
 
 // instanceToWire converts an instance with all its fields. The states on the wire
--- a/registry/registrar.go
+++ b/registry/registrar.go
@@ -40,8 +40,8 @@
 	// attempted is set before the first call that registers this instance, which the
 	// store may execute even if it fails.
 	attempted atomic.Bool
-	// registeredCount is the number of known instances in the registration, 0 if there
-	// is none.
+	// registeredCount is the number of instances of the zone in the registration, 0 if
+	// there is none.
 	registeredCount atomic.Int64
 }
 
@@ -53,7 +53,7 @@
 
 // Run keeps this instance registered while it is among the first contactsPerZone
 // instances of its zone that are presumed alive, by ID, until the context ends. It
-// registers it again when the number of known instances has doubled or halved.
+// registers it again when the number of instances of the zone has doubled or halved.
 func (r *Registrar) Run(ctx context.Context) error {
 	retryDelay := backoff{rank: r.directory.Rank}
 	for {
@@ -73,10 +73,10 @@
 	}
 }
 
-// outdated reports whether this instance is not registered, or with less than half or
-// more than twice the number of instances that it knows.
+// outdated reports whether this instance is not registered, or with at most half or at
+// least twice the number of instances of the zone that it knows.
 func (r *Registrar) outdated() bool {
-	registered, known := r.registeredCount.Load(), int64(r.directory.Count())
+	registered, known := r.registeredCount.Load(), int64(r.directory.ZoneCount())
 	return known >= 2*registered || 2*known <= registered
 }
 
@@ -100,7 +100,7 @@
 
 // register registers this instance.
 func (r *Registrar) register(ctx context.Context) error {
-	self, known := r.directory.Self(), r.directory.Count()
+	self, known := r.directory.Self(), r.directory.ZoneCount()
 	value, err := peer.EncodeRegistration(self, known)
 	if err != nil {
 		return err
@@ -116,8 +116,8 @@
 }
 
 // List adds all registered instances to the directory. It returns the number of
-// instances in the deployment as far as the registrations tell: the highest number
-// that one of them states, or the number of registrations if that is higher.
+// instances in the deployment as far as the registrations tell: the sum over the zones
+// of the highest number that a registration of the zone states.
 func (r *Registrar) List(ctx context.Context) (size int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -125,22 +125,25 @@
 	if err != nil {
 		return 0, err
 	}
-	size = len(batch.Records)
+	zoneSizes := map[string]int{}
 	for _, record := range batch.Records {
 		if record.Value == nil {
 			continue
 		}
-		instance, known, err := peer.DecodeRegistration(record.Value)
+		instance, zoneInstances, err := peer.DecodeRegistration(record.Value)
 		if err != nil {
 			r.logger.WithError(err).WithField("key", record.Key).Warn("registration of another instance is invalid and ignored")
 			continue
 		}
-		size = max(size, known)
+		zoneSizes[instance.Zone] = max(zoneSizes[instance.Zone], zoneInstances)
 		if record.Key != r.directory.Self().ID {
 			r.directory.AddRegistered(instance)
 		}
 	}
 	r.directory.SetListed()
+	for _, n := range zoneSizes {
+		size += n
+	}
 	return size, nil
 }
 
--- a/registry/registrar_test.go
+++ b/registry/registrar_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbrelay/membership"
+	"rhubarbrelay/peer"
 	"rhubarbrelay/platform"
 )
 
@@ -71,7 +72,7 @@
 			size, err := registrar.List(ctx)
 			assert.NilError(t, err)
 			assert.Equal(t, size, want, "with %d instances", i+1)
-			d.RecordPacket(membership.Instance{ID: fmt.Sprint("b-", i), Zone: "b", PeerAddress: address}, time.Hour)
+			d.RecordPacket(membership.Instance{ID: fmt.Sprint("a-", i), Zone: "a", PeerAddress: address}, time.Hour)
 		}
 		assert.Equal(t, store.appendCount(), 4)
 		cancel()
@@ -79,6 +80,26 @@
 	})
 }
 
+// Guards against a size of the deployment that counts only the own zone, or a zone for
+// each of its registrations.
+func TestListedSize(t *testing.T) {
+	store := newFakeStore()
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	for _, r := range []struct {
+		id, zone string
+		size     int
+	}{{"a-1", "a", 1}, {"a-2", "a", 20}, {"b-1", "b", 30}, {"c-1", "c", 25}, {"c-2", "c", 25}} {
+		value, err := peer.EncodeRegistration(membership.Instance{ID: r.id, Zone: r.zone, PeerAddress: address, CallerAddress: address, AdminAddress: address}, r.size)
+		assert.NilError(t, err)
+		store.put(platform.InstanceTopic, r.id, string(value))
+	}
+	directory := membership.NewDirectory(membership.Instance{ID: "a-3", Zone: "a"})
+	size, err := NewRegistrar(store, directory, discardLogger).List(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, size, 20+30+25)
+	assert.Equal(t, directory.Count(), 1+5)
+}
+
 // Guards against a call that removes a registration which was never written, and
 // against a registration that stays because its call seemed to have failed.
 func TestDeregister(t *testing.T) {
