--- a/scenario/processes_test.go
+++ b/scenario/processes_test.go
@@ -96,7 +96,7 @@
 	}
 	p := processesOf(ts)
 	host := p.network + "." + args[2]
-	text := fmt.Sprintf("[instance]\nid = %s\nzone = %s\nregion = r\n[callers]\nlisten = %[3]s:8080\nentry = %[3]s:8083\nready = %[3]s:8084\n"+
+	text := fmt.Sprintf("[instance]\nid = %s\nzone = %s\nregion = r\nmemory = 184MiB\n[callers]\nlisten = %[3]s:8080\nentry = %[3]s:8083\nready = %[3]s:8084\n"+
 		"[peers]\nlisten = %[3]s:8081\n[admin]\nlisten = %[3]s:8082\n[store]\naddress = %s.1:7000\n[stop]\ngrace = 4s\n",
 		args[0], args[1], host, p.network)
 	path := filepath.Join(p.dir, args[0]+".ini")
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -67,6 +67,8 @@
 			"eventual": eventual,
 			"begin":    begin,
 			"finished": finished,
+			"callmany": callMany,
+			"peakrss":  peakRSS,
 		},
 	})
 }
--- a/standin/target.go
+++ b/standin/target.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,9 @@
 	Shed, Hang, DropResponses, ServerError, ReportUnhealthy bool
 	// ExtraResponse makes the target send a second response after each one.
 	ExtraResponse bool
+	// Endless makes it respond to requests and probes with a body that ends only when
+	// the connection is closed.
+	Endless bool
 	// SlowFactor multiplies the processing time.
 	SlowFactor int
 }
@@ -188,7 +192,12 @@
 	if id := ctx.Request.Header.Peek(HeaderRequestID); len(id) > 0 {
 		h.SetBytesV(HeaderRequestID, id)
 	}
-	switch string(ctx.Path()) {
+	path := string(ctx.Path())
+	if faults.Endless && !strings.HasPrefix(path, controlPrefix) {
+		respondEndlessly(ctx)
+		return
+	}
+	switch path {
 	case healthPath:
 		t.probes.Add(1)
 		h.Set(headerTargetID, t.registration.ID)
@@ -213,7 +222,20 @@
 	args := ctx.QueryArgs()
 	t.SetFaults(TargetFaults{
 		Shed: args.Has("shed"), Hang: args.Has("mute"), DropResponses: args.Has("cut"), ServerError: args.Has("fail"),
-		ReportUnhealthy: args.Has("lie_ill"), ExtraResponse: args.Has("second"), SlowFactor: args.GetUintOrZero("slow"),
+		ReportUnhealthy: args.Has("lie_ill"), ExtraResponse: args.Has("second"), Endless: args.Has("endless"), SlowFactor: args.GetUintOrZero("slow"),
+	})
+}
+
+// respondEndlessly sends a sealed success whose body goes on until the connection is
+// closed.
+func respondEndlessly(ctx *fasthttp.RequestCtx) {
+	id := string(ctx.Request.Header.Peek(HeaderRequestID))
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: endless\r\n\r\n", HeaderRequestID, id, headerSeal)
+		for block := make([]byte, 32<<10); err == nil; {
+			_, err = c.Write(block)
+		}
 	})
 }
 
