daemon, standin: bound responses of other instances, split the stand-in's faults

A response of another instance was read without a limit for up to a second. It is now limited to 32 MB, far above the state of a large deployment.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/valyala/fasthttp"
 
 	"rhubarbrelay/admin"
 	"rhubarbrelay/bodies"
@@ -52,6 +53,8 @@
 	relay          *relay.Server
 	entryServer    *relay.EntryServer
 	admin          *admin.Server
+	// peerClient calls the administration API of other instances.
+	peerClient *fasthttp.Client
 	// joining is the number of instances that join through this one now, hasJoined
 	// whether any has.
 	joining   atomic.Int64
@@ -63,6 +66,7 @@
 	clock := timeline.NewClock(time.Now)
 	store := platform.NewStore(s.Store.Address)
 	d := &Daemon{settings: s, logger: logger, startedAt: time.Now(), recorder: timeline.NewRecorder(s.Instance.ID, clock), changeLog: newChangeLog(logger)}
+	d.peerClient = &fasthttp.Client{MaxResponseBodySize: maxPeerResponse, NoDefaultUserAgentHeader: true}
 	d.targets = targets.NewDirectory(targets.WithOnChange(d.onTargetsChanged))
 	d.table = routing.NewTable(d.routingSettings(s), d.targets)
 	d.members = membership.NewDirectory(membership.Instance{
--- a/daemon/fetch.go
+++ b/daemon/fetch.go
@@ -19,7 +19,7 @@
 	if !ok {
 		return nil, ""
 	}
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+peer.AdminAddress.String()+admin.ConfigPath, fetchTimeout)
+	status, body, err := d.peerClient.GetTimeout(nil, "http://"+peer.AdminAddress.String()+admin.ConfigPath, fetchTimeout)
 	if err != nil || status != fasthttp.StatusOK {
 		d.logger.WithField("peer", peer.ID).WithField("status", status).WithField("error", err).
 			Warn("newer configuration cannot be fetched from another instance")
--- a/daemon/join.go
+++ b/daemon/join.go
@@ -18,6 +18,8 @@
 const (
 	// joinTimeout limits the request with which an instance joins through another one.
 	joinTimeout = time.Second
+	// maxPeerResponse limits the size in bytes of a response of another instance.
+	maxPeerResponse = 32 << 20
 	// maxConcurrentJoins limits the instances that join through this one at the same
 	// time, as all share its network link. The others try another instance.
 	maxConcurrentJoins = 4
@@ -89,7 +91,7 @@
 	req.SetRequestURI("http://" + through.AdminAddress.String() + admin.JoinPath)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetBodyRaw(self)
-	if err := fasthttp.DoTimeout(req, resp, joinTimeout); err != nil {
+	if err := d.peerClient.DoTimeout(req, resp, joinTimeout); err != nil {
 		return peer.Snapshot{}, err
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/daemon/joiner.go
+++ b/daemon/joiner.go
@@ -70,13 +70,16 @@
 	logger     log.Interface
 }
 
-// storeFallback decides when a starting instance loads the state from the store.
+// storeFallback is what decides when a starting instance loads the state from the
+// store.
 type storeFallback struct {
-	start   time.Time
-	factor  float64 // spreads the decision over the instances
-	counted bool    // whether the instances were counted, or need not be
-	small   bool    // whether the deployment is known to be small
-	usedAt  time.Time
+	start time.Time
+	// factor multiplies the delays. It is random, so that instances that start at the
+	// same time do not read the store at the same time.
+	factor  float64
+	counted bool      // whether the instances were counted, or need not be
+	small   bool      // whether the deployment is known to be small
+	usedAt  time.Time // zero until the store is read
 }
 
 // run joins through another instance. It calls loadFromStore, once, when none can
--- /dev/null
+++ b/standin/target_faults.go
@@ -0,0 +1,49 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/valyala/fasthttp"
+)
+
+// TargetFaults are the faults of a target that are in effect until they are
+// changed.
+type TargetFaults struct {
+	// Shed makes the target reject every request without running it. Hang makes it
+	// run no request and close the connection without a response at the deadline of
+	// the request. DropResponses makes it run requests and close the connection
+	// without a response. ServerError makes it run requests and respond with status
+	// 500. ReportUnhealthy makes it fail health probes although it runs requests.
+	Shed, Hang, DropResponses, ServerError, ReportUnhealthy bool
+	// ExtraResponse makes the target send a second response after each one.
+	ExtraResponse bool
+	// Endless makes it respond to requests and probes with a body that ends only when
+	// the connection is closed.
+	Endless bool
+	// SlowFactor multiplies the processing time.
+	SlowFactor int
+}
+
+// handleFaults sets the faults that are listed in the query, such as
+// ?shed&slow=4.
+func (t *Target) handleFaults(ctx *fasthttp.RequestCtx) {
+	args := ctx.QueryArgs()
+	t.SetFaults(TargetFaults{
+		Shed: args.Has("shed"), Hang: args.Has("mute"), DropResponses: args.Has("cut"), ServerError: args.Has("fail"),
+		ReportUnhealthy: args.Has("lie_ill"), ExtraResponse: args.Has("second"), Endless: args.Has("endless"), SlowFactor: args.GetUintOrZero("slow"),
+	})
+}
+
+// respondEndlessly sends a sealed success whose body goes on until the connection is
+// closed.
+func respondEndlessly(ctx *fasthttp.RequestCtx) {
+	id := string(ctx.Request.Header.Peek(HeaderRequestID))
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: endless\r\n\r\n", HeaderRequestID, id, headerSeal)
+		for block := make([]byte, 32<<10); err == nil; {
+			_, err = c.Write(block)
+		}
+	})
+}
