registry: the first instances of a zone repeat many missed changes

Change: the first two of each zone in the read order, which read before the others, broadcast them to the zone as before; the others do not. TestManyMissedChangesAreNotBroadcast has the case.

--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -22,6 +22,10 @@
 	// its read. maxReadDelay limits the total.
 	readOrderDelay = 70 * time.Millisecond
 	maxReadDelay   = 1500 * time.Millisecond
+	// maxRepeatOrder is the position in the read order from which on an instance that
+	// has missed many changes does not send them to its zone again. Before it are the
+	// first instances of each zone.
+	maxRepeatOrder = 4
 	// readerTimeout is how long an instance counts as a reader after its last read.
 	readerTimeout = 2 * time.Second
 	// outageBroadcastPeriod is how long updates report the end of an outage.
@@ -238,9 +242,10 @@
 	effective := f.directory.Apply(f.decodeChanges(batch.Records))
 	f.notifyChanges(effective, "store")
 	f.recordRead(batch.Next, start, true)
-	if !noUpdates && len(effective) > peer.MaxUpdateChanges {
-		// The other instances have received most of these changes. If each instance that
-		// missed some broadcast all of them, the datagrams would make others miss more.
+	if !noUpdates && len(effective) > peer.MaxUpdateChanges && f.readOrder() >= maxRepeatOrder {
+		// The other instances have these changes or receive them from an earlier one in
+		// the read order. If all that missed them sent them again, the datagrams would
+		// make others miss more.
 		return nil
 	}
 	f.broadcaster.BroadcastUpdate(peer.TargetUpdate{From: from, To: batch.Next, Changes: effective, SinceOutage: f.timeSinceOutage()},
--- a/registry/target_follower_test.go
+++ b/registry/target_follower_test.go
@@ -162,24 +162,27 @@
 
 // Guards against an overload by datagrams after many targets have registered at the
 // same time: each of the instances that missed some of the changes sends all of them
-// to its zone again.
+// to its zone again. Also guards against a zone in which all instances read the store
+// since none of them does.
 func TestManyMissedChangesAreNotBroadcast(t *testing.T) {
 	tests := []struct {
 		name   string
 		missed int
 		update peer.TargetUpdate // received just before the read
+		order  int
 		sent   int
 	}{
-		{"few", peer.MaxUpdateChanges, peer.TargetUpdate{From: 900, To: 901}, 1},
-		{"many", peer.MaxUpdateChanges + 1, peer.TargetUpdate{From: 900, To: 901}, 0},
-		{"many, no updates", peer.MaxUpdateChanges + 1, peer.TargetUpdate{}, 1},
+		{"few", peer.MaxUpdateChanges, peer.TargetUpdate{From: 900, To: 901}, maxRepeatOrder, 1},
+		{"many", peer.MaxUpdateChanges + 1, peer.TargetUpdate{From: 900, To: 901}, maxRepeatOrder, 0},
+		{"many, first of the zone", peer.MaxUpdateChanges + 1, peer.TargetUpdate{From: 900, To: 901}, maxRepeatOrder - 1, 1},
+		{"many, no updates", peer.MaxUpdateChanges + 1, peer.TargetUpdate{}, maxRepeatOrder, 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := newFakeStore()
 				network := &fakeNetwork{}
-				order := func() int { return 5 }
+				order := func() int { return tt.order }
 				f := NewTargetFollower(store, targets.NewDirectory(), fakeBroadcaster{network, 0}, order, order, ignoreChange, func() {}, discardLogger)
 				assert.NilError(t, f.read(context.Background()))
 				for i := range tt.missed {
