--- a/registry/registrar.go
+++ b/registry/registrar.go
@@ -14,13 +14,13 @@
 )
 
 const (
-	// contactsPerZone is the number of instances of each zone that are registered.
+	// registeredPerZone is the number of instances of each zone that are registered.
 	// Starting instances find the others through them if no seed responds. There is
 	// more than one, so that some are alive after the failure of others.
-	contactsPerZone = 3
-	// contactCheckInterval is the mean time between two checks whether this instance
+	registeredPerZone = 3
+	// registrationCheckInterval is the mean time between two checks whether this instance
 	// has become one of them.
-	contactCheckInterval = time.Second
+	registrationCheckInterval = time.Second
 	// registerTimeout limits the call that registers this instance. The store appends
 	// the records of a topic one after the other: when many instances register at the
 	// same time, a call waits for those before it, and repeating it would make all of
@@ -51,17 +51,17 @@
 	return &Registrar{store: store, directory: directory, logger: logger}
 }
 
-// Run keeps this instance registered while it is among the first contactsPerZone
+// Run keeps this instance registered while it is among the first registeredPerZone
 // instances of its zone that are presumed alive, by ID, until the context ends. It
 // registers it again when the number of instances of the zone has doubled or halved.
 func (r *Registrar) Run(ctx context.Context) error {
 	retryDelay := backoff{rank: r.directory.Rank}
 	for {
-		sleep(ctx, contactCheckInterval/2+rand.N(contactCheckInterval))
+		sleep(ctx, registrationCheckInterval/2+rand.N(registrationCheckInterval))
 		if ctx.Err() != nil {
 			return nil
 		}
-		if r.directory.ZoneRank() >= contactsPerZone || !r.outdated() {
+		if r.directory.ZoneRank() >= registeredPerZone || !r.outdated() {
 			continue
 		}
 		if err := r.register(ctx); err != nil {
--- a/registry/registrar_test.go
+++ b/registry/registrar_test.go
@@ -40,17 +40,17 @@
 			running.Go(func() { assert.Check(t, registrar.Run(ctx)) })
 		}
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, store.appendCount(), contactsPerZone)
+		assert.Equal(t, store.appendCount(), registeredPerZone)
 
-		for _, d := range directories[contactsPerZone:] {
-			for i := range contactsPerZone {
+		for _, d := range directories[registeredPerZone:] {
+			for i := range registeredPerZone {
 				leaving := directories[i].Self()
 				leaving.State = membership.Leaving
 				d.RecordPacket(leaving, interval)
 			}
 		}
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, store.appendCount(), 2*contactsPerZone)
+		assert.Equal(t, store.appendCount(), 2*registeredPerZone)
 		cancel()
 		running.Wait()
 	})
