relay: show in log and metrics why a request was refused for its input

Callers reported proper requests that were answered with a 4xx of the instance. Neither the log line nor the metric told the possible causes apart: all of them counted as refused.input, and the line had only the status and a general reason.

The line "request failed" now has, for such requests, the number of the request on its connection, the bytes and the error of the connection, the part in which reading ended and its error, the limit that applied with the declared and the read size, host and path if no route matched, and the version of the active configuration with the time for which it has been active.

The metric refused.input is split into malformed, incomplete, too_large, no_route and unsupported. No response changes.

--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -41,8 +41,9 @@
 	logger log.Interface
 	apply  func(*config.Document)
 
-	current atomic.Pointer[config.Document]
-	failing atomic.Bool
+	current     atomic.Pointer[config.Document]
+	activatedAt atomic.Pointer[time.Time] // of current
+	failing     atomic.Bool
 	// readAt is the start of the last successful read of the newest configuration.
 	readAt atomic.Pointer[time.Time]
 	// readInProgress is set during a call to the store. cancelRead cancels the call
@@ -178,6 +179,15 @@
 // Current returns the active configuration, or nil if there is none yet.
 func (f *ConfigFollower) Current() *config.Document { return f.current.Load() }
 
+// ActivatedAt returns when the active configuration was activated, the zero time if
+// there is none yet.
+func (f *ConfigFollower) ActivatedAt() time.Time {
+	if at := f.activatedAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // Raw returns the active configuration as it was published.
 func (f *ConfigFollower) Raw() []byte {
 	f.mu.Lock()
@@ -322,6 +332,8 @@
 	}
 	f.raw = append([]byte(nil), raw...)
 	f.apply(document)
+	now := time.Now()
+	f.activatedAt.Store(&now)
 	f.current.Store(document)
 	f.logger.WithField("version", document.Version).WithField("routes", len(document.Routes)).WithField("source", source).
 		Info("configuration in force")
--- a/relay/body.go
+++ b/relay/body.go
@@ -30,8 +30,8 @@
 	if stream == nil {
 		return nil
 	}
-	length := req.Header.ContentLength()
-	body, err := bodies.ReadAll(c.body[:0], stream, length, s.maxRequestBody(), c.reservation)
+	length, limit := req.Header.ContentLength(), s.maxRequestBody()
+	body, err := bodies.ReadAll(c.body[:0], stream, length, limit, c.reservation)
 	c.body = body
 	// fasthttp returns io.EOF both at the end of the body and when the connection
 	// is closed early.
@@ -39,7 +39,9 @@
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
-		return readFailure(err).withConnectionClose()
+		c.input.endIn(stageBody, err)
+		c.input.limit, c.input.declared, c.input.read = limit, length, len(body)
+		return readFailure(err, c.input.conn).withConnectionClose()
 	}
 	req.SetBodyRaw(c.body)
 	return nil
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -37,6 +37,9 @@
 // testTimeout ends a test that hangs. Passing tests are far below it.
 const testTimeout = 20 * time.Second
 
+// harnessActivatedAt is when the configuration of the harness was activated.
+var harnessActivatedAt = time.Now()
+
 // host is the Host header line that matches the routes of the harness.
 const host = "Host: spoolkeep.example\r\n"
 
@@ -52,6 +55,9 @@
 // Current implements ConfigSource.
 func (h *harness) Current() *config.Document { return h.document.Load() }
 
+// ActivatedAt implements ConfigSource.
+func (h *harness) ActivatedAt() time.Time { return harnessActivatedAt }
+
 // ByService implements routing.TargetSource.
 func (h *harness) ByService(string) []*targets.Target { return h.targets }
 
@@ -227,6 +233,12 @@
 	assert.NilError(c.t, err)
 }
 
+// closeWrite closes the sending side of the connection.
+func (c *caller) closeWrite() {
+	c.t.Helper()
+	assert.NilError(c.t, c.conn.(interface{ CloseWrite() error }).CloseWrite())
+}
+
 func (c *caller) receive() (response, error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
--- a/relay/listener.go
+++ b/relay/listener.go
@@ -68,11 +68,24 @@
 }
 
 // countedConn is an accepted connection that counts towards the limit until it
-// is closed.
+// is closed. It keeps the outcome of its reads, because fasthttp wraps some of their
+// errors in a way that hides them. Only one goroutine may read.
 type countedConn struct {
 	net.Conn
-	open   *atomic.Int64
-	closed atomic.Bool
+	open     *atomic.Int64
+	closed   atomic.Bool
+	received int64 // bytes
+	readErr  error // the last error of Read
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received += int64(n)
+	if err != nil {
+		c.readErr = err
+	}
+	return n, err //nolint:wrapcheck // The error must stay that of the connection.
 }
 
 // Close implements net.Conn.
--- a/relay/request.go
+++ b/relay/request.go
@@ -45,6 +45,7 @@
 	sentTries    int // tries in flight and ended tries in which a byte may have been sent
 	triedTargets []targets.Incarnation
 	header       headerInspection
+	input        input
 	body         []byte
 	reservation  *bodies.Reservation // for body
 	lastTry      *try
@@ -65,6 +66,8 @@
 	ctx.Response.ReleaseBody(maxPooledBody)
 	c := s.calls.Get().(*call) //nolint:errcheck,forcetypeassert // The pool holds nothing else.
 	c.reservation = bodies.NewReservation(s.requestMemory, requestCopies)
+	c.arrival = time.Now()
+	c.input = newInput(ctx.Conn(), ctx.ConnRequestNum())
 	s.relayRequest(ctx, c)
 	c.reservation.Release()
 	ctx.Request.ResetBody() // the body refers to the call's buffer
@@ -79,7 +82,7 @@
 // Continue, after which the caller sends the body, only if the request passes
 // admission.
 func (s *Server) handleExpect(ctx *fasthttp.RequestCtx) (status int) {
-	var c call
+	c := call{input: newInput(ctx.Conn(), ctx.ConnRequestNum()+1)}
 	status = fasthttp.StatusInternalServerError // after a panic
 	defer s.recoverPanic(&ctx.Response, &c)
 	f := s.admit(&ctx.Request, &c)
@@ -112,19 +115,21 @@
 func (s *Server) admit(req *fasthttp.Request, c *call) *failure {
 	c.arrival = time.Now()
 	if err := c.header.inspect(req.Header.RawHeaders()); err != nil {
-		return notRunFailure(fasthttp.StatusBadRequest, err.Error()).withConnectionClose()
+		c.input.endIn(stageHeader, err)
+		return notRunFailure(refusedMalformed, fasthttp.StatusBadRequest, err.Error()).withConnectionClose()
 	}
-	if c.header.contentLength > s.http.MaxRequestBodySize {
-		return readFailure(fasthttp.ErrBodyTooLarge).withConnectionClose()
+	if limit := s.http.MaxRequestBodySize; c.header.contentLength > limit {
+		c.input.limit, c.input.declared = limit, c.header.contentLength
+		return readFailure(fasthttp.ErrBodyTooLarge, c.input.conn).withConnectionClose()
 	}
 	if f := c.setRequestID(req); f != nil {
 		return f
 	}
 	if expect := req.Header.Peek(fasthttp.HeaderExpect); len(expect) > 0 && !bytes.EqualFold(expect, []byte("100-continue")) {
-		return notRunFailure(fasthttp.StatusExpectationFailed, "expectation is not 100-continue")
+		return notRunFailure(refusedUnsupported, fasthttp.StatusExpectationFailed, "expectation is not 100-continue")
 	}
 	if req.Header.IsConnect() {
-		return notRunFailure(fasthttp.StatusMethodNotAllowed, "method CONNECT is not relayed")
+		return notRunFailure(refusedUnsupported, fasthttp.StatusMethodNotAllowed, "method CONNECT is not relayed")
 	}
 	return s.resolveRoute(req, c)
 }
@@ -134,9 +139,9 @@
 	id := platform.RequestID(&req.Header)
 	switch {
 	case len(id) == 0:
-		return notRunFailure(fasthttp.StatusBadRequest, "request has no ID")
+		return notRunFailure(refusedMalformed, fasthttp.StatusBadRequest, "request has no ID")
 	case len(id) > maxRequestID:
-		return notRunFailure(fasthttp.StatusBadRequest, "request ID is too long")
+		return notRunFailure(refusedMalformed, fasthttp.StatusBadRequest, "request ID is too long")
 	}
 	c.id = string(id)
 	return nil
@@ -158,11 +163,14 @@
 		return unavailableFailure(refusedStale, "instance has no configuration yet", notReadyRetryAfter)
 	}
 	if limit := c.document.Limits.MaxBodyBytes; limit > 0 && len(c.body) > limit {
-		return readFailure(fasthttp.ErrBodyTooLarge)
+		c.input.limit, c.input.declared, c.input.read = limit, req.Header.ContentLength(), len(c.body)
+		return readFailure(fasthttp.ErrBodyTooLarge, c.input.conn)
 	}
-	c.route = c.document.Match(string(req.Host()), requestPath(req))
+	host, path := string(req.Host()), requestPath(req)
+	c.route = c.document.Match(host, path)
 	if c.route == nil {
-		return notRunFailure(fasthttp.StatusNotFound, "no route matches")
+		c.input.host, c.input.path = host, path
+		return notRunFailure(refusedNoRoute, fasthttp.StatusNotFound, "no route matches")
 	}
 	c.deadline = c.arrival.Add(c.route.Timeout)
 	if timeout, ok := platform.CallerTimeout(&req.Header); ok {
--- a/relay/response.go
+++ b/relay/response.go
@@ -35,10 +35,9 @@
 	return f
 }
 
-// notRunFailure returns the failure of a request that has not run. Its cause is
-// refusedInput, the zero value; unavailableFailure sets any other cause.
-func notRunFailure(status int, reason string) *failure {
-	return &failure{status: status, notRun: true, reason: reason}
+// notRunFailure returns the failure of a request that has not run.
+func notRunFailure(cause refusalCause, status int, reason string) *failure {
+	return &failure{status: status, notRun: true, reason: reason, cause: cause}
 }
 
 func unknownOutcomeFailure(status int, reason string) *failure {
@@ -165,7 +164,7 @@
 	case callerClosed:
 		s.fail(resp, c, callerClosedFailure(false))
 	case errors.Is(err, bodies.ErrNoMemory):
-		s.fail(resp, c, readFailure(err))
+		s.fail(resp, c, readFailure(err, c.input.conn))
 	case errors.As(err, &refusal):
 		cause := refusedNoCapacity
 		if errors.Is(err, routing.ErrNoTarget) {
@@ -179,25 +178,30 @@
 
 // handleError responds to a request that fasthttp could not read.
 func (s *Server) handleError(ctx *fasthttp.RequestCtx, err error) {
-	var c call
+	c := call{arrival: time.Now(), input: newInput(ctx.Conn(), ctx.ConnRequestNum()+1)}
 	defer s.recoverPanic(&ctx.Response, &c)
-	s.fail(&ctx.Response, &c, readFailure(err).withConnectionClose())
+	c.input.endIn(c.input.stageOf(err), err)
+	c.input.limit = maxRequestHeader
+	s.fail(&ctx.Response, &c, readFailure(err, c.input.conn).withConnectionClose())
 }
 
-func readFailure(err error) *failure {
+// readFailure returns the failure of a request that could not be read.
+func readFailure(err error, conn *countedConn) *failure {
 	var smallBuffer *fasthttp.ErrSmallBuffer
 	var netErr net.Error
 	switch {
 	case errors.Is(err, bodies.ErrNoMemory):
 		return unavailableFailure(refusedMemory, "instance has no memory for the request", memoryRetryAfter)
 	case errors.As(err, &smallBuffer):
-		return notRunFailure(fasthttp.StatusRequestHeaderFieldsTooLarge, "request header is too large")
+		return notRunFailure(refusedTooLarge, fasthttp.StatusRequestHeaderFieldsTooLarge, "request header is too large")
 	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, bodies.ErrTooLarge):
-		return notRunFailure(fasthttp.StatusRequestEntityTooLarge, "request body is too large")
+		return notRunFailure(refusedTooLarge, fasthttp.StatusRequestEntityTooLarge, "request body is too large")
 	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &netErr) && netErr.Timeout():
-		return notRunFailure(fasthttp.StatusRequestTimeout, "request did not arrive in time")
+		return notRunFailure(refusedIncomplete, fasthttp.StatusRequestTimeout, "request did not arrive in time")
+	case conn != nil && conn.readErr != nil:
+		return notRunFailure(refusedIncomplete, fasthttp.StatusBadRequest, "request is malformed")
 	}
-	return notRunFailure(fasthttp.StatusBadRequest, "request is malformed")
+	return notRunFailure(refusedMalformed, fasthttp.StatusBadRequest, "request is malformed")
 }
 
 func (s *Server) recordEvent(kind timeline.Kind, c *call, target, detail string) {
@@ -229,7 +233,12 @@
 }
 
 func (s *Server) logFailure(c *call, f *failure) {
-	s.logger.WithFields(s.logFields(c, c.lastTry)).WithField("status", f.status).WithField("not_run", f.notRun).
+	fields := s.logFields(c, c.lastTry)
+	if isInputCause(f.cause) && f.notRun {
+		s.addConfigFields(fields)
+		c.input.addFields(fields)
+	}
+	s.logger.WithFields(fields).WithField("status", f.status).WithField("not_run", f.notRun).
 		WithField("reason", f.reason).Warn("request failed")
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -48,6 +48,8 @@
 // ConfigSource provides the active configuration, nil if there is none yet.
 type ConfigSource interface {
 	Current() *config.Document
+	// ActivatedAt returns when the active configuration was activated.
+	ActivatedAt() time.Time
 }
 
 // Dispatchers provides the dispatcher of a service, nil for an unknown service.
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -13,7 +13,11 @@
 
 // The causes of refusals.
 const (
-	refusedInput        refusalCause = iota // the request is invalid, too large or incomplete at the read timeout, or matches no route
+	refusedMalformed    refusalCause = iota // the request violates the protocol
+	refusedIncomplete                       // the request ended early or did not arrive in time
+	refusedTooLarge                         // the header or the body exceeds a limit
+	refusedNoRoute                          // no route matches
+	refusedUnsupported                      // the method or the expectation is not supported
 	refusedNoCapacity                       // no target had capacity in time
 	refusedNoTarget                         // the service is unknown or has no available target
 	refusedMemory                           // large bodies hold the memory of the instance
@@ -29,7 +33,8 @@
 
 // refusalCauseNames are the metric names of the causes.
 var refusalCauseNames = [refusalCauses]string{
-	"input", "too_late", "no_target", "memory", "stale", "connections", "unreachable", "shed", "deadline", "caller_closed", "internal",
+	"malformed", "incomplete", "too_large", "no_route", "unsupported", "too_late", "no_target", "memory", "stale", "connections",
+	"unreachable", "shed", "deadline", "caller_closed", "internal",
 }
 
 // The range in microseconds and the precision of the latency histogram.
