relay: answer a request that did not arrive completely with 408

What callers saw: status 400 "request is malformed" for a request whose connection ended, or whose sending stalled, before all of it had arrived. 400 tells a caller not to retry, although an incomplete request is not a wrong one and certainly has not run.

Cause: the failure was chosen by the type of the error that fasthttp returns. An end of file counted as malformed. So did a time-out within the framing of a chunk, which fasthttp wraps in a type that hides it.

Evidence, before the change: TestIncompleteRequest "400 (got.status int) != 408 (int): after "G"", and TestSlowRequestAtEachPosition "400 (got.status int) != 408 (int): after "POST /once/ [...] Transfer-Encoding: chunked\r\n\r\n4\r"".

Now the connection keeps the error with which its reads ended. A request that fails while there is one is incomplete, whatever fasthttp makes of that error: 408 and Connection: close. Parsing needs no further bytes to find malformed input, so that is still answered with 400, also if its caller has closed the connection (TestMalformedRequestOfAClosedConnection).

Class of the fault: the cause of a failure is derived from how a library words or wraps it, not from where it arose.

--- a/relay/input.go
+++ b/relay/input.go
@@ -61,7 +61,7 @@
 	fields["connection_request"] = in.number
 	if in.conn != nil {
 		fields["connection_bytes"] = in.conn.received
-		if in.conn.readErr != nil {
+		if in.conn.readFailed() {
 			fields["connection_error"] = truncate(in.conn.readErr.Error(), maxLoggedError)
 		}
 	}
--- a/relay/listener.go
+++ b/relay/listener.go
@@ -88,6 +88,16 @@
 	return n, err //nolint:wrapcheck // The error must stay that of the connection.
 }
 
+// readFailed reports whether reading the connection has ended with an error, such as
+// the end of what the caller sends.
+func (c *countedConn) readFailed() bool { return c != nil && c.readErr != nil }
+
+// readTimedOut reports whether reading the connection has timed out.
+func (c *countedConn) readTimedOut() bool {
+	var netErr net.Error
+	return c.readFailed() && errors.As(c.readErr, &netErr) && netErr.Timeout()
+}
+
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
--- a/relay/response.go
+++ b/relay/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"strconv"
 	"time"
 
@@ -188,7 +187,6 @@
 // readFailure returns the failure of a request that could not be read.
 func readFailure(err error, conn *countedConn) *failure {
 	var smallBuffer *fasthttp.ErrSmallBuffer
-	var netErr net.Error
 	switch {
 	case errors.Is(err, bodies.ErrNoMemory):
 		return unavailableFailure(refusedMemory, "instance has no memory for the request", memoryRetryAfter)
@@ -196,10 +194,10 @@
 		return notRunFailure(refusedTooLarge, fasthttp.StatusRequestHeaderFieldsTooLarge, "request header is too large")
 	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, bodies.ErrTooLarge):
 		return notRunFailure(refusedTooLarge, fasthttp.StatusRequestEntityTooLarge, "request body is too large")
-	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &netErr) && netErr.Timeout():
+	case conn.readTimedOut():
 		return notRunFailure(refusedIncomplete, fasthttp.StatusRequestTimeout, "request did not arrive in time")
-	case conn != nil && conn.readErr != nil:
-		return notRunFailure(refusedIncomplete, fasthttp.StatusBadRequest, "request is malformed")
+	case conn.readFailed():
+		return notRunFailure(refusedIncomplete, fasthttp.StatusRequestTimeout, "request did not arrive completely")
 	}
 	return notRunFailure(refusedMalformed, fasthttp.StatusBadRequest, "request is malformed")
 }
