config: match hosts regardless of their spelling

What callers saw: 404 "no route matches" for a request whose host has a trailing dot, as fully qualified names may be written, with or without a port, in the Host header or in an absolute request target. A route whose host is configured in upper case or with a trailing dot matched no request at all.

Cause: only the host of the request was normalized, not that of the route, and the trailing dot was not removed.

Evidence, before the change: TestProperRequests "host_with_trailing_dot: 404 (got.status int) != 200 (int): no route matches", the same with a port and in absolute form; TestMatch "got is not tt.want: "" in place of "Upper.Example/u/"" and ""dot.example./d/"".

Both sides are now normalized by the same function. TestProperRequests sends requests in all forms that HTTP/1.1 allows and cuts each of them at many positions, some of those with bodies at each; a second test sends them byte by byte and pipelined. No other form was refused.

Class of the fault: two spellings of one name are compared without normalizing both.

--- a/config/document.go
+++ b/config/document.go
@@ -85,8 +85,9 @@
 	d.routes = make(map[routeKey]*Route, len(d.Routes))
 	d.hosts = map[string]bool{}
 	for _, r := range d.Routes {
-		d.routes[routeKey{r.Host, r.PathPrefix}] = r
-		d.hosts[r.Host] = true
+		host := normalizeHost(r.Host)
+		d.routes[routeKey{host, r.PathPrefix}] = r
+		d.hosts[host] = true
 	}
 }
 
@@ -105,12 +106,13 @@
 	return nil
 }
 
-// normalizeHost removes the port from a host and converts it to lower case.
+// normalizeHost removes the port and a trailing dot from a host and converts it to
+// lower case: all spellings name the same host.
 func normalizeHost(host string) string {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:colon]
 	}
-	return strings.ToLower(host)
+	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
 
 // ServiceNames returns the sorted names of the services.
--- a/config/document_test.go
+++ b/config/document_test.go
@@ -16,11 +16,14 @@
 
 // Guards against Match returning a route although another one has a longer
 // matching prefix, a route of another host, or a route whose prefix ends within
-// a segment of the path.
+// a segment of the path, or no route for another spelling of its host.
 func TestMatch(t *testing.T) {
 	d := &Document{
 		Version: 1, Services: map[string]*Service{"s": {Name: "s"}},
-		Routes: []*Route{route("a.example", "/"), route("a.example", "/x/"), route("a.example", "/x/y/"), route("b.example", "/z/")},
+		Routes: []*Route{
+			route("a.example", "/"), route("a.example", "/x/"), route("a.example", "/x/y/"), route("b.example", "/z/"),
+			route("Upper.Example", "/u/"), route("dot.example.", "/d/"),
+		},
 	}
 	assert.NilError(t, d.Validate())
 	d.Index()
@@ -29,6 +32,11 @@
 		{"a.example", "/x/y", "a.example/x/"},
 		{"a.example", "/xy/1", "a.example/"},
 		{"A.Example:8080", "/x/", "a.example/x/"},
+		{"a.example.", "/x/", "a.example/x/"},
+		{"a.example.:8080", "/x/", "a.example/x/"},
+		{"a.example..", "/x/", ""},
+		{"upper.example", "/u/", "Upper.Example/u/"},
+		{"dot.example", "/d/", "dot.example./d/"},
 		{"b.example", "/z/1", "b.example/z/"},
 		{"b.example", "/z", ""},
 		{"b.example", "/x/1", ""},
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -148,7 +148,7 @@
 
 func (s *scriptedTarget) serve(c net.Conn, script targetScript) {
 	defer func() { _ = c.Close() }()
-	reader := bufio.NewReader(c)
+	reader := bufio.NewReaderSize(c, 64<<10)
 	for {
 		var req fasthttp.Request
 		if err := req.Read(reader); err != nil {
@@ -239,9 +239,14 @@
 	assert.NilError(c.t, c.conn.(interface{ CloseWrite() error }).CloseWrite())
 }
 
-func (c *caller) receive() (response, error) {
+func (c *caller) receive() (response, error) { return c.receiveResponse(false) }
+
+// receiveResponse receives the response to a request, which has no body if the request
+// is a HEAD request.
+func (c *caller) receiveResponse(head bool) (response, error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
+	resp.SkipBody = head
 	if err := resp.Read(c.reader); err != nil {
 		return response{}, err
 	}
