relay, bodies: refuse with 413 only what the configuration does not allow

What callers saw: 413 "request body is too large" for a body within the max-body-bytes of the configuration. 413 tells a caller that the request is wrong and not to send it again.

Cause: limits of the instance gave the same answer as that of the configuration: a body that does not fit into the instance's memory for bodies, one above the fixed 64 MiB although the configuration allows more or none is there yet, and one in very many tiny chunks. The configured limit itself was that of the configuration at hand, also in an instance that had been paused and had not read its state again. A request with "Expect: 100-continue" and a length beyond the configured limit got 100 first.

Each limit now has its own error. Only one function answers 413: it waits for recent state, as routing does, and compares the size with the limit of that configuration. Everything else is refused with 503, Retry-After and the metric instance_limit, since another instance may take the request.

Changes to existing tests: TestBadInput and TestExpectContinue had set the limit of the instance and expected 413; they now set that of the configuration as well.

Class of the fault: a limit of the server is reported as an error of the caller.

--- a/bodies/memory.go
+++ b/bodies/memory.go
@@ -11,10 +11,13 @@
 	// ErrNoMemory means that the large bodies that are held now leave no memory for
 	// another one.
 	ErrNoMemory = errors.New("no memory for the body")
-	// ErrTooLarge means that a body is larger than the limit for a single one or than
-	// all of the memory, or that it consists of so many small pieces that reading it
-	// takes as long.
+	// ErrTooLarge means that a body is larger than the limit for a single one.
 	ErrTooLarge = errors.New("body is too large")
+	// ErrExceedsMemory means that a body is larger than all of the memory.
+	ErrExceedsMemory = errors.New("body is larger than the memory for bodies")
+	// ErrTooFragmented means that a body consists of so many small pieces that reading
+	// it takes as long as reading one beyond the limit.
+	ErrTooFragmented = errors.New("body consists of too many small pieces")
 )
 
 // Memory limits the bytes that all large bodies hold together. It is safe for
@@ -53,7 +56,10 @@
 	return &Reservation{memory: memory, copies: copies}
 }
 
-// Add adds n bytes of each copy to the reservation. The error is ErrTooLarge if the
+// Limit returns the size of the memory in bytes.
+func (m *Memory) Limit() int { return int(m.limit) }
+
+// Add adds n bytes of each copy to the reservation. The error is ErrExceedsMemory if the
 // body would not even fit into an unused memory, else ErrNoMemory.
 func (r *Reservation) Add(n int) error {
 	if r == nil || r.memory == nil || n <= 0 {
@@ -61,7 +67,7 @@
 	}
 	n *= r.copies
 	if int64(r.size+n) > r.memory.limit {
-		return ErrTooLarge
+		return ErrExceedsMemory
 	}
 	if !r.memory.reserve(int64(n)) {
 		return ErrNoMemory
--- a/bodies/read.go
+++ b/bodies/read.go
@@ -21,7 +21,8 @@
 // number if that is negative. The buffer grows with the bytes that arrive: a sender
 // could otherwise take the memory by announcing a large body. Buffers of more than
 // SmallBody bytes are added to the reservation. The error wraps ErrTooLarge if the
-// result exceeds limit bytes, ErrNoMemory, or an error of r.
+// result exceeds limit bytes, ErrTooFragmented, ErrExceedsMemory, ErrNoMemory, or an
+// error of r.
 func ReadAll(dst []byte, r io.Reader, size, limit int, reservation *Reservation) ([]byte, error) {
 	if size > limit {
 		return dst, ErrTooLarge
@@ -45,7 +46,7 @@
 		case err != nil:
 			return dst, err
 		case cost > limit+SmallBody:
-			return dst, ErrTooLarge
+			return dst, ErrTooFragmented
 		}
 	}
 }
--- a/relay/badinput_test.go
+++ b/relay/badinput_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/config"
 )
 
 // Guards against invalid requests that reach a target, crash the relay, or get a
@@ -68,6 +70,7 @@
 	}
 	target := newScriptedTarget(t, "t-1", "a", echo)
 	h := newHarness(t, targetInfos(target), WithMaxRequestBody(1000))
+	h.document.Store(documentWithLimits(config.Limits{MaxBodyBytes: 1000}))
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			before := len(target.receivedIDs())
@@ -133,6 +136,7 @@
 		assert.Check(t, len(r.Header.Peek("Expect")) == 0)
 		return echo(r)
 	})), WithMaxRequestBody(1000))
+	h.document.Store(documentWithLimits(config.Limits{MaxBodyBytes: 1000}))
 	const id = "Rhubarbrelay-Attempt-Id: 1\r\n"
 	c := h.connect(t)
 	c.send("POST /once/ HTTP/1.1\r\n" + host + id + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n")
--- a/relay/body.go
+++ b/relay/body.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"io"
 
 	"github.com/valyala/fasthttp"
@@ -41,12 +42,43 @@
 	if err != nil {
 		c.input.endIn(stageBody, err)
 		c.input.limit, c.input.declared, c.input.read = limit, length, len(body)
-		return readFailure(err, c.input.conn).withConnectionClose()
+		return s.bodyFailure(err, c).withConnectionClose()
 	}
 	req.SetBodyRaw(c.body)
 	return nil
 }
 
+// bodyFailure returns the failure of a request whose body could not be read.
+func (s *Server) bodyFailure(err error, c *call) *failure {
+	switch {
+	case errors.Is(err, bodies.ErrTooLarge):
+		return s.bodyTooLargeFailure(max(c.input.declared, c.input.read))
+	case errors.Is(err, bodies.ErrExceedsMemory), errors.Is(err, bodies.ErrNoMemory):
+		c.input.limit = s.requestMemory.Limit() / requestCopies
+	}
+	return readFailure(err, c.input.conn)
+}
+
+// bodyTooLargeFailure returns the failure of a request whose body, of which size bytes
+// are known, exceeds maxRequestBody. Only the limit of a recent configuration is final:
+// beyond a limit of this instance, another one may take the request.
+func (s *Server) bodyTooLargeFailure(size int) *failure {
+	document, f := s.recentDocument()
+	if f != nil {
+		return f
+	}
+	if limit := document.Limits.MaxBodyBytes; limit > 0 && size > limit {
+		return notRunFailure(refusedTooLarge, fasthttp.StatusRequestEntityTooLarge, "request body is too large")
+	}
+	return instanceLimitFailure("request body exceeds a limit of the instance")
+}
+
+// instanceLimitFailure returns the failure of a request that is within the limits of
+// the configuration but not within those of this instance.
+func instanceLimitFailure(reason string) *failure {
+	return unavailableFailure(refusedInstanceLimit, reason, notReadyRetryAfter)
+}
+
 // maxRequestBody returns the limit for the size of a request body in bytes: that of
 // the active configuration if it is lower than that of the server.
 func (s *Server) maxRequestBody() int {
--- a/relay/request.go
+++ b/relay/request.go
@@ -118,9 +118,9 @@
 		c.input.endIn(stageHeader, err)
 		return notRunFailure(refusedMalformed, fasthttp.StatusBadRequest, err.Error()).withConnectionClose()
 	}
-	if limit := s.http.MaxRequestBodySize; c.header.contentLength > limit {
+	if limit := s.maxRequestBody(); c.header.contentLength > limit {
 		c.input.limit, c.input.declared = limit, c.header.contentLength
-		return readFailure(fasthttp.ErrBodyTooLarge, c.input.conn).withConnectionClose()
+		return s.bodyTooLargeFailure(c.header.contentLength).withConnectionClose()
 	}
 	if f := c.setRequestID(req); f != nil {
 		return f
@@ -147,24 +147,31 @@
 	return nil
 }
 
-// resolveRoute determines the route, the service and the deadline of a request.
-// It waits for recent state first, because an old configuration may lack the
-// route.
-func (s *Server) resolveRoute(req *fasthttp.Request, c *call) *failure {
+// recentDocument returns the active configuration. It waits for recent state first,
+// because an old configuration may lack a route or have lower limits.
+func (s *Server) recentDocument() (*config.Document, *failure) {
 	if s.freshness != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), freshnessTimeout)
 		defer cancel()
 		if !s.freshness.Await(ctx) {
-			return unavailableFailure(refusedStale, "instance was paused and has not read its state again", notReadyRetryAfter)
+			return nil, unavailableFailure(refusedStale, "instance was paused and has not read its state again", notReadyRetryAfter)
 		}
 	}
-	c.document = s.config.Current()
-	if c.document == nil {
-		return unavailableFailure(refusedStale, "instance has no configuration yet", notReadyRetryAfter)
+	document := s.config.Current()
+	if document == nil {
+		return nil, unavailableFailure(refusedStale, "instance has no configuration yet", notReadyRetryAfter)
+	}
+	return document, nil
+}
+
+// resolveRoute determines the route, the service and the deadline of a request.
+func (s *Server) resolveRoute(req *fasthttp.Request, c *call) (f *failure) {
+	if c.document, f = s.recentDocument(); f != nil {
+		return f
 	}
 	if limit := c.document.Limits.MaxBodyBytes; limit > 0 && len(c.body) > limit {
 		c.input.limit, c.input.declared, c.input.read = limit, req.Header.ContentLength(), len(c.body)
-		return readFailure(fasthttp.ErrBodyTooLarge, c.input.conn)
+		return s.bodyTooLargeFailure(len(c.body))
 	}
 	host, path := string(req.Host()), requestPath(req)
 	c.route = c.document.Match(host, path)
--- a/relay/response.go
+++ b/relay/response.go
@@ -192,8 +192,8 @@
 		return unavailableFailure(refusedMemory, "instance has no memory for the request", memoryRetryAfter)
 	case errors.As(err, &smallBuffer):
 		return notRunFailure(refusedTooLarge, fasthttp.StatusRequestHeaderFieldsTooLarge, "request header is too large")
-	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, bodies.ErrTooLarge):
-		return notRunFailure(refusedTooLarge, fasthttp.StatusRequestEntityTooLarge, "request body is too large")
+	case errors.Is(err, bodies.ErrExceedsMemory), errors.Is(err, bodies.ErrTooFragmented):
+		return instanceLimitFailure("request body exceeds a limit of the instance")
 	case conn.readTimedOut():
 		return notRunFailure(refusedIncomplete, fasthttp.StatusRequestTimeout, "request did not arrive in time")
 	case conn.readFailed():
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -13,27 +13,28 @@
 
 // The causes of refusals.
 const (
-	refusedMalformed    refusalCause = iota // the request violates the protocol
-	refusedIncomplete                       // the request ended early or did not arrive in time
-	refusedTooLarge                         // the header or the body exceeds a limit
-	refusedNoRoute                          // no route matches
-	refusedUnsupported                      // the method or the expectation is not supported
-	refusedNoCapacity                       // no target had capacity in time
-	refusedNoTarget                         // the service is unknown or has no available target
-	refusedMemory                           // large bodies hold the memory of the instance
-	refusedStale                            // the instance's state is too old, or it has no configuration yet
-	refusedConnections                      // the limit of connections from callers was reached
-	refusedUnreachable                      // nothing could be sent to a target
-	refusedShed                             // the last target that was tried did not run the request
-	refusedDeadline                         // the caller's deadline had passed when the request arrived
-	refusedCallerClosed                     // the caller closed its connection; a try in flight may still run the request
+	refusedMalformed     refusalCause = iota // the request violates the protocol
+	refusedIncomplete                        // the request ended early or did not arrive in time
+	refusedTooLarge                          // the header or the body exceeds a limit of the configuration
+	refusedInstanceLimit                     // the request exceeds a limit of the instance, but not of the configuration
+	refusedNoRoute                           // no route matches
+	refusedUnsupported                       // the method or the expectation is not supported
+	refusedNoCapacity                        // no target had capacity in time
+	refusedNoTarget                          // the service is unknown or has no available target
+	refusedMemory                            // large bodies hold the memory of the instance
+	refusedStale                             // the instance's state is too old, or it has no configuration yet
+	refusedConnections                       // the limit of connections from callers was reached
+	refusedUnreachable                       // nothing could be sent to a target
+	refusedShed                              // the last target that was tried did not run the request
+	refusedDeadline                          // the caller's deadline had passed when the request arrived
+	refusedCallerClosed                      // the caller closed its connection; a try in flight may still run the request
 	refusedInternal
 	refusalCauses // the number of causes
 )
 
 // refusalCauseNames are the metric names of the causes.
 var refusalCauseNames = [refusalCauses]string{
-	"malformed", "incomplete", "too_large", "no_route", "unsupported", "too_late", "no_target", "memory", "stale", "connections",
+	"malformed", "incomplete", "too_large", "instance_limit", "no_route", "unsupported", "too_late", "no_target", "memory", "stale", "connections",
 	"unreachable", "shed", "deadline", "caller_closed", "internal",
 }
 
