relay: refuse with 431 only what the configuration does not allow

What callers saw: 431 "request header is too large" for a request whose header fields are within the max-header-bytes of the configuration.

Cause: the buffer of 17 KiB holds the request line and the header fields. With 16384 bytes of fields, it leaves 1 KiB for the request line; with a higher configured limit it is too small for the fields alone. An instance without a configuration, or one that had been paused, gave the same answer.

Evidence, before the change: TestHeaderBeyondALimit "line_of_2000_bytes: 431 (got.status int) != 200", "longest_line: 431 (got.status int) != 200", "high_limit: 431 (got.status int) != 503"; TestHeaderLimitOfAnOldConfiguration "431 (conn.mustReceive().status int) != 503 (int)".

The buffer now has room for 16 KiB of fields and a request line of 8 KiB, 24 KiB for each open connection. Beyond it, the answer is 431 only if a recent configuration allows no more than 16 KiB, else 503 with Retry-After. The activation of a configuration that allows more than the instance takes, in header or body, is logged. The configuration of the harness now has the limits of headers that the platform sets, so that TestBadInput still expects 431.

Class of the fault: a limit of the server is reported as an error of the caller.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -122,6 +122,7 @@
 func (d *Daemon) applyConfig(document *config.Document) {
 	d.table.Update(document.Services)
 	d.relay.ResetTrafficSplits()
+	d.relay.LogUnmetLimits(document)
 	d.members.SetConfigVersion(document.Version)
 	switch {
 	case d.targetFollower.IsReader():
--- a/relay/badinput_test.go
+++ b/relay/badinput_test.go
@@ -70,7 +70,7 @@
 	}
 	target := newScriptedTarget(t, "t-1", "a", echo)
 	h := newHarness(t, targetInfos(target), WithMaxRequestBody(1000))
-	h.document.Store(documentWithLimits(config.Limits{MaxBodyBytes: 1000}))
+	h.document.Store(documentWithLimits(config.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1000}))
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			before := len(target.receivedIDs())
@@ -136,7 +136,7 @@
 		assert.Check(t, len(r.Header.Peek("Expect")) == 0)
 		return echo(r)
 	})), WithMaxRequestBody(1000))
-	h.document.Store(documentWithLimits(config.Limits{MaxBodyBytes: 1000}))
+	h.document.Store(documentWithLimits(config.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1000}))
 	const id = "Rhubarbrelay-Attempt-Id: 1\r\n"
 	c := h.connect(t)
 	c.send("POST /once/ HTTP/1.1\r\n" + host + id + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n")
--- a/relay/body.go
+++ b/relay/body.go
@@ -4,9 +4,11 @@
 	"errors"
 	"io"
 
+	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 
 	"rhubarbrelay/bodies"
+	"rhubarbrelay/config"
 )
 
 // configureBodyRead makes fasthttp pass the body on as a stream after it has
@@ -51,6 +53,8 @@
 // bodyFailure returns the failure of a request whose body could not be read.
 func (s *Server) bodyFailure(err error, c *call) *failure {
 	switch {
+	case isHeaderTooLarge(err): // the trailer
+		return s.headerTooLargeFailure()
 	case errors.Is(err, bodies.ErrTooLarge):
 		return s.bodyTooLargeFailure(max(c.input.declared, c.input.read))
 	case errors.Is(err, bodies.ErrExceedsMemory), errors.Is(err, bodies.ErrNoMemory):
@@ -73,6 +77,41 @@
 	return instanceLimitFailure("request body exceeds a limit of the instance")
 }
 
+// isHeaderTooLarge reports whether a header or a trailer exceeds maxRequestHeader.
+func isHeaderTooLarge(err error) bool {
+	var smallBuffer *fasthttp.ErrSmallBuffer
+	return errors.As(err, &smallBuffer)
+}
+
+// headerTooLargeFailure returns the failure of a request whose header exceeds
+// maxRequestHeader. It is final only if that is more than a recent configuration allows,
+// with the request line.
+func (s *Server) headerTooLargeFailure() *failure {
+	document, f := s.recentDocument()
+	if f != nil {
+		return f
+	}
+	if limit := document.Limits.MaxHeaderBytes; limit > 0 && limit <= maxHeaderFields {
+		return notRunFailure(refusedTooLarge, fasthttp.StatusRequestHeaderFieldsTooLarge, "request header is too large")
+	}
+	return instanceLimitFailure("request header exceeds a limit of the instance")
+}
+
+// LogUnmetLimits logs which limits of a configuration are above those of this instance.
+func (s *Server) LogUnmetLimits(document *config.Document) {
+	maxBody := s.http.MaxRequestBodySize
+	if s.requestMemory != nil {
+		maxBody = min(maxBody, s.requestMemory.Limit()/requestCopies)
+	}
+	if document.Limits.MaxBodyBytes <= maxBody && document.Limits.MaxHeaderBytes <= maxHeaderFields {
+		return
+	}
+	s.logger.WithFields(log.Fields{
+		"version": document.Version, "max_body": maxBody, "configured_max_body": document.Limits.MaxBodyBytes,
+		"max_header": maxHeaderFields, "configured_max_header": document.Limits.MaxHeaderBytes,
+	}).Warn("configuration allows requests beyond a limit of the instance")
+}
+
 // instanceLimitFailure returns the failure of a request that is within the limits of
 // the configuration but not within those of this instance.
 func instanceLimitFailure(reason string) *failure {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -72,7 +72,7 @@
 	}
 	d := &config.Document{
 		Version: 1, Services: map[string]*config.Service{"spoolkeep": {Name: "spoolkeep", HealthPath: "/healthz"}},
-		Limits: config.Limits{MaxBodyBytes: 4 << 20},
+		Limits: config.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20},
 		Routes: []*config.Route{
 			route("/safe/", true, 10*time.Second, 2), route("/once/", false, 10*time.Second, 2),
 			route("/brief/", true, 200*time.Millisecond, 2), route("/single/", true, 10*time.Second, 1),
--- a/relay/input_test.go
+++ b/relay/input_test.go
@@ -23,6 +23,13 @@
 	return nil
 }
 
+// count returns the number of entries.
+func (r *logRecorder) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.entries)
+}
+
 // last returns the fields of the last entry with the message.
 func (r *logRecorder) last(t testing.TB, message string) log.Fields {
 	t.Helper()
--- a/relay/instancelimits_test.go
+++ b/relay/instancelimits_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
 	"rhubarbrelay/bodies"
@@ -129,3 +130,78 @@
 func writeChunk(b *strings.Builder, chunk string) {
 	b.WriteString(strconv.FormatInt(int64(len(chunk)), 16) + "\r\n" + chunk + "\r\n")
 }
+
+// headerRequest returns a request whose request line and whose fields, with the empty
+// line, have the given sizes in bytes.
+func headerRequest(line, fields int) string {
+	start := "GET /once/?"
+	end := " HTTP/1.1\r\n"
+	own := host + "Rhubarbrelay-Attempt-Id: id-1\r\nA: "
+	return start + strings.Repeat("q", line-len(start)-len(end)) + end + own + strings.Repeat("v", fields-len(own)-len("\r\n\r\n")) + "\r\n\r\n"
+}
+
+// Guards against a header within the configured limit that is refused as too large
+// because of its request line or of a limit of the instance, and against one beyond the
+// configured limit that is not refused for good.
+func TestHeaderBeyondALimit(t *testing.T) {
+	const today = 16 << 10
+	cases := []struct {
+		name         string
+		configured   int // bytes
+		line, fields int // bytes
+		status       int
+	}{
+		{"short line", today, 100, today, 200},
+		{"line of 2000 bytes", today, 2000, today, 200},
+		{"longest line", today, 8 << 10, today, 200},
+		{"fields beyond the limit", today, 100, 3 * today, 431},
+		{"line beyond the limit", today, 3 * today, 100, 431},
+		{"low limit", 1 << 10, 100, 3 * today, 431},
+		{"high limit", 4 * today, 100, 3 * today, 503},
+		{"high limit, short header", 4 * today, 2000, today, 200},
+		{"no limit", 0, 100, 3 * today, 503},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, targetInfos(newScriptedTarget(t, "t-1", "a", func(r *fasthttp.Request) (string, bool) { return sealed(r, 200, ""), false })))
+			h.document.Store(documentWithLimits(config.Limits{MaxHeaderBytes: c.configured}))
+			conn := h.connect(t)
+			conn.sendMost(headerRequest(c.line, c.fields))
+			got := conn.mustReceive()
+			assert.Equal(t, got.status, c.status, got.body)
+			assert.Equal(t, got.headers["Retry-After"] != "", c.status == 503)
+			assert.Equal(t, got.headers["Connection"] == "close", c.status != 200)
+		})
+	}
+}
+
+// Guards against a large header that an instance without a configuration, or with one
+// from before it was paused, refuses for good.
+func TestHeaderLimitOfAnOldConfiguration(t *testing.T) {
+	raw := headerRequest(100, 32<<10)
+	h := newHarness(t, nil)
+	h.document.Store(nil)
+	conn := h.connect(t)
+	conn.sendMost(raw)
+	assert.Equal(t, conn.mustReceive().status, 503)
+
+	h = newHarness(t, nil, WithFreshness(freshnessFunc(func() bool { return false })))
+	conn = h.connect(t)
+	conn.sendMost(raw)
+	assert.Equal(t, conn.mustReceive().status, 503)
+}
+
+// Guards against a configuration that the instance cannot meet and that nobody notices.
+func TestUnmetLimitsAreLogged(t *testing.T) {
+	recorded := &logRecorder{}
+	h := newHarness(t, nil, withRecordedLog(recorded), WithMemory(bodies.NewMemory(8<<20), nil))
+	h.relay.LogUnmetLimits(documentWithLimits(config.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20}))
+	assert.Equal(t, h.call(t, "GET", "/safe/", "").status, 503) // there is no target
+	assert.Equal(t, recorded.count(), 1)
+	h.relay.LogUnmetLimits(documentWithLimits(config.Limits{MaxHeaderBytes: 64 << 10, MaxBodyBytes: 4<<20 + 1}))
+	got := recorded.last(t, "configuration allows requests beyond a limit of the instance")
+	assert.Equal(t, got["max_body"], 4<<20)
+	assert.Equal(t, got["configured_max_body"], 4<<20+1)
+	assert.Equal(t, got["max_header"], 16<<10)
+	assert.Equal(t, got["configured_max_header"], 64<<10)
+}
--- a/relay/response.go
+++ b/relay/response.go
@@ -181,17 +181,18 @@
 	defer s.recoverPanic(&ctx.Response, &c)
 	c.input.endIn(c.input.stageOf(err), err)
 	c.input.limit = maxRequestHeader
-	s.fail(&ctx.Response, &c, readFailure(err, c.input.conn).withConnectionClose())
+	f := readFailure(err, c.input.conn)
+	if isHeaderTooLarge(err) {
+		f = s.headerTooLargeFailure()
+	}
+	s.fail(&ctx.Response, &c, f.withConnectionClose())
 }
 
 // readFailure returns the failure of a request that could not be read.
 func readFailure(err error, conn *countedConn) *failure {
-	var smallBuffer *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.Is(err, bodies.ErrNoMemory):
 		return unavailableFailure(refusedMemory, "instance has no memory for the request", memoryRetryAfter)
-	case errors.As(err, &smallBuffer):
-		return notRunFailure(refusedTooLarge, fasthttp.StatusRequestHeaderFieldsTooLarge, "request header is too large")
 	case errors.Is(err, bodies.ErrExceedsMemory), errors.Is(err, bodies.ErrTooFragmented):
 		return instanceLimitFailure("request body exceeds a limit of the instance")
 	case conn.readTimedOut():
--- a/relay/server.go
+++ b/relay/server.go
@@ -34,8 +34,15 @@
 	// DefaultWriteTimeout limits the time for sending a response, for the same
 	// reason.
 	DefaultWriteTimeout = 10 * time.Second
-	// maxRequestHeader limits the size of a request header in bytes.
-	maxRequestHeader = 17 << 10
+	// maxHeaderFields is the size in bytes of the header fields for which there is room
+	// in any case.
+	maxHeaderFields = 16 << 10
+	// maxRequestLine is the size in bytes of the request line for which there is room
+	// beside the header fields. RFC 9112 recommends at least 8000.
+	maxRequestLine = 8 << 10
+	// maxRequestHeader limits the size in bytes of a request line and the header fields.
+	// Every open connection holds a buffer of this size.
+	maxRequestHeader = maxRequestLine + maxHeaderFields
 	// DefaultMaxConnections limits the number of connections from callers.
 	DefaultMaxConnections = 2000
 	// refusalEventsPerSecond limits the refusals recorded per second, so that an
