bodies: read a chunked body that fits into the memory

What callers saw: a refusal of a chunked body that would have fitted into the memory of the instance, from just over half of what one body with a content length may take.

Cause: the buffer of a body of unknown size doubles, and the whole new buffer is reserved. A step beyond the memory was refused, although less would have been enough for the body.

Evidence, before the change: TestReadAll "unknown_size,_most_of_the_memory: error is "body is larger than the memory for bodies""; TestBodyBeyondALimit "chunks,_most_of_the_memory: 503 (got.status int) != 200".

The last step now ends at the size of the memory. The buffer is allocated with exactly the reserved size; slices.Grow may have taken more.

Class of the fault: a decision is based on the size of a buffer instead of the size of its content.

--- a/bodies/memory.go
+++ b/bodies/memory.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"math"
 	"sync/atomic"
 )
 
@@ -76,6 +77,14 @@
 	return nil
 }
 
+// maxSize returns the size in bytes of the largest body that fits into an unused memory.
+func (r *Reservation) maxSize() int {
+	if r == nil || r.memory == nil {
+		return math.MaxInt
+	}
+	return int(r.memory.limit) / r.copies
+}
+
 // Release gives all reserved bytes back. It may be called more than once.
 func (r *Reservation) Release() {
 	if r == nil || r.memory == nil {
--- a/bodies/read.go
+++ b/bodies/read.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"slices"
 )
 
 const (
@@ -52,19 +51,26 @@
 }
 
 // grow doubles the capacity of a full buffer, at most to the expected size and one
-// byte more, with which the end of the body is read. The first growth beyond SmallBody
+// byte more, with which the end of the body is read. If the size is unknown, it grows at
+// most to the size of the memory. The first growth beyond SmallBody
 // reserves all of the expected size: of several bodies that arrive at the same time,
 // some then fit whole, where otherwise none would.
 func grow(dst []byte, size int, reservation *Reservation) ([]byte, error) {
 	more := max(initialBuffer, len(dst))
-	if size >= len(dst) {
+	switch {
+	case size >= len(dst):
 		more = min(more, size+1-len(dst))
+	case len(dst) >= SmallBody:
+		more = min(more, max(1, reservation.maxSize()-len(dst)))
 	}
 	needed := reservedBytes(len(dst)+more, size) - reservedBytes(len(dst), size)
 	if err := reservation.Add(needed); err != nil {
 		return dst, err
 	}
-	return slices.Grow(dst, more), nil
+	// slices.Grow may allocate more than was reserved.
+	grown := make([]byte, len(dst), len(dst)+more)
+	copy(grown, dst)
+	return grown, nil
 }
 
 // reservedBytes returns how much is reserved for a buffer of the given capacity, of a
--- a/bodies/read_test.go
+++ b/bodies/read_test.go
@@ -42,6 +42,8 @@
 		{"broken", io.MultiReader(strings.NewReader("abc"), iotest.ErrReader(errBroken)), -1, 10, 0, 3, errBroken},
 		{"endless", &endless{}, -1, 1 << 20, 8 << 20, -1, ErrTooLarge},
 		{"larger than the memory", &endless{}, -1, 1 << 20, 100 << 10, -1, ErrExceedsMemory},
+		{"unknown size, most of the memory", strings.NewReader(strings.Repeat("x", 230<<10)), -1, 1 << 20, 240 << 10, 230 << 10, nil},
+		{"unknown size, no memory", strings.NewReader(strings.Repeat("x", SmallBody+8)), -1, 1 << 20, 0, -1, ErrExceedsMemory},
 		{"small, no memory", strings.NewReader(strings.Repeat("x", SmallBody)), SmallBody, 1 << 20, 0, SmallBody, nil},
 		{"endless single bytes", iotest.OneByteReader(&endless{}), -1, 16 << 20, 64 << 20, -1, ErrTooFragmented},
 	}
