relay: test proper requests after a refused one and during a shutdown

The incident may have been the rest of a refused request that was taken for the next one on its connection, or requests that arrive while an instance stops. Neither occurs: both tests pass without a change of the code.

--- a/relay/proper_test.go
+++ b/relay/proper_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"strings"
@@ -251,3 +252,67 @@
 		assert.NilError(t, <-sent)
 	}
 }
+
+// Guards against a refused request of which the rest is taken for the next request of
+// its connection, which would be refused as malformed.
+func TestProperRequestAfterARefusedOne(t *testing.T) {
+	target := newScriptedTarget(t, "t-1", "a", describe)
+	h := newHarness(t, targetInfos(target))
+	const id = "Rhubarbrelay-Attempt-Id: id-1\r\n"
+	large := strings.Repeat("GET /once/ HTTP/1.1\r\n\r\n", 20_000)
+	refused := []struct {
+		name, raw string
+		status    int
+	}{
+		{"no route", rawRequest("POST", "/other/", "body"), 404},
+		{"no route, large body", rawRequest("POST", "/other/", large), 404},
+		{"no route, chunked", "POST /other/ HTTP/1.1\r\n" + host + id + "Transfer-Encoding: chunked\r\n\r\n4;a\r\nbody\r\n0\r\nA: b\r\n\r\n", 404},
+		{"no ID", "POST /once/ HTTP/1.1\r\n" + host + "Content-Length: 4\r\n\r\nbody", 400},
+		{"long ID", rawRequest("POST", "/once/", "body", "Rhubarbrelay-Attempt-Id: "+strings.Repeat("i", maxRequestID+1)), 400},
+		{"unknown expectation", rawRequest("POST", "/once/", large, "Expect: miracles"), 417},
+		{"no route for HEAD", rawRequest("HEAD", "/other/", ""), 404},
+	}
+	next := properRequest{raw: rawRequest("POST", "/once/", "next"), want: "POST /once/ next"}
+	for _, r := range refused {
+		t.Run(r.name, func(t *testing.T) {
+			c := h.connect(t)
+			c.send(r.raw + next.raw)
+			got, err := c.receiveResponse(strings.HasPrefix(r.raw, "HEAD "))
+			assert.NilError(t, err)
+			assert.Equal(t, got.status, r.status)
+			c.mustReceiveProper(next)
+		})
+	}
+}
+
+// Guards against a proper request that is refused as the caller's error because it
+// arrives while the instance stops.
+func TestProperRequestsDuringShutdown(t *testing.T) {
+	const callers = 40
+	h := newHarness(t, targetInfos(newScriptedTarget(t, "t-1", "a", describe)))
+	connect := h.serveFragmented(t)
+	request := properRequest{raw: rawRequest("POST", "/once/", "body"), want: "POST /once/ body"}
+	var running sync.WaitGroup
+	for i := range callers {
+		c := connect(t, []int{i * len(request.raw) / callers, len(request.raw)})
+		running.Go(func() {
+			for {
+				if _, err := c.conn.Write([]byte(request.raw)); err != nil {
+					return
+				}
+				got, err := c.receive()
+				if err != nil {
+					return
+				}
+				assert.Check(t, got.status == 200 || got.status == 503, "status %d: %s", got.status, got.body)
+			}
+		})
+	}
+	waitFor(t, "requests are served", func() bool { return h.relay.Stats().Forwarded > callers })
+	h.relay.DisableKeepAlive()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	assert.NilError(t, h.relay.Shutdown(ctx))
+	running.Wait()
+	assert.Equal(t, h.relay.Stats().Refused["malformed"]+h.relay.Stats().Refused["incomplete"], uint64(0))
+}
