relay: do not reset a connection on which a refused caller still sends

What callers saw: a connection reset in place of the 503 or 413 with which a large body was refused. A reset promises nothing, so a request that must not run twice is not sent again although it has not run.

Cause: the connection was closed right after the response. Closing with unread bytes resets it; the caller's write fails, and the response may be lost. The listener already avoided this for connections above their limit.

Evidence, before the change: TestRefusalReachesASendingCaller "write tcp [...]: connection reset by peer" in each run.

After a refusal that closes the connection, what the caller still sends is read and dropped, for at most 1 s, before the connection is closed. The connection counts as open for that time, so that the number of such connections is bounded.

Class of the fault: a response is sent, but the close that follows takes it back.

--- a/relay/listener.go
+++ b/relay/listener.go
@@ -17,7 +17,8 @@
 
 const (
 	// refusalTimeout limits the time for reading the request on a refused
-	// connection and sending the response.
+	// connection and sending the response, and that for reading the rest of a refused
+	// request.
 	refusalTimeout = time.Second
 	// maxPendingRefusals limits the number of refused connections that are kept
 	// open to read their requests.
@@ -76,6 +77,8 @@
 	closed   atomic.Bool
 	received int64 // bytes
 	readErr  error // the last error of Read
+	// lingers is set if the caller may still be sending when the connection is closed.
+	lingers atomic.Bool
 }
 
 // Read implements net.Conn.
@@ -101,11 +104,22 @@
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
-		c.open.Add(-1)
+		defer c.open.Add(-1)
+		if c.lingers.Load() && c.SetReadDeadline(time.Now().Add(refusalTimeout)) == nil {
+			discardRest(c.Conn)
+		}
 	}
 	return c.Conn.Close()
 }
 
+// discardRest reads what the caller still sends, until the read deadline. Closing a
+// connection with unread bytes resets it, and the caller could lose the response.
+func discardRest(conn net.Conn) {
+	if closer, ok := conn.(interface{ CloseWrite() error }); ok && closer.CloseWrite() == nil {
+		_, _ = io.Copy(io.Discard, conn)
+	}
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
 	sc, ok := c.Conn.(syscall.Conn)
@@ -137,9 +151,5 @@
 	if _, err := resp.WriteTo(conn); err != nil || !readRequest {
 		return
 	}
-	// Closing a connection with unread bytes resets it, and the caller could lose
-	// the response.
-	if closer, ok := conn.(interface{ CloseWrite() error }); ok && closer.CloseWrite() == nil {
-		_, _ = io.Copy(io.Discard, conn)
-	}
+	discardRest(conn)
 }
--- a/relay/memory_test.go
+++ b/relay/memory_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbrelay/bodies"
+	"rhubarbrelay/config"
 )
 
 // sealedLarge is like sealed, but the seal does not contain the body, which would not
@@ -125,6 +126,22 @@
 	waitFor(t, "the memory is released", func() bool { return memory.Used()+responses.Used() == 0 })
 }
 
+// Guards against a refusal that is lost because the connection is reset while the caller
+// still sends its body: the caller would not know that its request has not run.
+func TestRefusalReachesASendingCaller(t *testing.T) {
+	const limit, size = 4 << 20, 12 << 20
+	memory := bodies.NewMemory(limit)
+	h := newHarness(t, nil, WithMemory(memory, memory))
+	assert.NilError(t, bodies.NewReservation(memory, 1).Add(limit))
+	h.document.Store(documentWithLimits(config.Limits{MaxBodyBytes: 2 * size}))
+	body := strings.Repeat("x", size)
+	for _, raw := range []string{rawRequest("POST", "/once/", body), chunkedRequest(body, 64<<10)} {
+		assert.Equal(t, h.raw(t, raw).status, 503)
+	}
+	h.document.Store(documentWithLimits(config.Limits{MaxBodyBytes: limit}))
+	assert.Equal(t, h.call(t, "POST", "/once/", body).status, 413)
+}
+
 // Guards against small requests that are refused because large ones hold all of the
 // memory.
 func TestSmallRequestsNeedNoMemory(t *testing.T) {
--- a/relay/response.go
+++ b/relay/response.go
@@ -71,6 +71,9 @@
 		}
 	}
 	writeFailure(resp, f)
+	if f.closeConnection && f.notRun && c.input.conn != nil {
+		c.input.conn.lingers.Store(true)
+	}
 	if c.id != "" {
 		platform.SetRequestID(&resp.Header, []byte(c.id))
 	}
