bodies: reserve little more than the content of a body of unknown size

What callers saw: several chunked bodies at once were refused with 503 although their content fitted into the memory.

A large buffer now grows by a quarter, and not beyond the limit of the body.

--- a/bodies/read.go
+++ b/bodies/read.go
@@ -11,6 +11,9 @@
 	SmallBody = 64 << 10
 	// initialBuffer is the initial size of a buffer in bytes.
 	initialBuffer = 4 << 10
+	// largeGrowth is the part of its size by which a large buffer for a body of unknown
+	// size grows. What is reserved beyond the body is not available to others.
+	largeGrowth = 4
 	// minReadCost is the number of bytes for which a read of fewer bytes counts. It
 	// limits the time for a body that arrives in pieces of single bytes.
 	minReadCost = 64
@@ -30,7 +33,7 @@
 	for {
 		var err error
 		if len(dst) == cap(dst) {
-			if dst, err = grow(dst, size, reservation); err != nil {
+			if dst, err = grow(dst, size, limit, reservation); err != nil {
 				return dst, err
 			}
 		}
@@ -51,17 +54,17 @@
 }
 
 // grow doubles the capacity of a full buffer, at most to the expected size and one
-// byte more, with which the end of the body is read. If the size is unknown, it grows at
-// most to the size of the memory. The first growth beyond SmallBody
+// byte more, with which the end of the body is read. The first growth beyond SmallBody
 // reserves all of the expected size: of several bodies that arrive at the same time,
-// some then fit whole, where otherwise none would.
-func grow(dst []byte, size int, reservation *Reservation) ([]byte, error) {
+// some then fit whole, where otherwise none would. A large buffer for a body of unknown
+// size grows in smaller steps, at most to the limit and to the size of the memory.
+func grow(dst []byte, size, limit int, reservation *Reservation) ([]byte, error) {
 	more := max(initialBuffer, len(dst))
 	switch {
 	case size >= len(dst):
 		more = min(more, size+1-len(dst))
 	case len(dst) >= SmallBody:
-		more = min(more, max(1, reservation.maxSize()-len(dst)))
+		more = min(len(dst)/largeGrowth, limit+1-len(dst), max(1, reservation.maxSize()-len(dst)))
 	}
 	needed := reservedBytes(len(dst)+more, size) - reservedBytes(len(dst), size)
 	if err := reservation.Add(needed); err != nil {
--- a/bodies/read_test.go
+++ b/bodies/read_test.go
@@ -19,6 +19,18 @@
 	return len(p), nil
 }
 
+// Guards against bodies of unknown size that are refused because the buffers of others
+// hold much more memory than their content.
+func TestBodiesOfUnknownSizeShareTheMemory(t *testing.T) {
+	const bodies, size = 4, 2 << 20
+	memory := NewMemory(bodies * size * 13 / 10)
+	for range bodies {
+		body, err := ReadAll(nil, strings.NewReader(strings.Repeat("x", size)), -1, 16<<20, NewReservation(memory, 1))
+		assert.NilError(t, err)
+		assert.Equal(t, len(body), size)
+	}
+}
+
 // Guards against a body that is truncated or altered, and against one beyond a limit
 // that is accepted.
 func TestReadAll(t *testing.T) {
