relay: let a refusal reach a caller that does not wait for 100 Continue

What callers saw: a connection reset while they sent the body of a request with Expect: 100-continue that was refused with 404 or 503. fasthttp closes the connection after such a refusal, but the failure did not say so, so that the rest of the body was not read and the close took the response back.

The failure of admission on this path now closes the connection as all others that leave bytes unread.

Failed before: TestRefusalReachesASendingCaller, with the case of an unknown path that was added: write tcp: write: connection reset by peer

--- a/relay/memory_test.go
+++ b/relay/memory_test.go
@@ -138,6 +138,7 @@
 	for _, raw := range []string{rawRequest("POST", "/once/", body), chunkedRequest(body, 64<<10)} {
 		assert.Equal(t, h.raw(t, raw).status, 503)
 	}
+	assert.Equal(t, h.call(t, "POST", "/unknown/", body, "Expect: 100-continue").status, 404)
 	h.document.Store(documentWithLimits(config.Limits{MaxBodyBytes: limit}))
 	assert.Equal(t, h.call(t, "POST", "/once/", body).status, 413)
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -89,7 +89,8 @@
 	if f == nil {
 		return fasthttp.StatusContinue
 	}
-	s.fail(&ctx.Response, &c, f)
+	// The caller may send the body without waiting for the response.
+	s.fail(&ctx.Response, &c, f.withConnectionClose())
 	return f.status
 }
 
