relay: count the time for receiving a body towards the deadline

What targets saw: more time than the caller has left, by the time that the body took to arrive, because the arrival was set again once the body was read. The latency, the log and the wait in the queue left that time out too.

A request arrives when its header has been read.

--- a/relay/incomplete_test.go
+++ b/relay/incomplete_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 )
 
@@ -102,3 +105,26 @@
 		assert.Equal(t, c.mustReceive().status, 400, raw)
 	}
 }
+
+// Guards against a target that is given more time than the caller has left, because the
+// time for receiving the body does not count.
+func TestDeadlineIncludesReceivingTheBody(t *testing.T) {
+	handed := make(chan string, 1)
+	h := newHarness(t, targetInfos(newScriptedTarget(t, "t-1", "a", func(r *fasthttp.Request) (string, bool) {
+		handed <- string(r.Header.Peek("Rhubarbrelay-Deadline-Ms"))
+		return sealed(r, 200, "ok"), false
+	})))
+	const timeout = 1500
+	raw := rawRequest("POST", "/once/", "body", fmt.Sprintf("Rhubarbrelay-Deadline-Ms: %d", timeout))
+	c := h.connect(t)
+	c.send(raw[:len(raw)-1])
+	waitFor(t, "the request has arrived in part", func() bool { return h.relay.InProgress() > 0 })
+	started := time.Now()
+	time.Sleep(50 * time.Millisecond)
+	received := time.Since(started)
+	c.send(raw[len(raw)-1:])
+	assert.Equal(t, c.mustReceive().status, 200)
+	left, err := strconv.Atoi(<-handed)
+	assert.NilError(t, err)
+	assert.Assert(t, left <= timeout-int(received.Milliseconds()), "%d ms after %s", left, received)
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -82,7 +82,7 @@
 // Continue, after which the caller sends the body, only if the request passes
 // admission.
 func (s *Server) handleExpect(ctx *fasthttp.RequestCtx) (status int) {
-	c := call{input: newInput(ctx.Conn(), ctx.ConnRequestNum()+1)}
+	c := call{arrival: time.Now(), input: newInput(ctx.Conn(), ctx.ConnRequestNum()+1)}
 	status = fasthttp.StatusInternalServerError // after a panic
 	defer s.recoverPanic(&ctx.Response, &c)
 	f := s.admit(&ctx.Request, &c)
@@ -112,9 +112,8 @@
 	s.dispatch(watch, req, resp, c)
 }
 
-// admit validates a request and fills in the call.
+// admit validates a request and fills in the call, whose arrival is set.
 func (s *Server) admit(req *fasthttp.Request, c *call) *failure {
-	c.arrival = time.Now()
 	if err := c.header.inspect(req.Header.RawHeaders()); err != nil {
 		c.input.endIn(stageHeader, err)
 		return notRunFailure(refusedMalformed, fasthttp.StatusBadRequest, err.Error()).withConnectionClose()
