--- a/config/document.go
+++ b/config/document.go
@@ -24,8 +24,8 @@
 // routeKey identifies a route by its host and path prefix.
 type routeKey struct{ host, prefix string }
 
-// Limits holds the limits for callers' requests. Instances enforce only
-// MaxBodyBytes.
+// Limits holds the limits for callers' requests. Instances enforce MaxBodyBytes
+// exactly, MaxHeaderBytes only beyond what their own buffer holds, and no timeouts.
 type Limits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int
--- a/relay/listener.go
+++ b/relay/listener.go
@@ -139,7 +139,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	var c call
+	c := call{arrival: time.Now()}
 	defer s.recoverPanic(resp, &c)
 	if readRequest && req.Header.Read(bufio.NewReaderSize(conn, maxRequestHeader)) == nil {
 		resp.SkipBody = req.Header.IsHead()
--- a/relay/response.go
+++ b/relay/response.go
@@ -183,9 +183,9 @@
 	c := call{arrival: time.Now(), input: newInput(ctx.Conn(), ctx.ConnRequestNum()+1)}
 	defer s.recoverPanic(&ctx.Response, &c)
 	c.input.endIn(c.input.stageOf(err), err)
-	c.input.limit = maxRequestHeader
 	f := readFailure(err, c.input.conn)
 	if isHeaderTooLarge(err) {
+		c.input.limit = maxRequestHeader
 		f = s.headerTooLargeFailure()
 	}
 	s.fail(&ctx.Response, &c, f.withConnectionClose())
