platform, registry, peer: state the era of the store in positions of its log

The store's responses state how often it was restored from a copy, in the header Store-Era. A restored store gives offsets out again, but the code knew a place in a log by its offset alone, so that no log line, metric or test could tell a restoration from other outages.

A Position is an era and an offset. New are the log line "store was restored from a copy", the metric store_era, and in the stand-in of the store Restore (to a copy of a given age) and Rewrite (what operators and targets append again).

--- a/commands/publish.go
+++ b/commands/publish.go
@@ -18,15 +18,15 @@
 // Store is the part of the platform's store that publishing uses.
 type Store interface {
 	Newest(ctx context.Context, topic platform.Topic) (platform.Batch, error)
-	AppendAt(ctx context.Context, topic platform.Topic, offset int64, key string, value []byte) error
+	AppendAt(ctx context.Context, topic platform.Topic, at platform.Position, key string, value []byte) (platform.Position, error)
 }
 
 // LatestConfig returns the newest published configuration, or nil if there is
-// none, and the offset at which the next version must be appended.
-func LatestConfig(ctx context.Context, store Store) (*config.Document, int64, error) {
+// none, and the position at which the next version must be appended.
+func LatestConfig(ctx context.Context, store Store) (*config.Document, platform.Position, error) {
 	batch, err := store.Newest(ctx, platform.ConfigTopic)
 	if err != nil {
-		return nil, 0, err
+		return nil, platform.Position{}, err
 	}
 	for _, r := range batch.Records {
 		if r.Key == platform.ConfigKey && r.Value != nil {
@@ -42,7 +42,7 @@
 // concurrently, all but one get platform.ErrConflict. The error wraps
 // ErrOutcomeUnknown if the store did not respond to the append.
 func Publish(ctx context.Context, store Store, d *config.Document, out io.Writer) error {
-	latest, offset, err := LatestConfig(ctx, store)
+	latest, at, err := LatestConfig(ctx, store)
 	if err != nil {
 		return err
 	}
@@ -60,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	if err := store.AppendAt(ctx, platform.ConfigTopic, offset, platform.ConfigKey, text); err != nil {
+	if _, err := store.AppendAt(ctx, platform.ConfigTopic, at, platform.ConfigKey, text); err != nil {
 		if isRejection(err) {
 			return err
 		}
--- a/commands/publish_test.go
+++ b/commands/publish_test.go
@@ -17,31 +17,33 @@
 // after the next read, as if another operator published between read and append.
 type fakeStore struct {
 	value      []byte
-	endOffset  int64
+	end        platform.Position
 	concurrent []byte
 	appendErr  error // returned by AppendAt if set
 }
 
 func (s *fakeStore) Newest(context.Context, platform.Topic) (platform.Batch, error) {
-	b := platform.Batch{Next: s.endOffset}
+	b := platform.Batch{Next: s.end}
 	if s.value != nil {
 		b.Records = []platform.Record{{Key: platform.ConfigKey, Value: s.value}}
 	}
 	if s.concurrent != nil {
-		s.value, s.endOffset, s.concurrent = s.concurrent, s.endOffset+1, nil
+		s.value, s.concurrent = s.concurrent, nil
+		s.end.Offset++
 	}
 	return b, nil
 }
 
-func (s *fakeStore) AppendAt(_ context.Context, _ platform.Topic, offset int64, _ string, value []byte) error {
+func (s *fakeStore) AppendAt(_ context.Context, _ platform.Topic, at platform.Position, _ string, value []byte) (platform.Position, error) {
 	if s.appendErr != nil {
-		return s.appendErr
+		return platform.Position{}, s.appendErr
 	}
-	if offset != s.endOffset {
-		return platform.ErrConflict
+	if at.Offset != s.end.Offset {
+		return platform.Position{}, platform.ErrConflict
 	}
-	s.value, s.endOffset = value, s.endOffset+1
-	return nil
+	s.value = value
+	s.end.Offset++
+	return s.end, nil
 }
 
 func parse(t *testing.T, name string) *config.Document {
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -19,6 +19,7 @@
 	Targets        int                       `json:"targets"`
 	TargetAgeMS    int64                     `json:"target_age_ms"`
 	StoreFailing   bool                      `json:"store_failing"`
+	StoreEra       int64                     `json:"store_era"`
 	Callers        callerMetrics             `json:"callers"`
 	Services       map[string]serviceMetrics `json:"services"`
 	Peers          peerMetrics               `json:"peers"`
@@ -77,7 +78,7 @@
 	m := instanceMetrics{
 		ConfigVersion: status.ConfigVersion, Ready: status.Ready, ReadyInstances: len(status.Instances),
 		KnownInstances: d.members.Count(), Targets: status.Targets, TargetAgeMS: status.TargetAge.Milliseconds(),
-		StoreFailing: status.StoreFailing, Callers: newCallerMetrics(d.relay.Stats(), status.InProgress),
+		StoreFailing: status.StoreFailing, StoreEra: d.targetFollower.Era(), Callers: newCallerMetrics(d.relay.Stats(), status.InProgress),
 		Services: map[string]serviceMetrics{}, Peers: newPeerMetrics(d.mesh.Stats()), Log: logMetrics(logStats),
 	}
 	for name, s := range d.table.Stats() {
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -9,6 +9,7 @@
 
 	"rhubarbrelay/membership"
 	"rhubarbrelay/peer/peerpb"
+	"rhubarbrelay/platform"
 	"rhubarbrelay/targets"
 )
 
@@ -110,7 +111,10 @@
 }
 
 func updateToWire(update TargetUpdate) *peerpb.TargetNews {
-	m := &peerpb.TargetNews{FromOffset: update.From, ToOffset: update.To, OutageEndedMs: update.SinceOutage.Milliseconds()}
+	m := &peerpb.TargetNews{
+		FromOffset: update.From.Offset, FromEra: update.From.Era, ToOffset: update.To.Offset, ToEra: update.To.Era,
+		OutageEndedMs: update.SinceOutage.Milliseconds(),
+	}
 	for _, c := range update.Changes {
 		m.Changes = append(m.Changes, changeToWire(c))
 	}
@@ -134,7 +138,8 @@
 
 func updateFromWire(m *peerpb.TargetNews) (TargetUpdate, error) {
 	update := TargetUpdate{
-		From: m.GetFromOffset(), To: m.GetToOffset(),
+		From:        platform.Position{Era: m.GetFromEra(), Offset: m.GetFromOffset()},
+		To:          platform.Position{Era: m.GetToEra(), Offset: m.GetToOffset()},
 		SinceOutage: time.Duration(m.GetOutageEndedMs()) * time.Millisecond,
 	}
 	for _, w := range m.GetChanges() {
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbrelay/membership"
+	"rhubarbrelay/platform"
 	"rhubarbrelay/targets"
 	"rhubarbrelay/timeline"
 )
@@ -98,6 +99,9 @@
 	waitFor(t, "a no longer lists b as ready", func() bool { return len(a.directory.Ready()) == 1 })
 }
 
+// at returns a position of the first era.
+func at(offset int64) platform.Position { return platform.Position{Era: 1, Offset: offset} }
+
 // Guards against updates that are altered in transit, and against ranges of
 // offsets from which a lost datagram cannot be detected.
 func TestBroadcastUpdate(t *testing.T) {
@@ -116,9 +120,9 @@
 		offsets = append(offsets, int64(100+2*i))
 	}
 	changes[1] = targets.Change{ID: "removed"}
-	a.mesh.BroadcastUpdate(TargetUpdate{From: 100, To: 160, Changes: changes, SinceOutage: time.Second}, offsets, true)
-	waitFor(t, "b has received all updates", func() bool { u := b.received(); return len(u) > 0 && u[len(u)-1].To == 160 })
-	next := int64(100)
+	a.mesh.BroadcastUpdate(TargetUpdate{From: platform.Position{Era: 2, Offset: 100}, To: platform.Position{Era: 3, Offset: 160}, Changes: changes, SinceOutage: time.Second}, offsets, true)
+	waitFor(t, "b has received all updates", func() bool { u := b.received(); return len(u) > 0 && u[len(u)-1].To.Offset == 160 })
+	next := platform.Position{Era: 2, Offset: 100}
 	var got []targets.Change
 	for _, u := range b.received() {
 		assert.Equal(t, u.From, next)
@@ -161,7 +165,7 @@
 	}
 	addToDirectories(instances...)
 	first.directory.SetConfigVersion(7)
-	first.mesh.BroadcastUpdate(TargetUpdate{From: 5, To: 6}, nil, true)
+	first.mesh.BroadcastUpdate(TargetUpdate{From: at(5), To: at(6)}, nil, true)
 	for i, in := range instances[1:] {
 		withoutVersion := 0
 		copies := 1
@@ -170,7 +174,7 @@
 		}
 		waitFor(t, fmt.Sprintf("instance %d has received the update", i+1), func() bool { return len(in.received()) >= copies })
 		for _, u := range in.received() {
-			assert.Equal(t, u.To, int64(6))
+			assert.Equal(t, u.To, at(6))
 			if u.ConfigVersion == 0 {
 				withoutVersion++
 			}
@@ -189,7 +193,7 @@
 	var clockOffset atomic.Int64 // of the clock of the second instance
 	second := startInstanceWithClock(t, func() time.Time { return time.Now().Add(time.Duration(clockOffset.Load())) }, "a", "a-2", first.address)
 	addToDirectories(first, second)
-	first.mesh.BroadcastUpdate(TargetUpdate{From: 5, To: 6}, nil, true)
+	first.mesh.BroadcastUpdate(TargetUpdate{From: at(5), To: at(6)}, nil, true)
 	waitFor(t, "the second instance has received the update", func() bool { return len(second.received()) > 0 })
 	waitFor(t, "the first instance is considered dead", func() bool {
 		clockOffset.Add(int64(3 * activeInterval))
@@ -204,12 +208,12 @@
 	second := startInstance(t, "a-2", first.address)
 	remote := startInstanceInZone(t, "b", "b-1", first.address)
 	addToDirectories(first, second, remote)
-	second.mesh.BroadcastUpdate(TargetUpdate{From: 5, To: 6}, nil, false)
-	second.mesh.BroadcastUpdate(TargetUpdate{From: 6, To: 7}, nil, false)
+	second.mesh.BroadcastUpdate(TargetUpdate{From: at(5), To: at(6)}, nil, false)
+	second.mesh.BroadcastUpdate(TargetUpdate{From: at(6), To: at(7)}, nil, false)
 	waitFor(t, "the zone has received both updates", func() bool { return len(first.received()) == 2 })
-	first.mesh.BroadcastUpdate(TargetUpdate{From: 7, To: 8}, nil, true)
+	first.mesh.BroadcastUpdate(TargetUpdate{From: at(7), To: at(8)}, nil, true)
 	waitFor(t, "the remote zone has received the third update", func() bool { return len(remote.received()) > 0 })
-	assert.Equal(t, remote.received()[0].To, int64(8))
+	assert.Equal(t, remote.received()[0].To, at(8))
 }
 
 // Guards against a malformed datagram that stops the mesh from receiving.
--- a/peer/packet_fuzz_test.go
+++ b/peer/packet_fuzz_test.go
@@ -19,7 +19,7 @@
 func FuzzHandlePacket(f *testing.F) {
 	address := netip.MustParseAddrPort("127.0.0.1:9")
 	in := membership.Instance{ID: "b", Zone: "z", Incarnation: 2, State: membership.Ready, CallerAddress: address, PeerAddress: address, AdminAddress: address}
-	update := TargetUpdate{From: 1, To: 2, Changes: []targets.Change{{ID: "gone"}, {ID: "t", Target: &targets.Target{ID: "t", Address: address}}}}
+	update := TargetUpdate{From: at(1), To: at(2), Changes: []targets.Change{{ID: "gone"}, {ID: "t", Target: &targets.Target{ID: "t", Address: address}}}}
 	for _, packet := range []*peerpb.Packet{
 		{Sender: instanceToWire(in), IntervalMs: 500, LocalIntervalMs: 500, Hello: true},
 		{Sender: heartbeatToWire(in), IntervalMs: 500},
--- a/peer/snapshot.go
+++ b/peer/snapshot.go
@@ -8,6 +8,7 @@
 
 	"rhubarbrelay/membership"
 	"rhubarbrelay/peer/peerpb"
+	"rhubarbrelay/platform"
 	"rhubarbrelay/targets"
 )
 
@@ -23,16 +24,18 @@
 // TargetState holds all registered targets.
 type TargetState struct {
 	Targets []targets.Target
-	// Next is the offset of the registry's log before which all changes are contained
-	// in Targets.
-	Next int64
+	// Next is the position in the registry's log before which all changes are
+	// contained in Targets.
+	Next platform.Position
 	// Age is the time since Targets was last known to be complete.
 	Age time.Duration
 }
 
 // EncodeSnapshot encodes a snapshot as a protobuf message.
 func EncodeSnapshot(s Snapshot) ([]byte, error) {
-	m := &peerpb.Snapshot{NextOffset: s.Targets.Next, TargetAgeMs: uint32(s.Targets.Age.Milliseconds()), Config: s.Config}
+	m := &peerpb.Snapshot{
+		NextOffset: s.Targets.Next.Offset, Era: s.Targets.Next.Era, TargetAgeMs: uint32(s.Targets.Age.Milliseconds()), Config: s.Config,
+	}
 	for _, in := range s.Instances {
 		m.Instances = append(m.Instances, sightingToWire(in))
 	}
@@ -55,7 +58,8 @@
 		return Snapshot{}, err
 	}
 	s := Snapshot{Instances: instances, Config: m.GetConfig()}
-	s.Targets.Next, s.Targets.Age = m.GetNextOffset(), time.Duration(m.GetTargetAgeMs())*time.Millisecond
+	s.Targets.Next = platform.Position{Era: m.GetEra(), Offset: m.GetNextOffset()}
+	s.Targets.Age = time.Duration(m.GetTargetAgeMs()) * time.Millisecond
 	for _, w := range m.GetTargets() {
 		c, err := changeFromWire(w)
 		if err != nil {
--- a/peer/snapshot_test.go
+++ b/peer/snapshot_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbrelay/membership"
+	"rhubarbrelay/platform"
 	"rhubarbrelay/targets"
 )
 
@@ -25,7 +26,7 @@
 				{ID: "t-1", StartedMS: 5, Service: "s", Address: address, Zone: "z", Version: "v", Slots: 4, Sequence: 6, WarmupLeft: time.Second},
 				{ID: "t-2", StartedMS: 5, Service: "s", Address: address, Zone: "z", Version: "v", Slots: 4, State: targets.Draining},
 			},
-			Next: 77, Age: 300 * time.Millisecond,
+			Next: platform.Position{Era: 3, Offset: 77}, Age: 300 * time.Millisecond,
 		},
 		Config: []byte(`{"version":4}`),
 	}
--- a/peer/update.go
+++ b/peer/update.go
@@ -4,13 +4,14 @@
 	"time"
 
 	"rhubarbrelay/peer/peerpb"
+	"rhubarbrelay/platform"
 	"rhubarbrelay/targets"
 )
 
-// TargetUpdate holds the changes of the target registry from the offset From of
-// its log up to, but not including, the offset To.
+// TargetUpdate holds the changes of the target registry from the position From of
+// its log up to, but not including, the position To.
 type TargetUpdate struct {
-	From, To int64
+	From, To platform.Position
 	Changes  []targets.Change
 	// SinceOutage is the time since the end of an outage of the registry, 0 if
 	// there was none recently.
@@ -27,7 +28,8 @@
 // update.Changes[i]; without them, the changes must fit into one datagram.
 func (m *Mesh) BroadcastUpdate(update TargetUpdate, offsets []int64, allZones bool) {
 	for len(update.Changes) > MaxUpdateChanges {
-		part := TargetUpdate{From: update.From, To: offsets[MaxUpdateChanges], Changes: update.Changes[:MaxUpdateChanges], SinceOutage: update.SinceOutage}
+		to := platform.Position{Era: update.To.Era, Offset: offsets[MaxUpdateChanges]}
+		part := TargetUpdate{From: update.From, To: to, Changes: update.Changes[:MaxUpdateChanges], SinceOutage: update.SinceOutage}
 		m.sendUpdate(part, allZones)
 		update.From, update.Changes, offsets = part.To, update.Changes[MaxUpdateChanges:], offsets[MaxUpdateChanges:]
 	}
--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -222,7 +222,7 @@
 // Run follows the store until the context ends. It reads the newest configuration at
 // once unless ApplyIfNewer was called.
 func (f *ConfigFollower) Run(ctx context.Context) error {
-	from := int64(unknownOffset)
+	from := unknownPosition
 	retryDelay := backoff{rank: f.role.Rank}
 	if f.Current() != nil {
 		f.waitUntilReadDue(ctx)
@@ -233,7 +233,7 @@
 		// The flag is cleared only after cancelRead is replaced: a Refresh that is
 		// not seen here cancels this read.
 		if f.refreshRequested.Swap(false) {
-			from = unknownOffset
+			from = unknownPosition
 		}
 		f.readInProgress.Store(true)
 		next, err := f.read(readCtx, from)
@@ -242,15 +242,15 @@
 		switch {
 		case ctx.Err() != nil:
 		case interrupted: // by Refresh, which requests the newest version
-			from = unknownOffset
+			from = unknownPosition
 			f.waitUntilReadDue(ctx)
 		case errors.Is(err, platform.ErrExpired):
-			f.logger.WithField("from", from).Info("configuration history has expired, reading the newest version")
-			from = unknownOffset
+			f.logger.WithField("from", from.Offset).Info("configuration history has expired, reading the newest version")
+			from = unknownPosition
 		case err != nil:
 			f.recordReadResult(err)
 			if retryDelay.wait(readCtx); readCtx.Err() != nil {
-				from = unknownOffset
+				from = unknownPosition
 			}
 			f.waitUntilReadDue(ctx)
 		default:
@@ -258,7 +258,7 @@
 			retryDelay.reset()
 			from = next
 			if f.waitUntilReadDue(readCtx); readCtx.Err() != nil {
-				from = unknownOffset
+				from = unknownPosition
 			}
 		}
 		cancel()
@@ -280,16 +280,16 @@
 	f.logger.Info("configuration can be read from the store again")
 }
 
-// read long-polls for the versions from the offset on or, if the offset is unknown,
-// reads the newest one without waiting. It returns the offset for the next read.
-func (f *ConfigFollower) read(ctx context.Context, from int64) (int64, error) {
-	if from == unknownOffset {
+// read long-polls for the versions from the position on or, if it is unknown, reads
+// the newest one without waiting. It returns the position for the next read.
+func (f *ConfigFollower) read(ctx context.Context, from platform.Position) (platform.Position, error) {
+	if from == unknownPosition {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		start := time.Now()
 		batch, err := f.store.Newest(ctx, platform.ConfigTopic)
 		if err != nil {
-			return 0, err
+			return platform.Position{}, err
 		}
 		f.applyRecords(batch.Records)
 		f.readAt.Store(&start)
@@ -303,7 +303,7 @@
 	defer cancel()
 	batch, err := f.store.Read(ctx, platform.ConfigTopic, from, wait)
 	if err != nil {
-		return 0, err
+		return platform.Position{}, err
 	}
 	f.applyRecords(batch.Records)
 	return batch.Next, nil
--- a/registry/fake_test.go
+++ b/registry/fake_test.go
@@ -23,6 +23,7 @@
 // fakeStore is an in-memory store with fault injection.
 type fakeStore struct {
 	mu      sync.Mutex
+	era     int64
 	records map[platform.Topic][]platform.Record
 	first   map[platform.Topic]int64 // first offset that has not expired
 	failure error
@@ -37,8 +38,12 @@
 	appends int
 }
 
+// at returns a position of the first era.
+func at(offset int64) platform.Position { return platform.Position{Era: 1, Offset: offset} }
+
 func newFakeStore() *fakeStore {
 	return &fakeStore{
+		era:     1,
 		records: map[platform.Topic][]platform.Record{}, first: map[platform.Topic]int64{}, changed: make(chan struct{}),
 	}
 }
@@ -84,12 +89,27 @@
 	s.first[topic] = int64(len(s.records[topic]))
 }
 
+// restore begins a new era in which the topic ends at the offset.
+func (s *fakeStore) restore(topic platform.Topic, end int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.records[topic] = s.records[topic][:end]
+	s.first[topic] = min(s.first[topic], int64(end))
+	s.notifyChanged()
+}
+
 func (s *fakeStore) counts() (reads, newest int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.reads, s.newest
 }
 
+// end returns the position after the last record of a topic.
+func (s *fakeStore) end(topic platform.Topic) platform.Position {
+	return platform.Position{Era: s.era, Offset: int64(len(s.records[topic]))}
+}
+
 // Newest implements Store.
 func (s *fakeStore) Newest(_ context.Context, topic platform.Topic) (platform.Batch, error) {
 	s.mu.Lock()
@@ -102,7 +122,7 @@
 	for _, r := range s.records[topic] {
 		last[r.Key] = r
 	}
-	batch := platform.Batch{Next: int64(len(s.records[topic]))}
+	batch := platform.Batch{Next: s.end(topic)}
 	for _, r := range last {
 		if r.Value != nil {
 			batch.Records = append(batch.Records, r)
@@ -112,7 +132,7 @@
 }
 
 // Read implements Store.
-func (s *fakeStore) Read(ctx context.Context, topic platform.Topic, from int64, wait time.Duration) (platform.Batch, error) {
+func (s *fakeStore) Read(ctx context.Context, topic platform.Topic, from platform.Position, wait time.Duration) (platform.Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	s.mu.Lock()
@@ -129,15 +149,15 @@
 	}
 	for {
 		s.mu.Lock()
-		failure, all, first, changed := s.failure, s.records[topic], s.first[topic], s.changed
+		failure, all, first, end, changed := s.failure, s.records[topic], s.first[topic], s.end(topic), s.changed
 		s.mu.Unlock()
 		switch {
 		case failure != nil:
 			return platform.Batch{}, failure
-		case from < first:
+		case from.Offset < first || from.Offset > end.Offset:
 			return platform.Batch{}, platform.ErrExpired
-		case from < int64(len(all)) || wait == 0:
-			return platform.Batch{Records: all[from:], Next: int64(len(all))}, nil
+		case from.Offset < end.Offset || wait == 0:
+			return platform.Batch{Records: all[from.Offset:], Next: end}, nil
 		}
 		select {
 		case <-ctx.Done():
@@ -150,16 +170,18 @@
 }
 
 // Append implements Store.
-func (s *fakeStore) Append(_ context.Context, topic platform.Topic, key string, value []byte) error {
+func (s *fakeStore) Append(_ context.Context, topic platform.Topic, key string, value []byte) (platform.Position, error) {
 	s.mu.Lock()
 	s.appends++
 	failure := s.failure
 	s.mu.Unlock()
 	if failure != nil {
-		return failure
+		return platform.Position{}, failure
 	}
 	s.put(topic, key, string(value))
-	return nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.end(topic), nil
 }
 
 func (s *fakeStore) appendCount() int {
--- a/registry/registrar.go
+++ b/registry/registrar.go
@@ -108,7 +108,7 @@
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	r.attempted.Store(true)
-	if err := r.store.Append(ctx, platform.InstanceTopic, self.ID, value); err != nil {
+	if _, err := r.store.Append(ctx, platform.InstanceTopic, self.ID, value); err != nil {
 		return err
 	}
 	r.registeredCount.Store(int64(known))
@@ -156,7 +156,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
 	defer cancel()
-	if err := r.store.Append(ctx, platform.InstanceTopic, r.directory.Self().ID, nil); err != nil {
+	if _, err := r.store.Append(ctx, platform.InstanceTopic, r.directory.Self().ID, nil); err != nil {
 		r.logger.WithError(err).Warn("instance could not be deregistered")
 	}
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -13,8 +13,8 @@
 // Store provides the operations of the platform's store that this package uses.
 type Store interface {
 	Newest(ctx context.Context, topic platform.Topic) (platform.Batch, error)
-	Read(ctx context.Context, topic platform.Topic, from int64, wait time.Duration) (platform.Batch, error)
-	Append(ctx context.Context, topic platform.Topic, key string, value []byte) error
+	Read(ctx context.Context, topic platform.Topic, from platform.Position, wait time.Duration) (platform.Batch, error)
+	Append(ctx context.Context, topic platform.Topic, key string, value []byte) (platform.Position, error)
 }
 
 const (
@@ -33,9 +33,9 @@
 	maxBackoffLimit  = 4 * time.Second
 )
 
-// unknownOffset means that the offset is not known and the next read must fetch
+// unknownPosition means that the position is not known and the next read must fetch
 // the newest record of each key.
-const unknownOffset = -1
+var unknownPosition = platform.Position{Offset: -1}
 
 // backoff computes the exponential delay between failed calls.
 type backoff struct {
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -56,20 +56,21 @@
 	clock       func() time.Time
 
 	mu sync.Mutex
-	// nextOffset is the offset before which all changes have been applied and from
-	// which the next read starts. After the history has expired, expiredOffset holds
-	// the previous nextOffset until all registrations have been read.
-	nextOffset    int64
-	expiredOffset int64
-	freshAt       time.Time // the time as of which the state is complete
-	lastReadAt    time.Time // the start of the last read of changes by this instance
-	lastUpdateAt  time.Time // when the last update arrived, with or without a gap before it
+	// next is the position before which all changes have been applied and from
+	// which the next read starts. After the history has expired, expired holds
+	// the previous next until all registrations have been read.
+	next         platform.Position
+	expired      platform.Position
+	freshAt      time.Time // the time as of which the state is complete
+	lastReadAt   time.Time // the start of the last read of changes by this instance
+	lastUpdateAt time.Time // when the last update arrived, with or without a gap before it
 	// wakeup receives a value when an update has made the next read unnecessary for
 	// now or the read order has changed, readRequested when a read is needed at once.
 	wakeup        chan struct{}
 	readRequested chan struct{}
 	failing       bool
 	outageEndedAt time.Time
+	era           int64 // of the last position that was read or received
 }
 
 // NewTargetFollower returns a follower. rank returns the number of instances
@@ -82,7 +83,7 @@
 ) *TargetFollower {
 	return &TargetFollower{
 		store: store, directory: directory, broadcaster: broadcaster, rank: rank, readOrder: readOrder, onChange: onChange, onRecovery: onRecovery, logger: logger, clock: time.Now,
-		nextOffset: unknownOffset, expiredOffset: unknownOffset, wakeup: make(chan struct{}, 1), readRequested: make(chan struct{}, 1),
+		next: unknownPosition, expired: unknownPosition, wakeup: make(chan struct{}, 1), readRequested: make(chan struct{}, 1),
 	}
 }
 
@@ -154,11 +155,11 @@
 }
 
 // recordExpiry makes the next read fetch all registrations, because the history
-// from nextOffset on has expired.
+// from next on has expired.
 func (f *TargetFollower) recordExpiry() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.nextOffset, f.expiredOffset = unknownOffset, f.nextOffset
+	f.next, f.expired = unknownPosition, f.next
 }
 
 // waitUntilReadDue waits until the next read is due or the context ends. The delay
@@ -217,21 +218,21 @@
 	f.onRecovery()
 }
 
-// read reads the changes from nextOffset on and broadcasts them. If nextOffset is
-// unknownOffset, it reads all registrations.
+// read reads the changes from next on and broadcasts them. If next is
+// unknownPosition, it reads all registrations.
 func (f *TargetFollower) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	f.mu.Lock()
-	from, start := f.nextOffset, f.clock()
-	hadState := from != unknownOffset || f.expiredOffset != unknownOffset
+	from, start := f.next, f.clock()
+	hadState := from != unknownPosition || f.expired != unknownPosition
 	outage := hadState && f.failing && start.Sub(f.freshAt) > minOutageAge
 	// noUpdates is true if no update has arrived for readInterval. Only then does
 	// this instance broadcast to all zones: if updates arrive, even with gaps, their
 	// sender has already broadcast them to the other zones.
 	noUpdates := start.Sub(f.lastUpdateAt) >= readInterval
 	f.mu.Unlock()
-	if from == unknownOffset {
+	if from == unknownPosition {
 		return f.readAll(ctx, start, outage, noUpdates)
 	}
 	batch, err := f.store.Read(ctx, platform.TargetTopic, from, 0)
@@ -262,7 +263,7 @@
 		return err
 	}
 	f.mu.Lock()
-	restored := f.nextOffset != unknownOffset
+	restored := f.next != unknownPosition
 	f.mu.Unlock()
 	if restored {
 		return nil // Restore was called during the read; its state may be newer
@@ -270,11 +271,11 @@
 	f.recordOutageEnd(outage)
 	effective := f.directory.Replace(f.decodeTargets(batch.Records))
 	f.mu.Lock()
-	from := f.expiredOffset
-	f.expiredOffset = unknownOffset
+	from := f.expired
+	f.expired = unknownPosition
 	f.mu.Unlock()
 	f.recordRead(batch.Next, start, false)
-	if from == unknownOffset {
+	if from == unknownPosition {
 		return nil // all registrations are new to a starting instance
 	}
 	f.notifyChanges(effective, "store")
@@ -286,10 +287,11 @@
 
 // recordRead records a successful read. Reading all registrations, as at the start,
 // does not make this instance a reader.
-func (f *TargetFollower) recordRead(next int64, asOf time.Time, reader bool) {
+func (f *TargetFollower) recordRead(next platform.Position, asOf time.Time, reader bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.nextOffset = next
+	f.next = next
+	f.recordEra(next.Era, "store")
 	if reader {
 		f.lastReadAt = asOf
 	}
@@ -298,7 +300,7 @@
 	}
 }
 
-// ApplyUpdate applies an update from another instance. If it begins after nextOffset,
+// ApplyUpdate applies an update from another instance. If it begins after next,
 // changes in between are missing and the state does not count as complete.
 func (f *TargetFollower) ApplyUpdate(update peer.TargetUpdate) {
 	if update.SinceOutage > 0 {
@@ -307,9 +309,12 @@
 	f.notifyChanges(f.directory.Apply(update.Changes), "peer")
 	f.mu.Lock()
 	f.lastUpdateAt = f.clock()
-	contiguous := f.nextOffset != unknownOffset && update.From <= f.nextOffset
+	f.recordEra(update.To.Era, "peer")
+	contiguous := f.next != unknownPosition && update.From.Offset <= f.next.Offset
 	if contiguous {
-		f.nextOffset = max(f.nextOffset, update.To)
+		if f.next.Offset < update.To.Offset {
+			f.next = update.To
+		}
 		f.freshAt = f.clock()
 	}
 	f.mu.Unlock()
@@ -318,6 +323,25 @@
 	}
 }
 
+// Era returns the era of the store, 0 if it is not known.
+func (f *TargetFollower) Era() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
+// recordEra logs a restoration of the store. f.mu is held.
+func (f *TargetFollower) recordEra(era int64, source string) {
+	if era <= f.era {
+		return
+	}
+	if f.era > 0 {
+		f.logger.WithField("era", era).WithField("previous_era", f.era).WithField("offset", f.next.Offset).WithField("source", source).
+			Warn("store was restored from a copy")
+	}
+	f.era = era
+}
+
 func (f *TargetFollower) notifyChanges(changes []targets.Change, source string) {
 	for _, c := range changes {
 		f.onChange(c, source)
--- a/registry/target_follower_test.go
+++ b/registry/target_follower_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"gotest.tools/v3/assert"
 
 	"rhubarbrelay/peer"
@@ -139,7 +141,7 @@
 		toAllZones int
 	}{
 		{"no updates", peer.TargetUpdate{}, 1},
-		{"update after a gap", peer.TargetUpdate{From: 7, To: 9}, 0},
+		{"update after a gap", peer.TargetUpdate{From: at(7), To: at(9)}, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -149,7 +151,7 @@
 				f := NewTargetFollower(newFakeStore(), targets.NewDirectory(), fakeBroadcaster{network, 0}, order, order, ignoreChange, func() {}, discardLogger)
 				assert.NilError(t, f.read(context.Background()))
 				time.Sleep(2 * time.Second)
-				if tt.update.To > 0 {
+				if tt.update.To.Offset > 0 {
 					f.ApplyUpdate(tt.update)
 				}
 				assert.NilError(t, f.read(context.Background()))
@@ -172,9 +174,9 @@
 		order  int
 		sent   int
 	}{
-		{"few", peer.MaxUpdateChanges, peer.TargetUpdate{From: 900, To: 901}, maxRepeatOrder, 1},
-		{"many", peer.MaxUpdateChanges + 1, peer.TargetUpdate{From: 900, To: 901}, maxRepeatOrder, 0},
-		{"many, first of the zone", peer.MaxUpdateChanges + 1, peer.TargetUpdate{From: 900, To: 901}, maxRepeatOrder - 1, 1},
+		{"few", peer.MaxUpdateChanges, peer.TargetUpdate{From: at(900), To: at(901)}, maxRepeatOrder, 1},
+		{"many", peer.MaxUpdateChanges + 1, peer.TargetUpdate{From: at(900), To: at(901)}, maxRepeatOrder, 0},
+		{"many, first of the zone", peer.MaxUpdateChanges + 1, peer.TargetUpdate{From: at(900), To: at(901)}, maxRepeatOrder - 1, 1},
 		{"many, no updates", peer.MaxUpdateChanges + 1, peer.TargetUpdate{}, maxRepeatOrder, 1},
 	}
 	for _, tt := range tests {
@@ -189,7 +191,7 @@
 					store.put(platform.TargetTopic, fmt.Sprint("t-", i), registration("ready", 1))
 				}
 				time.Sleep(2 * time.Second)
-				if tt.update.To > 0 {
+				if tt.update.To.Offset > 0 {
 					f.ApplyUpdate(tt.update)
 				}
 				assert.NilError(t, f.read(context.Background()))
@@ -223,8 +225,8 @@
 		f.recordExpiry()
 		assert.NilError(t, f.read(context.Background()))
 		assert.Equal(t, len(network.sent), 1)
-		assert.Equal(t, network.sent[0].From, int64(2))
-		assert.Equal(t, network.sent[0].To, int64(4))
+		assert.Equal(t, network.sent[0].From, at(2))
+		assert.Equal(t, network.sent[0].To, at(4))
 		assert.Equal(t, len(network.sent[0].Changes), 2)
 		assert.Assert(t, network.sent[0].SinceOutage > 0)
 		assert.Equal(t, readyCount(directory), 1)
@@ -232,7 +234,7 @@
 }
 
 // Guards against counting the state as complete although changes are missing. If a
-// datagram is lost, the next update begins after nextOffset: its changes are applied,
+// datagram is lost, the next update begins after the known position: its changes are applied,
 // but those of the lost one are still missing.
 func TestUpdateGap(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -243,12 +245,12 @@
 		f := NewTargetFollower(store, targets.NewDirectory(), fakeBroadcaster{&fakeNetwork{}, 0}, func() int { return 0 }, func() int { return 0 }, ignoreChange, func() {}, discardLogger)
 		assert.NilError(t, f.read(context.Background()))
 		time.Sleep(time.Second)
-		f.ApplyUpdate(peer.TargetUpdate{From: 7, To: 9})
+		f.ApplyUpdate(peer.TargetUpdate{From: at(7), To: at(9)})
 		assert.Equal(t, f.Age(), time.Second)
-		f.ApplyUpdate(peer.TargetUpdate{From: 4, To: 6})
+		f.ApplyUpdate(peer.TargetUpdate{From: at(4), To: at(6)})
 		assert.Equal(t, f.Age(), time.Duration(0))
-		f.ApplyUpdate(peer.TargetUpdate{From: 6, To: 9})
-		assert.Equal(t, f.nextOffset, int64(9))
+		f.ApplyUpdate(peer.TargetUpdate{From: at(6), To: at(9)})
+		assert.Equal(t, f.next, at(9))
 	})
 }
 
@@ -356,3 +358,21 @@
 		}
 	})
 }
+
+// Guards against a restoration of the store that leaves no trace in the log and the
+// metrics.
+func TestRestorationIsReported(t *testing.T) {
+	store := newFakeStore()
+	store.put(platform.TargetTopic, "t", "malformed")
+	order := func() int { return 0 }
+	lines := memory.New()
+	f := NewTargetFollower(store, targets.NewDirectory(), fakeBroadcaster{&fakeNetwork{}, 0}, order, order, ignoreChange, func() {},
+		&log.Logger{Handler: lines, Level: log.WarnLevel})
+	assert.NilError(t, f.read(context.Background()))
+	assert.Equal(t, f.Era(), int64(1))
+	store.restore(platform.TargetTopic, 0)
+	store.put(platform.TargetTopic, "t", "malformed")
+	assert.NilError(t, f.read(context.Background()))
+	assert.Equal(t, f.Era(), int64(2))
+	assert.Equal(t, lines.Entries[len(lines.Entries)-1].Message, "store was restored from a copy")
+}
--- a/registry/target_state.go
+++ b/registry/target_state.go
@@ -10,12 +10,12 @@
 // their place in the log is not known.
 func (f *TargetFollower) State() (state peer.TargetState, ok bool) {
 	f.mu.Lock()
-	// The offset is read before the targets: changes that are applied in between are
+	// The position is read before the targets: changes that are applied in between are
 	// applied twice by the receiver, and none is missing.
-	state.Next = f.nextOffset
+	state.Next = f.next
 	state.Age = f.clock().Sub(f.freshAt)
 	f.mu.Unlock()
-	if state.Next == unknownOffset || !f.directory.Loaded() {
+	if state.Next == unknownPosition || !f.directory.Loaded() {
 		return peer.TargetState{}, false
 	}
 	state.Targets = f.directory.Registered()
@@ -27,9 +27,9 @@
 func (f *TargetFollower) Restore(state peer.TargetState, at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.nextOffset != unknownOffset || f.directory.Loaded() {
+	if f.next != unknownPosition || f.directory.Loaded() {
 		return
 	}
 	f.directory.Replace(state.Targets)
-	f.nextOffset, f.freshAt = state.Next, at.Add(-state.Age)
+	f.next, f.freshAt = state.Next, at.Add(-state.Age)
 }
--- a/registry/target_state_test.go
+++ b/registry/target_state_test.go
@@ -88,7 +88,7 @@
 		network, directories := startTargetFollowers(t, store, 1)
 		time.Sleep(100 * time.Millisecond)
 		old := targets.Target{ID: "i", StartedMS: 1, Service: "s", Sequence: 1}
-		network.followers[0].Restore(peer.TargetState{Targets: []targets.Target{old}, Next: 1}, time.Now())
+		network.followers[0].Restore(peer.TargetState{Targets: []targets.Target{old}, Next: at(1)}, time.Now())
 		assert.Equal(t, readyCount(directories[0]), 0)
 	})
 }
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -174,9 +174,9 @@
 type storeRegistry struct{ store *standin.Store }
 
 // Append implements standin.Appender.
-func (r storeRegistry) Append(_ context.Context, topic platform.Topic, key string, value []byte) error {
+func (r storeRegistry) Append(_ context.Context, topic platform.Topic, key string, value []byte) (platform.Position, error) {
 	r.store.Put(string(topic), key, value)
-	return nil
+	return platform.Position{}, nil
 }
 
 // publish publishes the next configuration version. Each version has a route of
--- a/standin/control.go
+++ b/standin/control.go
@@ -22,8 +22,18 @@
 	RefusedAddresses []string `json:"refused"`
 }
 
-// handleControl handles control requests: PUT /standin/faults, POST
-// /standin/expire and GET /standin/calls.
+// restoreMessage is the JSON form of a restoration.
+type restoreMessage struct {
+	AgeMS int64 `json:"age_ms"`
+}
+
+// rewriteMessage names the topic whose lost records are appended again.
+type rewriteMessage struct {
+	Topic string `json:"topic"`
+}
+
+// handleControl handles control requests: PUT /standin/faults, POST /standin/expire,
+// POST /standin/restore, POST /standin/rewrite and GET /standin/calls.
 func (s *Store) handleControl(ctx *fasthttp.RequestCtx, path string) {
 	switch path {
 	case controlPrefix + "faults":
@@ -38,6 +48,20 @@
 		})
 	case controlPrefix + "expire":
 		s.Expire()
+	case controlPrefix + "restore":
+		var m restoreMessage
+		if err := json.Unmarshal(ctx.PostBody(), &m); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		s.Restore(time.Duration(m.AgeMS) * time.Millisecond)
+	case controlPrefix + "rewrite":
+		var m rewriteMessage
+		if err := json.Unmarshal(ctx.PostBody(), &m); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		s.Rewrite(m.Topic)
 	case controlPrefix + "calls":
 		writeJSON(ctx, s.Calls())
 	default:
--- a/standin/store.go
+++ b/standin/store.go
@@ -23,6 +23,8 @@
 	maxPage = 500
 	// maxWait is the maximum duration of a long poll.
 	maxWait = 30 * time.Second
+	// headerEra states the era of the store.
+	headerEra = "Store-Era"
 )
 
 // Faults are the faults of the store that are in effect until they are changed. A
@@ -33,7 +35,7 @@
 	// call with 429, and Full to appends with 507. It does not execute these calls.
 	Down, Throttled, Full bool
 	// Silent makes the store not respond. It closes the connection at the next
-	// append, change of the faults, Expire or Close.
+	// append, change of the faults, Expire, Restore or Close.
 	Silent bool
 	// DropResponses makes the store execute appends and close the connection without
 	// a response.
@@ -52,9 +54,11 @@
 
 	mu     sync.Mutex
 	topics map[string]*topic
+	// era is the number of restorations plus one. Every response states it.
+	era    int64
 	faults Faults
-	// changed is closed and replaced at each append, change of the faults, Expire
-	// and Close.
+	// changed is closed and replaced at each append, change of the faults, Expire,
+	// Restore and Close.
 	changed chan struct{}
 	calls   map[string]int
 	closed  bool
@@ -62,23 +66,57 @@
 
 // topic is the log of one partition.
 type topic struct {
-	first   int64 // offset of the oldest record that is retained
+	first int64 // offset of the oldest record that can be read
+	// records are all records by offset, also those that have expired, since a
+	// restored store may end before them.
 	records []record
 	newest  map[string]record
+	// lost are the records that the last Restore removed.
+	lost []record
 }
 
 // record is one record with its offset.
 type record struct {
-	key    string
-	value  []byte
-	offset int64
+	key        string
+	value      []byte
+	offset     int64
+	appendedAt time.Time
 }
 
-func (t *topic) end() int64 { return t.first + int64(len(t.records)) }
+func (t *topic) end() int64 { return int64(len(t.records)) }
+
+func (t *topic) append(key string, value []byte) {
+	r := record{key: key, value: slices.Clone(value), offset: t.end(), appendedAt: time.Now()}
+	t.records = append(t.records, r)
+	t.recordNewest(r)
+}
+
+func (t *topic) recordNewest(r record) {
+	if r.value == nil {
+		delete(t.newest, r.key)
+		return
+	}
+	t.newest[r.key] = r
+}
+
+// removeSince removes the records that were appended at the given time or later.
+func (t *topic) removeSince(at time.Time) {
+	end := slices.IndexFunc(t.records, func(r record) bool { return !r.appendedAt.Before(at) })
+	if end < 0 {
+		end = len(t.records)
+	}
+	t.lost = slices.Clone(t.records[end:])
+	t.records = t.records[:end]
+	t.first = min(t.first, t.end())
+	t.newest = map[string]record{}
+	for _, r := range t.records {
+		t.recordNewest(r)
+	}
+}
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	s := &Store{topics: map[string]*topic{}, changed: make(chan struct{}), calls: map[string]int{}}
+	s := &Store{topics: map[string]*topic{}, era: 1, changed: make(chan struct{}), calls: map[string]int{}}
 	s.http = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, CloseOnShutdown: true}
 	return s
 }
@@ -116,17 +154,44 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, t := range s.topics {
-		t.first, t.records = t.end(), nil
+		t.first = t.end()
 	}
 	s.notify()
 }
 
+// Restore replaces the content of the store by a copy of the given age and begins a
+// new era. Offsets that the copy lacks are given out again. A long poll in progress
+// ends without a response.
+func (s *Store) Restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since := time.Now().Add(-age)
+	for _, t := range s.topics {
+		t.removeSince(since)
+	}
+	s.era++
+	s.notify()
+}
+
+// Rewrite appends the records that the last Restore removed from a topic, as
+// operators and targets do. It must be called at most once after a Restore.
+func (s *Store) Rewrite(topicName string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(topicName)
+	for _, r := range t.lost {
+		t.append(r.key, r.value)
+	}
+	t.lost = nil
+	s.notify()
+}
+
 // Put appends a record to a topic, as an operator or a target does. A nil value
 // deletes the key.
 func (s *Store) Put(topicName, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.append(s.topic(topicName), key, value)
+	s.topic(topicName).append(key, value)
 	s.notify()
 }
 
@@ -151,22 +216,13 @@
 	return t
 }
 
-func (s *Store) append(t *topic, key string, value []byte) {
-	r := record{key: key, value: slices.Clone(value), offset: t.end()}
-	t.records = append(t.records, r)
-	if value == nil {
-		delete(t.newest, key)
-		return
-	}
-	t.newest[key] = r
-}
-
 func (s *Store) handle(ctx *fasthttp.RequestCtx) {
 	s.mu.Lock()
 	path := string(ctx.Path())
 	s.calls[path]++
 	faults := s.faults
 	s.mu.Unlock()
+	defer s.writeEra(ctx)
 	if strings.HasPrefix(path, controlPrefix) {
 		s.handleControl(ctx, path)
 		return
@@ -186,6 +242,13 @@
 	}
 }
 
+// writeEra states the era as of the end of the call.
+func (s *Store) writeEra(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ctx.Response.Header.Set(headerEra, strconv.FormatInt(s.era, 10))
+}
+
 func (s *Store) serve(ctx *fasthttp.RequestCtx, path string, faults Faults) {
 	topicName := string(ctx.QueryArgs().Peek("topic"))
 	switch path {
@@ -208,7 +271,7 @@
 	}
 }
 
-// waitForChange waits for the next append, change of the faults, Expire or
+// waitForChange waits for the next append, change of the faults, Expire, Restore or
 // Close.
 func (s *Store) waitForChange() {
 	s.mu.Lock()
@@ -236,7 +299,7 @@
 		if end < len(raw) {
 			value = raw[end:]
 		}
-		s.append(t, string(raw[1:end]), value)
+		t.append(string(raw[1:end]), value)
 	}
 	s.notify()
 	writeJSON(ctx, map[string]int64{"offset": first, "end-offset": t.end()})
@@ -251,9 +314,18 @@
 	wait := min(maxWait, time.Duration(ctx.QueryArgs().GetUintOrZero("wait-ms"))*time.Millisecond)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		t, changed := s.topic(topicName), s.changed
+		if s.era != era {
+			s.mu.Unlock()
+			ctx.HijackSetNoResponse(true)
+			ctx.Hijack(func(net.Conn) {})
+			return
+		}
 		done := s.closed || wait == 0 || from != t.end() || s.faults.Down || s.faults.Silent
 		if done {
 			writeRecords(ctx, t, from)
@@ -270,14 +342,14 @@
 }
 
 func writeRecords(ctx *fasthttp.RequestCtx, t *topic, from int64) {
-	if from < t.first {
+	if from < t.first || from > t.end() {
 		ctx.SetStatusCode(fasthttp.StatusGone)
 		writeJSON(ctx, map[string]int64{"first": t.first})
 		return
 	}
 	body := binary.BigEndian.AppendUint64(nil, uint64(t.end()))
 	body = binary.BigEndian.AppendUint64(body, uint64(t.first))
-	for _, r := range t.records[min(int64(len(t.records)), from-t.first):] {
+	for _, r := range t.records[from:] {
 		body = binary.BigEndian.AppendUint32(body, uint32(1+len(r.key)+len(r.value)))
 		body = append(body, byte(len(r.key)))
 		body = append(append(body, r.key...), r.value...)
--- a/standin/target.go
+++ b/standin/target.go
@@ -142,7 +142,7 @@
 
 // Appender appends records to the store in which targets register.
 type Appender interface {
-	Append(ctx context.Context, topic platform.Topic, key string, value []byte) error
+	Append(ctx context.Context, topic platform.Topic, key string, value []byte) (platform.Position, error)
 }
 
 // Register registers the target once per interval until the context ends, then
@@ -157,12 +157,13 @@
 		}
 		// A registration that is lost in an outage of the store is not retried, as the
 		// next one follows.
-		_ = store.Append(ctx, platform.TargetTopic, registration.ID, value)
+		_, _ = store.Append(ctx, platform.TargetTopic, registration.ID, value)
 		select {
 		case <-ctx.Done():
 			removeCtx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			return store.Append(removeCtx, platform.TargetTopic, registration.ID, nil)
+			_, err := store.Append(removeCtx, platform.TargetTopic, registration.ID, nil)
+			return err
 		case <-time.After(interval):
 		}
 	}
