registry: read everything again after the store was restored from a copy

What callers would see: a target that drains gets requests beyond the drain delay, and a published version is not in force. A store that comes back from a copy gives out offsets again. The followers continued at the offset that they had reached before: once the new end had reached or passed it, the records that now lie before it were never read. Only an end below it was noticed, by 410.

Class: a position is compared without the history that it belongs to.

A read now fails with ErrRestored if the response is of another era than the position, and the followers then read the newest record of each key, as they do after the history has expired.

TestChangesAfterRestorationAreRead failed before for an end at and above the position: end_at_the_position: assertion failed: 1 (int) != 0 (int) end_above_the_position: assertion failed: 1 (int) != 0 (int) A long poll of the configuration still learns of the new era only with its response; that is a fault of its own.

--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -244,8 +244,8 @@
 		case interrupted: // by Refresh, which requests the newest version
 			from = unknownPosition
 			f.waitUntilReadDue(ctx)
-		case errors.Is(err, platform.ErrExpired):
-			f.logger.WithField("from", from.Offset).Info("configuration history has expired, reading the newest version")
+		case errors.Is(err, platform.ErrExpired), errors.Is(err, platform.ErrRestored):
+			f.logger.WithError(err).Info("configuration cannot be read on from the known position, reading the newest version")
 			from = unknownPosition
 		case err != nil:
 			f.recordReadResult(err)
--- a/registry/fake_test.go
+++ b/registry/fake_test.go
@@ -154,6 +154,8 @@
 		switch {
 		case failure != nil:
 			return platform.Batch{}, failure
+		case from.Era != end.Era && (from.Offset != end.Offset || wait == 0):
+			return platform.Batch{}, platform.ErrRestored
 		case from.Offset < first || from.Offset > end.Offset:
 			return platform.Batch{}, platform.ErrExpired
 		case from.Offset < end.Offset || wait == 0:
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -57,8 +57,8 @@
 
 	mu sync.Mutex
 	// next is the position before which all changes have been applied and from
-	// which the next read starts. After the history has expired, expired holds
-	// the previous next until all registrations have been read.
+	// which the next read starts. After the history has expired or the store was
+	// restored, expired holds the previous next until all registrations have been read.
 	next         platform.Position
 	expired      platform.Position
 	freshAt      time.Time // the time as of which the state is complete
@@ -139,8 +139,8 @@
 		f.directory.RemoveDue()
 		switch {
 		case ctx.Err() != nil:
-		case errors.Is(err, platform.ErrExpired):
-			f.logger.Info("target registry history has expired, reading all registrations")
+		case errors.Is(err, platform.ErrExpired), errors.Is(err, platform.ErrRestored):
+			f.logger.WithError(err).Info("target registry cannot be read on from the known position, reading all registrations")
 			f.recordExpiry()
 		case err != nil:
 			f.recordReadResult(err)
@@ -154,8 +154,8 @@
 	return nil
 }
 
-// recordExpiry makes the next read fetch all registrations, because the history
-// from next on has expired.
+// recordExpiry makes the next read fetch all registrations, because the store does not
+// hold the history from next on.
 func (f *TargetFollower) recordExpiry() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/registry/target_follower_test.go
+++ b/registry/target_follower_test.go
@@ -359,6 +359,46 @@
 	})
 }
 
+// Guards against changes that are never read because a restored store gives out again
+// the offsets that the follower has read.
+func TestChangesAfterRestorationAreRead(t *testing.T) {
+	tests := []struct {
+		name    string
+		records int // appended after the restoration, the first of which drains the target
+	}{
+		{"end below the position", 1},
+		{"end at the position", 3},
+		{"end above the position", 4},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				for sequence := range 4 {
+					store.put(platform.TargetTopic, "i", registration("ready", sequence))
+				}
+				first := func() int { return 0 }
+				directory := targets.NewDirectory()
+				f := NewTargetFollower(store, directory, fakeBroadcaster{&fakeNetwork{}, 0}, first, first, ignoreChange, func() {}, discardLogger)
+				ctx, cancel := context.WithCancel(t.Context())
+				var running sync.WaitGroup
+				running.Go(func() { _ = f.Run(ctx) })
+				synctest.Wait()
+				assert.Equal(t, readyCount(directory), 1)
+				store.restore(platform.TargetTopic, 1)
+				store.put(platform.TargetTopic, "i", registration("draining", 9))
+				for range tt.records - 1 {
+					store.put(platform.TargetTopic, "j", "")
+				}
+				time.Sleep(2 * readInterval)
+				assert.Equal(t, readyCount(directory), 0)
+				cancel()
+				running.Wait()
+			})
+		})
+	}
+}
+
 // Guards against a restoration of the store that leaves no trace in the log and the
 // metrics.
 func TestRestorationIsReported(t *testing.T) {
@@ -372,6 +412,8 @@
 	assert.Equal(t, f.Era(), int64(1))
 	store.restore(platform.TargetTopic, 0)
 	store.put(platform.TargetTopic, "t", "malformed")
+	assert.ErrorIs(t, f.read(context.Background()), platform.ErrRestored)
+	f.recordExpiry()
 	assert.NilError(t, f.read(context.Background()))
 	assert.Equal(t, f.Era(), int64(2))
 	assert.Equal(t, lines.Entries[len(lines.Entries)-1].Message, "store was restored from a copy")
