registry: compare positions of the target registry within their era

What callers would see: requests reach a draining target beyond the drain delay. A restored store gives offsets out again, so that the updates of the new era begin at lower offsets than other instances have reached. They took each one as continuing their state, also after a lost datagram, until the offsets passed the old ones.

Class: a position is compared without the history that it belongs to.

An update now continues the state only if it begins in the era of the receiver, not beyond its position. The reader that meets the new era broadcasts the changes from its last position of the old era to that in the new one, in several datagrams if need be; the offsets between these are negative. The update continues the state of instances at exactly that position, with no later changes applied: it does not remove targets that its sender did not know. The others have no position then and read all registrations at their regular time, or take the same update from another reader. An update of an older era changes neither position nor age; registrations of unknown targets in it are ignored, as the copy may lack them and nothing would remove them. A response of the older era that arrives after an update of the new one does not set the position back, and a second restoration during the read of all registrations no longer makes the instance forget that others need the changes.

So a receiver counts as complete only if its state is that of the sender at the beginning of the update, whichever offsets the store has given out.

The fake store handed out slices of the records that it wrote over after a restoration, which is a data race of the tests: restore copies them.

--- /dev/null
+++ b/registry/era_test.go
@@ -0,0 +1,290 @@
+package registry
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/peer"
+	"rhubarbrelay/platform"
+	"rhubarbrelay/targets"
+)
+
+// in returns a position of an era.
+func in(era, offset int64) platform.Position { return platform.Position{Era: era, Offset: offset} }
+
+// restoreTargets begins a new era in which the registry ends at the offset.
+func restoreTargets(store *fakeStore, end int) { store.restore(platform.TargetTopic, end) }
+
+// newTestFollower returns a follower of the store that is first in the read order and
+// sends its updates to the network.
+func newTestFollower(store Store, network *fakeNetwork) (*TargetFollower, *targets.Directory) {
+	directory := targets.NewDirectory()
+	first := func() int { return 0 }
+	return NewTargetFollower(store, directory, fakeBroadcaster{network, 0}, first, first, ignoreChange, func() {}, discardLogger), directory
+}
+
+func readyTarget(id string, sequence int64) targets.Change {
+	return targets.Change{ID: id, Target: &targets.Target{ID: id, StartedMS: 1, Service: "s", Sequence: sequence}}
+}
+
+// Guards against a draining target that stays in use because a datagram was lost after
+// a restoration: the offsets of the new era are lower, so that the update after the lost
+// one seems to continue the state.
+func TestLostUpdateAfterRestoration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		for i := range 20 {
+			store.put(platform.TargetTopic, "i", registration("ready", i))
+		}
+		network, directories := startTargetFollowers(t, store, 30)
+		time.Sleep(3 * time.Second)
+		restoreTargets(store, 5)
+		time.Sleep(3 * time.Second)
+		store.put(platform.TargetTopic, "i", registration("draining", 30))
+		network.lose(1)
+		time.Sleep(readInterval + maxReadDelay)
+		for i, d := range directories {
+			assert.Equal(t, readyCount(d), 0, "ready targets at instance %d", i)
+		}
+	})
+}
+
+// Guards against a state that counts as complete although changes are missing, and
+// against reads that are not needed, when the store is restored.
+func TestUpdatesOfSeveralEras(t *testing.T) {
+	type step struct {
+		update peer.TargetUpdate
+		next   platform.Position
+		fresh  bool
+	}
+	change := []targets.Change{readyTarget("j", 1)}
+	begin := step{peer.TargetUpdate{From: in(1, 5), To: in(2, 3)}, in(2, 3), true}
+	tests := []struct {
+		name  string
+		steps []step
+	}{
+		{"beginning of an era", []step{begin, {peer.TargetUpdate{From: in(2, 3), To: in(2, 4)}, in(2, 4), true}}},
+		{"beginning was lost", []step{{peer.TargetUpdate{From: in(2, 3), To: in(2, 4)}, unknownPosition, false}}},
+		{"beginning arrives from a second reader", []step{{peer.TargetUpdate{From: in(2, 3), To: in(2, 4)}, unknownPosition, false}, {peer.TargetUpdate{From: in(1, 5), To: in(2, 6)}, in(2, 6), true}}},
+		{"beginning arrives from a second reader, too early for changes that are known", []step{
+			{peer.TargetUpdate{From: in(2, 3), To: in(2, 4), Changes: change}, unknownPosition, false},
+			{peer.TargetUpdate{From: in(1, 5), To: in(2, 6)}, unknownPosition, false},
+		}},
+		{"two readers", []step{begin, {peer.TargetUpdate{From: in(1, 5), To: in(2, 6)}, in(2, 3), false}, {peer.TargetUpdate{From: in(2, 3), To: in(2, 7)}, in(2, 7), true}}},
+		{"sender had missed changes", []step{{peer.TargetUpdate{From: in(1, 4), To: in(2, 3)}, unknownPosition, false}}},
+		{"changes after a gap are known", []step{{peer.TargetUpdate{From: in(1, 6), To: in(1, 7), Changes: change}, in(1, 5), false}, {begin.update, unknownPosition, false}}},
+		{"update of the older era", []step{begin, {peer.TargetUpdate{From: in(1, 5), To: in(1, 9)}, in(2, 3), false}}},
+		{"second restoration", []step{begin, {peer.TargetUpdate{From: in(2, 3), To: in(3, 1)}, in(3, 1), true}}},
+		{"second restoration, the first was missed", []step{{peer.TargetUpdate{From: in(2, 3), To: in(3, 1)}, unknownPosition, false}, {begin.update, unknownPosition, false}}},
+		{"split update", []step{
+			{peer.TargetUpdate{From: in(1, 5), To: in(2, -4), Changes: change}, in(2, -4), true},
+			{peer.TargetUpdate{From: in(2, -4), To: in(2, 3), Changes: change}, in(2, 3), true},
+		}},
+		{"split update, a part was lost", []step{
+			{peer.TargetUpdate{From: in(1, 5), To: in(2, -12), Changes: change}, in(2, -12), true},
+			{peer.TargetUpdate{From: in(2, -4), To: in(2, 3), Changes: change}, in(2, -12), false},
+			{peer.TargetUpdate{From: in(2, 3), To: in(2, 4)}, in(2, -12), false},
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				for i := range 5 {
+					store.put(platform.TargetTopic, "i", registration("ready", i))
+				}
+				f, _ := newTestFollower(store, &fakeNetwork{})
+				assert.NilError(t, f.read(context.Background()))
+				for i, s := range tt.steps {
+					time.Sleep(time.Millisecond)
+					f.ApplyUpdate(s.update)
+					assert.Equal(t, f.next, s.next, "step %d", i)
+					assert.Equal(t, f.Age() == 0, s.fresh, "step %d", i)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a target that is used forever since its registration, lost by the
+// restoration, arrives from an instance that does not know of the new era.
+func TestLateRegistrationOfOlderEra(t *testing.T) {
+	store := newFakeStore()
+	restoreTargets(store, 0)
+	store.put(platform.TargetTopic, "i", registration("ready", 1))
+	f, directory := newTestFollower(store, &fakeNetwork{})
+	assert.NilError(t, f.read(context.Background()))
+	drained := readyTarget("i", 2)
+	drained.Target.State = targets.Draining
+	f.ApplyUpdate(peer.TargetUpdate{From: in(1, 7), To: in(1, 9), Changes: []targets.Change{readyTarget("j", 1), drained}})
+	assert.Equal(t, directory.Count(), 1)
+	assert.Equal(t, readyCount(directory), 0)
+}
+
+// Guards against a response of the older era that arrives after an update of the new
+// one and sets the position back.
+func TestReadInProgressDuringRestoration(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		update peer.TargetUpdate
+		next   platform.Position
+	}{
+		{"state continued", peer.TargetUpdate{From: in(1, 0), To: in(2, 3)}, in(2, 3)},
+		{"update missed", peer.TargetUpdate{From: in(2, 3), To: in(2, 4)}, unknownPosition},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f, directory := newTestFollower(newFakeStore(), &fakeNetwork{})
+			assert.NilError(t, f.read(context.Background()))
+			f.store = interruptedStore{newFakeStore(), func() { f.ApplyUpdate(tt.update) }}
+			assert.NilError(t, f.read(context.Background()))
+			assert.Equal(t, f.next, tt.next)
+			assert.Equal(t, directory.Count(), 0)
+		})
+	}
+}
+
+// interruptedStore calls a function before each response to a read.
+type interruptedStore struct {
+	*fakeStore
+	before func()
+}
+
+// Read implements Store.
+func (s interruptedStore) Read(ctx context.Context, topic platform.Topic, from platform.Position, wait time.Duration) (platform.Batch, error) {
+	batch, err := s.fakeStore.Read(ctx, topic, from, wait)
+	s.before()
+	return batch, err
+}
+
+// Guards against an instance that counts the beginning of an era as known although its
+// sender had applied some of the changes before.
+func TestBeginningOfEraIsBroadcastOnlyInFull(t *testing.T) {
+	store := newFakeStore()
+	network := &fakeNetwork{}
+	f, _ := newTestFollower(store, network)
+	assert.NilError(t, f.read(context.Background()))
+	restoreTargets(store, 0)
+	store.put(platform.TargetTopic, "j", registration("ready", 1))
+	f.ApplyUpdate(peer.TargetUpdate{From: in(2, 0), To: in(2, 1), Changes: []targets.Change{readyTarget("j", 1)}})
+	assert.NilError(t, f.read(context.Background()))
+	assert.Equal(t, f.next, in(2, 1))
+	assert.Equal(t, len(network.sent), 0)
+}
+
+// Guards against an era that begins with more changes than fit into one datagram, so
+// that every instance must read the store, and against a lost part that is not noticed.
+func TestEraBeginsWithManyChanges(t *testing.T) {
+	const count = 2*peer.MaxUpdateChanges + 3
+	store := newFakeStore()
+	network := &fakeNetwork{}
+	f, _ := newTestFollower(store, network)
+	assert.NilError(t, f.read(context.Background()))
+	restoreTargets(store, 0)
+	for i := range count {
+		store.put(platform.TargetTopic, fmt.Sprintf("t-%02d", i), registration("ready", 1))
+	}
+	assert.ErrorIs(t, f.read(context.Background()), platform.ErrRestored)
+	f.recordExpiry()
+	assert.NilError(t, f.read(context.Background()))
+	assert.Equal(t, len(network.sent), 1)
+	assert.Equal(t, len(network.sent[0].Changes), count)
+	assert.Equal(t, len(network.offsets), count)
+	for i, offset := range network.offsets {
+		assert.Equal(t, offset, int64(i-count))
+		assert.Equal(t, network.sent[0].Changes[i].ID, fmt.Sprintf("t-%02d", i))
+	}
+}
+
+// Guards against changes that are not broadcast because a second restoration interrupts
+// the read of all registrations after the first.
+func TestRestorationDuringReadOfAll(t *testing.T) {
+	store := newFakeStore()
+	network := &fakeNetwork{}
+	f, _ := newTestFollower(store, network)
+	assert.NilError(t, f.read(context.Background()))
+	restoreTargets(store, 0)
+	assert.ErrorIs(t, f.read(context.Background()), platform.ErrRestored)
+	f.recordExpiry()
+	store.fail(platform.ErrRestored)
+	assert.ErrorIs(t, f.read(context.Background()), platform.ErrRestored)
+	f.recordExpiry()
+	store.fail(nil)
+	restoreTargets(store, 0)
+	assert.NilError(t, f.read(context.Background()))
+	assert.Equal(t, len(network.sent), 1)
+	assert.Equal(t, network.sent[0].From, at(0))
+	assert.Equal(t, network.sent[0].To, in(3, 0))
+}
+
+// Guards against a read of all registrations by every instance at the same time after a
+// restoration. In the last test no instance has the state that another one begins with.
+func TestReadsOfManyInstancesAfterRestoration(t *testing.T) {
+	const instances = 144
+	tests := []struct {
+		name      string
+		lost      int // datagrams with the beginning of the era, each to one instance
+		changed   int // registrations that the copy lacks
+		maxNewest int
+		// spread is the time that the reads of all registrations must at least take.
+		spread time.Duration
+		later  bool // whether a change follows at once
+	}{
+		{"no datagram lost", 0, 1, 1, 0, true},
+		{"many changes", 0, 3 * peer.MaxUpdateChanges, 1, 0, true},
+		{"beginning of the era lost for ten", 10, 1, 11, 0, false},
+		{"beginning of the era lost for all", instances - 1, 1, 2, 0, false},
+		{"beginning of the era lost for all, later change", instances - 1, 1, instances, readInterval, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				store.put(platform.TargetTopic, "i", registration("ready", 1))
+				network, directories := startTargetFollowers(t, store, instances)
+				time.Sleep(3 * time.Second)
+				for n := range tt.changed {
+					store.put(platform.TargetTopic, fmt.Sprint("t-", n), registration("ready", 1))
+				}
+				time.Sleep(time.Second)
+				readsBefore, newestBefore := store.counts()
+				restoreTargets(store, 1)
+				store.put(platform.TargetTopic, "i", registration("draining", 2))
+				network.lose(tt.lost)
+				for network.followers[0].Era() < 2 {
+					time.Sleep(time.Millisecond)
+				}
+				if tt.later {
+					store.put(platform.TargetTopic, "j", registration("draining", 1))
+					network.followers[0].Refresh()
+				}
+				time.Sleep(2 * maxReadDelay)
+				for i, f := range network.followers {
+					assert.Equal(t, f.position().Era, int64(2), "instance %d", i)
+					assert.Equal(t, isReady(directories[i], "i"), false, "instance %d", i)
+				}
+				reads, newest := store.counts()
+				times := store.newestTimes()[newestBefore:]
+				t.Logf("%d reads; %d reads of all registrations in %s", reads-readsBefore, newest-newestBefore, times[len(times)-1].Sub(times[0]))
+				assert.Assert(t, len(times) <= tt.maxNewest, "%d reads of all registrations", len(times))
+				assert.Assert(t, times[len(times)-1].Sub(times[0]) >= tt.spread)
+			})
+		})
+	}
+}
+
+// isReady reports whether a target is ready.
+func isReady(d *targets.Directory, id string) bool {
+	return slices.ContainsFunc(d.ByService("s"), func(t *targets.Target) bool { return t.ID == id && t.State == targets.Ready })
+}
+
+func (f *TargetFollower) position() platform.Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next
+}
--- a/registry/fake_test.go
+++ b/registry/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -36,6 +37,8 @@
 	reads   int
 	newest  int
 	appends int
+	// The times of the calls of Newest.
+	newestAt []time.Time
 }
 
 // at returns a position of the first era.
@@ -94,7 +97,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.era++
-	s.records[topic] = s.records[topic][:end]
+	s.records[topic] = slices.Clone(s.records[topic][:end]) // readers may still use the rest
 	s.first[topic] = min(s.first[topic], int64(end))
 	s.notifyChanged()
 }
@@ -105,6 +108,12 @@
 	return s.reads, s.newest
 }
 
+func (s *fakeStore) newestTimes() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.newestAt)
+}
+
 // end returns the position after the last record of a topic.
 func (s *fakeStore) end(topic platform.Topic) platform.Position {
 	return platform.Position{Era: s.era, Offset: int64(len(s.records[topic]))}
@@ -115,6 +124,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.newest++
+	s.newestAt = append(s.newestAt, time.Now())
 	if s.failure != nil {
 		return platform.Batch{}, s.failure
 	}
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -61,9 +61,11 @@
 	// restored, expired holds the previous next until all registrations have been read.
 	next         platform.Position
 	expired      platform.Position
-	freshAt      time.Time // the time as of which the state is complete
-	lastReadAt   time.Time // the start of the last read of changes by this instance
-	lastUpdateAt time.Time // when the last update arrived, with or without a gap before it
+	readFrom     platform.Position // the value of next at the start of the last read
+	ahead        platform.Position // the latest end of an update with changes that did not continue the state; an update from before it would lack these
+	freshAt      time.Time         // the time as of which the state is complete
+	lastReadAt   time.Time         // the start of the last read of changes by this instance
+	lastUpdateAt time.Time         // when the last update arrived, with or without a gap before it
 	// wakeup receives a value when an update has made the next read unnecessary for
 	// now or the read order has changed, readRequested when a read is needed at once.
 	wakeup        chan struct{}
@@ -159,7 +161,9 @@
 func (f *TargetFollower) recordExpiry() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.next, f.expired = unknownPosition, f.next
+	if f.next == f.readFrom { // otherwise an update has continued the state meanwhile
+		f.forgetPosition()
+	}
 }
 
 // waitUntilReadDue waits until the next read is due or the context ends. The delay
@@ -225,14 +229,15 @@
 	defer cancel()
 	f.mu.Lock()
 	from, start := f.next, f.clock()
-	hadState := from != unknownPosition || f.expired != unknownPosition
+	f.readFrom = from
+	hadState := isKnown(from) || isKnown(f.expired)
 	outage := hadState && f.failing && start.Sub(f.freshAt) > minOutageAge
 	// noUpdates is true if no update has arrived for readInterval. Only then does
 	// this instance broadcast to all zones: if updates arrive, even with gaps, their
 	// sender has already broadcast them to the other zones.
 	noUpdates := start.Sub(f.lastUpdateAt) >= readInterval
 	f.mu.Unlock()
-	if from == unknownPosition {
+	if !isKnown(from) {
 		return f.readAll(ctx, start, outage, noUpdates)
 	}
 	batch, err := f.store.Read(ctx, platform.TargetTopic, from, 0)
@@ -240,7 +245,7 @@
 		return err
 	}
 	f.recordOutageEnd(outage)
-	effective := f.directory.Apply(f.decodeChanges(batch.Records))
+	effective := f.directory.Apply(f.applicable(f.decodeChanges(batch.Records), batch.Next))
 	f.notifyChanges(effective, "store")
 	f.recordRead(batch.Next, start, true)
 	if !noUpdates && len(effective) > peer.MaxUpdateChanges && f.readOrder() >= maxRepeatOrder {
@@ -254,33 +259,33 @@
 	return nil
 }
 
-// readAll reads all registrations. After the history has expired, other instances
-// may have missed the same changes and be unable to read the store, so it broadcasts
-// the changes, provided that they fit into one datagram.
+// readAll reads all registrations. After the history has expired or the store was
+// restored, other instances may have missed the same changes and be unable to read the
+// store, so it broadcasts the changes.
 func (f *TargetFollower) readAll(ctx context.Context, start time.Time, outage, allZones bool) error {
 	batch, err := f.store.Newest(ctx, platform.TargetTopic)
 	if err != nil {
 		return err
 	}
 	f.mu.Lock()
-	restored := f.next != unknownPosition
+	continued := isKnown(f.next)
 	f.mu.Unlock()
-	if restored {
-		return nil // Restore was called during the read; its state may be newer
+	if continued {
+		return nil // by Restore or an update during the read; that state may be newer
 	}
 	f.recordOutageEnd(outage)
 	effective := f.directory.Replace(f.decodeTargets(batch.Records))
 	f.mu.Lock()
-	from := f.expired
-	f.expired = unknownPosition
+	from, changesMissing := f.expired, f.expired.Before(f.ahead)
+	f.next, f.expired = unknownPosition, unknownPosition
 	f.mu.Unlock()
 	f.recordRead(batch.Next, start, false)
 	if from == unknownPosition {
 		return nil // all registrations are new to a starting instance
 	}
 	f.notifyChanges(effective, "store")
-	if len(effective) <= peer.MaxUpdateChanges {
-		f.broadcaster.BroadcastUpdate(peer.TargetUpdate{From: from, To: batch.Next, Changes: effective, SinceOutage: f.timeSinceOutage()}, nil, allZones)
+	if !changesMissing {
+		f.broadcastAll(peer.TargetUpdate{From: from, To: batch.Next, Changes: effective, SinceOutage: f.timeSinceOutage()}, allZones)
 	}
 	return nil
 }
@@ -290,33 +295,30 @@
 func (f *TargetFollower) recordRead(next platform.Position, asOf time.Time, reader bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.next = next
 	f.recordEra(next.Era, "store")
 	if reader {
 		f.lastReadAt = asOf
+		if f.next == unknownPosition || next.Era < f.next.Era {
+			return // an update of a newer era has arrived during the read
+		}
 	}
+	f.next = next
 	if asOf.After(f.freshAt) {
 		f.freshAt = asOf
 	}
 }
 
-// ApplyUpdate applies an update from another instance. If it begins after next,
-// changes in between are missing and the state does not count as complete.
+// ApplyUpdate applies an update from another instance. If it does not continue the
+// state, changes in between are missing and the state does not count as complete.
 func (f *TargetFollower) ApplyUpdate(update peer.TargetUpdate) {
 	if update.SinceOutage > 0 {
 		f.directory.SetOutageEnd(f.clock().Add(-update.SinceOutage))
 	}
-	f.notifyChanges(f.directory.Apply(update.Changes), "peer")
+	f.notifyChanges(f.directory.Apply(f.applicable(update.Changes, update.To)), "peer")
 	f.mu.Lock()
 	f.lastUpdateAt = f.clock()
 	f.recordEra(update.To.Era, "peer")
-	contiguous := f.next != unknownPosition && update.From.Offset <= f.next.Offset
-	if contiguous {
-		if f.next.Offset < update.To.Offset {
-			f.next = update.To
-		}
-		f.freshAt = f.clock()
-	}
+	contiguous := f.advance(update)
 	f.mu.Unlock()
 	if contiguous {
 		signal(f.wakeup)
--- a/registry/target_follower_test.go
+++ b/registry/target_follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -23,8 +24,10 @@
 	mu           sync.Mutex
 	followers    []*TargetFollower
 	disconnected bool
+	lost         int // number of datagrams to be lost, those to the last instances first
 	sent         []peer.TargetUpdate
-	toAllZones   int // number of sent updates that were for all zones
+	offsets      []int64 // of the last sent update
+	toAllZones   int     // number of sent updates that were for all zones
 }
 
 func ignoreChange(targets.Change, string) {}
@@ -36,18 +39,23 @@
 }
 
 // BroadcastUpdate implements Broadcaster.
-func (b fakeBroadcaster) BroadcastUpdate(update peer.TargetUpdate, _ []int64, allZones bool) {
+func (b fakeBroadcaster) BroadcastUpdate(update peer.TargetUpdate, offsets []int64, allZones bool) {
 	b.network.mu.Lock()
 	defer b.network.mu.Unlock()
 	b.network.sent = append(b.network.sent, update)
+	b.network.offsets = offsets
 	if allZones {
 		b.network.toAllZones++
 	}
 	if b.network.disconnected {
 		return
 	}
-	for i, f := range b.network.followers {
-		if i != b.self {
+	for i, f := range slices.Backward(b.network.followers) {
+		switch {
+		case i == b.self:
+		case b.network.lost > 0:
+			b.network.lost--
+		default:
 			f.ApplyUpdate(update)
 		}
 	}
@@ -59,6 +67,13 @@
 	n.disconnected = disconnected
 }
 
+// lose makes the network lose datagrams.
+func (n *fakeNetwork) lose(datagrams int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lost = datagrams
+}
+
 // startTargetFollowers runs n followers of one store, with ranks from 0, until the
 // test ends.
 func startTargetFollowers(t *testing.T, store Store, n int) (*fakeNetwork, []*targets.Directory) {
--- a/registry/target_state.go
+++ b/registry/target_state.go
@@ -15,7 +15,7 @@
 	state.Next = f.next
 	state.Age = f.clock().Sub(f.freshAt)
 	f.mu.Unlock()
-	if state.Next == unknownPosition || !f.directory.Loaded() {
+	if !isKnown(state.Next) || !f.directory.Loaded() {
 		return peer.TargetState{}, false
 	}
 	state.Targets = f.directory.Registered()
--- a/targets/directory.go
+++ b/targets/directory.go
@@ -253,6 +253,13 @@
 	return registered
 }
 
+// Knows reports whether a target with the ID is registered.
+func (d *Directory) Knows(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.entries[id] != nil
+}
+
 // Count returns the number of registered targets.
 func (d *Directory) Count() int {
 	d.mu.Lock()
