registry, targets: treat a restoration of the store as the end of an outage

What callers would see: 503, or full queues, for up to two seconds after a restoration, and for longer if a target registers again as it was. A target whose registration was written after the copy was made is missing in the registry until it is written again. It was removed at once, since removals are delayed only after reads have failed for 1.5 s. When it came back with the sequence that it had, it was ignored like a delayed copy from a target that has left.

Class: an absence from the registry is taken for a decision of the target.

The first read in a new era counts as the end of an outage. Target updates report it as before, and a receiver that reads all registrations later does not begin the delay again. Removals that stem from the comparison with a restored registry are marked as lost, also on receivers of the update that begins the era: only after these does a registration with the same sequence add the target again. The state of the lost registration still holds, so that draining does not end. The end of an earlier outage, reported by another instance, no longer replaces that of a later one.

So the removal of a running target is always delayed by the time that the platform states for registering again, and a target that has left by itself stays removed.

--- a/registry/era.go
+++ b/registry/era.go
@@ -69,6 +69,20 @@
 	f.next = to
 }
 
+// beginsEra reports whether the update, or the one of which it is a part, begins an era.
+func beginsEra(update peer.TargetUpdate) bool {
+	return update.From.Era < update.To.Era || update.From.Offset < 0
+}
+
+// lost returns the changes with their removals marked as lost registrations.
+func lost(changes []targets.Change) []targets.Change {
+	marked := slices.Clone(changes)
+	for i := range marked {
+		marked[i].Lost = marked[i].Target == nil
+	}
+	return marked
+}
+
 // applicable returns the changes without the registrations of an older era of targets
 // that are not known. The restored store may lack them, and if their targets do not
 // register again, no removal follows.
--- a/registry/era_test.go
+++ b/registry/era_test.go
@@ -288,3 +288,48 @@
 	defer f.mu.Unlock()
 	return f.next
 }
+
+// Guards against the removal of running targets whose registrations the copy lacks, if
+// the store is away so briefly that no read fails, and against the loss of a target that
+// registers again unchanged after the removal delay.
+func TestNoTargetIsLostByRestoration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		_, directories := startTargetFollowers(t, store, 3)
+		time.Sleep(time.Second)
+		for _, id := range []string{"early", "late", "never"} {
+			store.put(platform.TargetTopic, id, registration("ready", 1))
+		}
+		time.Sleep(3 * time.Second)
+		restoreTargets(store, 0)
+		registered := map[time.Duration]string{1900 * time.Millisecond: "early", 4 * time.Second: "late"}
+		for elapsed := time.Duration(0); elapsed <= 6*time.Second; elapsed += 100 * time.Millisecond {
+			if id := registered[elapsed]; id != "" {
+				store.put(platform.TargetTopic, id, registration("ready", 1))
+			}
+			for i, d := range directories {
+				assert.Assert(t, isReady(d, "early"), "instance %d after %s", i, elapsed)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		for i, d := range directories {
+			assert.Assert(t, isReady(d, "late") && !isReady(d, "never"), "instance %d", i)
+		}
+	})
+}
+
+// Guards against removals that are delayed again when an instance reads all registrations
+// some time after others have reported the restoration.
+func TestOutageEndOfRestorationIsReportedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		network := &fakeNetwork{}
+		f, _ := newTestFollower(store, network)
+		assert.NilError(t, f.read(context.Background()))
+		restoreTargets(store, 0)
+		f.ApplyUpdate(peer.TargetUpdate{From: in(2, 1), To: in(2, 2), SinceOutage: time.Second})
+		time.Sleep(time.Second)
+		assert.NilError(t, f.read(context.Background()))
+		assert.Equal(t, network.sent[0].SinceOutage, 2*time.Second)
+	})
+}
--- a/registry/outage.go
+++ b/registry/outage.go
@@ -1,17 +1,30 @@
 package registry
 
-import "time"
+import (
+	"time"
 
-// recordOutageEnd records the end of an outage of the registry, if one has ended.
-func (f *TargetFollower) recordOutageEnd(ended bool) {
-	if !ended {
-		return
-	}
-	now := f.clock()
+	"rhubarbrelay/platform"
+)
+
+// recordOutageEnd records the end of an outage of the registry, after which the store
+// is in the given era.
+func (f *TargetFollower) recordOutageEnd(at time.Time, era int64) {
 	f.mu.Lock()
-	f.outageEndedAt = now
+	if at.After(f.outageEndedAt) {
+		f.outageEndedAt = at
+	}
+	f.outageEra = max(f.outageEra, era)
 	f.mu.Unlock()
-	f.directory.SetOutageEnd(now)
+	f.directory.SetOutageEnd(at)
+}
+
+// beginsEra reports whether the position is the first known one of its era, and whether
+// no other instance has reported the outage before it.
+func (f *TargetFollower) beginsEra(next platform.Position) (begins, unreported bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	begins = isKnown(f.expired) && f.expired.Era < next.Era
+	return begins, begins && f.outageEra < next.Era
 }
 
 // timeSinceOutage returns the time since the end of the last outage, at least 1 ms,
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -72,6 +72,7 @@
 	readRequested chan struct{}
 	failing       bool
 	outageEndedAt time.Time
+	outageEra     int64 // of the store after the last outage
 	era           int64 // of the last position that was read or received
 }
 
@@ -244,7 +245,9 @@
 	if err != nil {
 		return err
 	}
-	f.recordOutageEnd(outage)
+	if outage {
+		f.recordOutageEnd(f.clock(), batch.Next.Era)
+	}
 	effective := f.directory.Apply(f.applicable(f.decodeChanges(batch.Records), batch.Next))
 	f.notifyChanges(effective, "store")
 	f.recordRead(batch.Next, start, true)
@@ -273,8 +276,7 @@
 	if continued {
 		return nil // by Restore or an update during the read; that state may be newer
 	}
-	f.recordOutageEnd(outage)
-	effective := f.directory.Replace(f.decodeTargets(batch.Records))
+	effective := f.replaceAll(batch, outage)
 	f.mu.Lock()
 	from, changesMissing := f.expired, f.expired.Before(f.ahead)
 	f.next, f.expired = unknownPosition, unknownPosition
@@ -290,6 +292,20 @@
 	return nil
 }
 
+// replaceAll replaces the known registrations by all those of the registry. A restoration
+// of the store counts as an outage, even if no read has failed: the registrations that
+// the copy lacks are written again.
+func (f *TargetFollower) replaceAll(batch platform.Batch, outage bool) []targets.Change {
+	begins, unreported := f.beginsEra(batch.Next)
+	if outage || unreported {
+		f.recordOutageEnd(f.clock(), batch.Next.Era)
+	}
+	if begins {
+		return f.directory.ReplaceRestored(f.decodeTargets(batch.Records))
+	}
+	return f.directory.Replace(f.decodeTargets(batch.Records))
+}
+
 // recordRead records a successful read. Reading all registrations, as at the start,
 // does not make this instance a reader.
 func (f *TargetFollower) recordRead(next platform.Position, asOf time.Time, reader bool) {
@@ -312,7 +328,10 @@
 // state, changes in between are missing and the state does not count as complete.
 func (f *TargetFollower) ApplyUpdate(update peer.TargetUpdate) {
 	if update.SinceOutage > 0 {
-		f.directory.SetOutageEnd(f.clock().Add(-update.SinceOutage))
+		f.recordOutageEnd(f.clock().Add(-update.SinceOutage), update.To.Era)
+	}
+	if beginsEra(update) {
+		update.Changes = lost(update.Changes)
 	}
 	f.notifyChanges(f.directory.Apply(f.applicable(update.Changes, update.To)), "peer")
 	f.mu.Lock()
--- a/targets/directory.go
+++ b/targets/directory.go
@@ -15,13 +15,17 @@
 type Change struct {
 	ID     string
 	Target *Target
+	// Lost is set in a removal if the registry was restored from a copy that lacks the
+	// registration, so that the target may run and register again.
+	Lost bool
 }
 
 // entry holds the newest registration of one target ID.
 type entry struct {
 	target *Target
-	// removeAt is set while a removal is delayed.
+	// removeAt is set while a removal is delayed, lost if it is due to a restoration.
 	removeAt time.Time
+	lost     bool
 }
 
 // Directory holds the registered targets by ID. It is safe for concurrent use.
@@ -43,6 +47,7 @@
 	at       time.Time
 	sequence int64
 	state    State
+	lost     bool // whether a restored registry lacked the registration
 }
 
 // removalRetention is how long the last registration of a removed incarnation is
@@ -80,16 +85,24 @@
 }
 
 // SetOutageEnd sets the time at which the registry was reachable again after an
-// outage.
+// outage, unless a later one is known.
 func (d *Directory) SetOutageEnd(at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.outageEnded = at
+	if at.After(d.outageEnded) {
+		d.outageEnded = at
+	}
 }
 
 // Replace applies the complete content of the registry and removes all other
 // entries. Like Apply, it returns the effective changes.
-func (d *Directory) Replace(all []Target) []Change {
+func (d *Directory) Replace(all []Target) []Change { return d.replace(all, false) }
+
+// ReplaceRestored is like Replace, for a registry that was restored from a copy: the
+// targets that are missing in it can register again as they were.
+func (d *Directory) ReplaceRestored(all []Target) []Change { return d.replace(all, true) }
+
+func (d *Directory) replace(all []Target, lost bool) []Change {
 	d.mu.Lock()
 	listed := make(map[string]bool, len(all))
 	changedServices := map[string]bool{}
@@ -102,8 +115,8 @@
 	}
 	for id, e := range d.entries {
 		if !listed[id] {
-			d.remove(id, e, changedServices)
-			effective = append(effective, Change{ID: id})
+			d.remove(id, e, lost, changedServices)
+			effective = append(effective, Change{ID: id, Lost: lost})
 		}
 	}
 	d.loaded = true
@@ -124,7 +137,7 @@
 		if c.Target != nil {
 			changed = d.apply(c.Target, changedServices)
 		} else if e := d.entries[c.ID]; e != nil {
-			d.remove(c.ID, e, changedServices)
+			d.remove(c.ID, e, c.Lost, changedServices)
 			changed = true
 		}
 		if changed {
@@ -138,7 +151,7 @@
 
 // apply applies a registration and reports whether that was an effective change.
 // It ignores a registration that is older than the known one, or not newer than
-// the last one of an incarnation that was removed.
+// the last one of an incarnation that was removed. One that was lost may be equal to it.
 func (d *Directory) apply(t *Target, changedServices map[string]bool) bool {
 	e := d.entries[t.ID]
 	if e != nil && stale(e.target, t) {
@@ -146,7 +159,7 @@
 	}
 	merged := *t
 	if last, ok := d.removed[t.Incarnation()]; ok && e == nil {
-		if t.Sequence <= last.sequence {
+		if t.Sequence < last.sequence || t.Sequence == last.sequence && !last.lost {
 			return false
 		}
 		// An incarnation that has reported Draining never becomes Ready again.
@@ -161,7 +174,7 @@
 		return true
 	}
 	removalPending := !e.removeAt.IsZero()
-	e.removeAt = time.Time{}
+	e.removeAt, e.lost = time.Time{}, false
 	if !removalPending && e.target.equalIgnoringSequence(&merged) {
 		e.target = &merged
 		return false
@@ -181,8 +194,9 @@
 
 // remove removes an entry, or delays the removal if the target is Ready and an
 // outage of the registry ended less than removalDelay ago.
-func (d *Directory) remove(id string, e *entry, changedServices map[string]bool) {
+func (d *Directory) remove(id string, e *entry, lost bool, changedServices map[string]bool) {
 	now := d.clock()
+	e.lost = lost && (e.lost || e.removeAt.IsZero())
 	if until := d.outageEnded.Add(removalDelay); e.target.State == Ready && !d.outageEnded.IsZero() && now.Before(until) {
 		if e.removeAt.IsZero() {
 			e.removeAt = until
@@ -193,7 +207,7 @@
 }
 
 func (d *Directory) removeNow(id string, e *entry, changedServices map[string]bool) {
-	d.removed[e.target.Incarnation()] = removal{at: d.clock(), sequence: e.target.Sequence, state: e.target.State}
+	d.removed[e.target.Incarnation()] = removal{at: d.clock(), sequence: e.target.Sequence, state: e.target.State, lost: e.lost}
 	changedServices[e.target.Service] = true
 	delete(d.entries, id)
 }
--- a/targets/directory_test.go
+++ b/targets/directory_test.go
@@ -44,11 +44,13 @@
 // outage of the registry, in which its registration expired, before it could
 // register again.
 func TestDirectory(t *testing.T) {
-	readyChange := func(startedMS, sequence int64) Change { return Change{"i", newTarget("i", startedMS, sequence, Ready)} }
+	readyChange := func(startedMS, sequence int64) Change {
+		return Change{ID: "i", Target: newTarget("i", startedMS, sequence, Ready)}
+	}
 	drainingChange := func(startedMS, sequence int64) Change {
-		return Change{"i", newTarget("i", startedMS, sequence, Draining)}
+		return Change{ID: "i", Target: newTarget("i", startedMS, sequence, Draining)}
 	}
-	removalChange := Change{ID: "i"}
+	removalChange, lossChange := Change{ID: "i"}, Change{ID: "i", Lost: true}
 	tests := []struct {
 		name  string
 		steps []testStep
@@ -62,6 +64,12 @@
 		{"drained, removed, registered again", []testStep{{change: drainingChange(1, 5), want: "draining"}, {change: removalChange, want: "gone"}, {change: readyChange(1, 6), want: "draining"}}},
 		{"registration expired during an outage", []testStep{{change: readyChange(1, 5), want: "ready"}, {outage: true, change: removalChange, want: "ready"}, {wait: time.Second, change: readyChange(1, 6), want: "ready"}, {wait: 5 * time.Second, want: "ready"}}},
 		{"target gone during an outage", []testStep{{change: readyChange(1, 5), want: "ready"}, {outage: true, change: removalChange, want: "ready"}, {wait: 3 * time.Second, want: "gone"}}},
+		{"lost registration written again unchanged", []testStep{{change: readyChange(1, 5), want: "ready"}, {change: lossChange, want: "gone"}, {change: readyChange(1, 5), want: "ready"}}},
+		{"lost registration written again after the removal delay", []testStep{{change: readyChange(1, 5), want: "ready"}, {outage: true, change: lossChange, want: "ready"}, {wait: 3 * time.Second, want: "gone"}, {change: readyChange(1, 5), want: "ready"}}},
+		{"older registration in the copy", []testStep{{change: readyChange(1, 5), want: "ready"}, {change: lossChange, want: "gone"}, {change: readyChange(1, 4), want: "gone"}}},
+		{"lost registration of a draining target", []testStep{{change: drainingChange(1, 5), want: "draining"}, {change: lossChange, want: "gone"}, {change: readyChange(1, 5), want: "draining"}}},
+		{"left while its removal is delayed as lost", []testStep{{change: readyChange(1, 5), want: "ready"}, {outage: true, change: lossChange, want: "ready"}, {change: removalChange, want: "ready"}, {wait: 3 * time.Second, want: "gone"}, {change: readyChange(1, 5), want: "gone"}}},
+		{"lost while its removal is delayed", []testStep{{change: readyChange(1, 5), want: "ready"}, {outage: true, change: removalChange, want: "ready"}, {change: lossChange, want: "ready"}, {wait: 3 * time.Second, want: "gone"}, {change: readyChange(1, 5), want: "gone"}}},
 		{"draining target removed after an outage", []testStep{{change: drainingChange(1, 5), want: "draining"}, {outage: true, change: removalChange, want: "gone"}}},
 	}
 	for _, tt := range tests {
@@ -84,6 +92,19 @@
 	}
 }
 
+// Guards against a removal that is not delayed because another instance reports the end
+// of an earlier outage.
+func TestEndOfEarlierOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := NewDirectory()
+		d.Apply([]Change{{ID: "i", Target: newTarget("i", 1, 5, Ready)}})
+		d.SetOutageEnd(time.Now())
+		d.SetOutageEnd(time.Now().Add(-removalDelay))
+		d.Apply([]Change{{ID: "i"}})
+		assert.Equal(t, stateOf(d), "ready")
+	})
+}
+
 // Guards against a change being returned when only the sequence of a
 // registration has increased: targets register repeatedly, and every registration
 // would be broadcast to the other instances. Also guards against missing
@@ -91,9 +112,9 @@
 func TestApplyReturnsEffectiveChanges(t *testing.T) {
 	notifications := 0
 	d := NewDirectory(WithOnChange(func(string) { notifications++ }))
-	assert.Equal(t, len(d.Apply([]Change{{"i", newTarget("i", 1, 1, Ready)}})), 1)
-	assert.Equal(t, len(d.Apply([]Change{{"i", newTarget("i", 1, 2, Ready)}})), 0)
-	assert.Equal(t, len(d.Apply([]Change{{"i", newTarget("i", 1, 3, Draining)}, {ID: "unknown"}})), 1)
+	assert.Equal(t, len(d.Apply([]Change{{ID: "i", Target: newTarget("i", 1, 1, Ready)}})), 1)
+	assert.Equal(t, len(d.Apply([]Change{{ID: "i", Target: newTarget("i", 1, 2, Ready)}})), 0)
+	assert.Equal(t, len(d.Apply([]Change{{ID: "i", Target: newTarget("i", 1, 3, Draining)}, {ID: "unknown"}})), 1)
 	assert.Equal(t, notifications, 2)
 }
 
@@ -120,14 +141,14 @@
 		for range rapid.IntRange(1, 40).Draw(t, "registrations") {
 			sequence := rapid.Int64Range(1, 20).Draw(t, "sequence")
 			if rapid.IntRange(0, 9).Draw(t, "kind") == 0 {
-				d.Apply([]Change{{ID: "i"}})
+				d.Apply([]Change{{ID: "i", Lost: rapid.Bool().Draw(t, "lost")}})
 				continue
 			}
 			state := Ready
 			if sequence >= drainsAt {
 				state = Draining
 			}
-			d.Apply([]Change{{"i", newTarget("i", 1, sequence, state)}})
+			d.Apply([]Change{{ID: "i", Target: newTarget("i", 1, sequence, state)}})
 			draining = draining || stateOf(d) == "draining"
 			if draining && stateOf(d) == "ready" {
 				t.Fatalf("registration with sequence %d made an incarnation ready again that drains from sequence %d on", sequence, drainsAt)
