targets, peer, registry: hand recent removals on to starting instances

What callers would see: requests reach a target that had left, or an address that belongs to another target by then. A store that is restored from a copy lists targets again that were removed since. Instances that saw the removal ignore that, but those that started later, and took their state from one of the former, did not know of it and used the target again.

Class: an instance acts on less knowledge than the one that its state is from.

An instance that has read the store itself takes them over too when it joins. Removals that are delayed after an outage are included: the starting instance does not list these targets. For a lost registration the sequence is the one before, so that the target can register again as it was; the directory now stores it in this form.

So all instances that know of each other give the same answer to a registration from the copy.

Before (measured without the call of AddRemoved in Restore): TestTargetThatLeftStaysRemovedAfterRestoration/joined: assertion failed: 1 (int) != 0 (int) TestTargetThatLeftStaysRemovedAfterRestoration/read_the_store,_then_joined: assertion failed: 1 (int) != 0 (int)

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -129,13 +129,46 @@
 	}
 	m.Born, m.Service, m.Address, m.Zone, m.Version = t.StartedMS, t.Service, t.Address.String(), t.Zone, t.Version
 	m.Slots, m.Sequence, m.ColdMs = int32(t.Slots), t.Sequence, t.WarmupLeft.Milliseconds()
-	m.State = peerpb.TargetState_TARGET_STATE_READY
-	if t.State == targets.Draining {
-		m.State = peerpb.TargetState_TARGET_STATE_DRAINING
-	}
+	m.State = targetStateToWire(t.State)
 	return m
 }
 
+func targetStateToWire(state targets.State) peerpb.TargetState {
+	if state == targets.Draining {
+		return peerpb.TargetState_TARGET_STATE_DRAINING
+	}
+	return peerpb.TargetState_TARGET_STATE_READY
+}
+
+func removalToWire(r targets.Removal) *peerpb.RemovedTarget {
+	return &peerpb.RemovedTarget{
+		Id: r.Incarnation.ID, Born: r.Incarnation.StartedMS, State: targetStateToWire(r.State), Sequence: r.Sequence,
+		AgeMs: uint32(r.Age.Milliseconds()),
+	}
+}
+
+func removalsFromWire(messages []*peerpb.RemovedTarget) ([]targets.Removal, error) {
+	removals := make([]targets.Removal, 0, len(messages))
+	for _, m := range messages {
+		r := targets.Removal{
+			Incarnation: targets.Incarnation{ID: m.GetId(), StartedMS: m.GetBorn()}, Sequence: m.GetSequence(),
+			Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
+		}
+		switch m.GetState() {
+		case peerpb.TargetState_TARGET_STATE_READY:
+		case peerpb.TargetState_TARGET_STATE_DRAINING:
+			r.State = targets.Draining
+		default:
+			return nil, fmt.Errorf("%w: invalid state %s of removed target %q", ErrMalformed, m.GetState(), m.GetId())
+		}
+		if m.GetId() == "" {
+			return nil, fmt.Errorf("%w: removed target has no ID", ErrMalformed)
+		}
+		removals = append(removals, r)
+	}
+	return removals, nil
+}
+
 func updateFromWire(m *peerpb.TargetNews) (TargetUpdate, error) {
 	update := TargetUpdate{
 		From:        platform.Position{Era: m.GetFromEra(), Offset: m.GetFromOffset()},
--- a/peer/snapshot.go
+++ b/peer/snapshot.go
@@ -24,6 +24,8 @@
 // TargetState holds all registered targets.
 type TargetState struct {
 	Targets []targets.Target
+	// Removed are recently removed targets, which a restored store may list again.
+	Removed []targets.Removal
 	// Next is the position in the registry's log before which all changes are
 	// contained in Targets.
 	Next platform.Position
@@ -43,6 +45,9 @@
 		t := &s.Targets.Targets[i]
 		m.Targets = append(m.Targets, changeToWire(targets.Change{ID: t.ID, Target: t}))
 	}
+	for _, r := range s.Targets.Removed {
+		m.Removed = append(m.Removed, removalToWire(r))
+	}
 	return proto.Marshal(m)
 }
 
@@ -70,5 +75,8 @@
 		}
 		s.Targets.Targets = append(s.Targets.Targets, *c.Target)
 	}
+	if s.Targets.Removed, err = removalsFromWire(m.GetRemoved()); err != nil {
+		return Snapshot{}, err
+	}
 	return s, nil
 }
--- a/peer/snapshot_test.go
+++ b/peer/snapshot_test.go
@@ -6,9 +6,11 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"rhubarbrelay/membership"
+	"rhubarbrelay/peer/peerpb"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/targets"
 )
@@ -26,6 +28,10 @@
 				{ID: "t-1", StartedMS: 5, Service: "s", Address: address, Zone: "z", Version: "v", Slots: 4, Sequence: 6, WarmupLeft: time.Second},
 				{ID: "t-2", StartedMS: 5, Service: "s", Address: address, Zone: "z", Version: "v", Slots: 4, State: targets.Draining},
 			},
+			Removed: []targets.Removal{
+				{Incarnation: targets.Incarnation{ID: "t-3", StartedMS: 5}, State: targets.Draining, Sequence: 8, Age: time.Minute},
+				{Incarnation: targets.Incarnation{ID: "t-4", StartedMS: 6}, Sequence: -1},
+			},
 			Next: platform.Position{Era: 3, Offset: 77}, Age: 300 * time.Millisecond,
 		},
 		Config: []byte(`{"version":4}`),
@@ -70,6 +76,7 @@
 	}{
 		{"instance without ID", func(s *Snapshot) { s.Instances[0].Instance.ID = "" }},
 		{"target without address", func(s *Snapshot) { s.Targets.Targets[1].Address = netip.AddrPort{} }},
+		{"removed target without ID", func(s *Snapshot) { s.Targets.Removed[1].Incarnation.ID = "" }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -82,3 +89,14 @@
 		})
 	}
 }
+
+// Guards against a removed target in an unknown state, from a later version of the
+// program, that counts as ready.
+func TestUnknownStateOfRemovedTarget(t *testing.T) {
+	for _, state := range []peerpb.TargetState{peerpb.TargetState_TARGET_STATE_UNSPECIFIED, 9} {
+		data, err := proto.Marshal(&peerpb.Snapshot{Removed: []*peerpb.RemovedTarget{{Id: "t", State: state}}})
+		assert.NilError(t, err)
+		_, err = DecodeSnapshot(data)
+		assert.ErrorIs(t, err, ErrMalformed)
+	}
+}
--- a/registry/target_state.go
+++ b/registry/target_state.go
@@ -18,13 +18,17 @@
 	if !isKnown(state.Next) || !f.directory.Loaded() {
 		return peer.TargetState{}, false
 	}
-	state.Targets = f.directory.Registered()
+	// A target that is removed in between is in both lists, of which Restore prefers the
+	// removals.
+	state.Targets, state.Removed = f.directory.Registered(), f.directory.Removed()
 	return state, true
 }
 
 // Restore takes over the targets that another instance knew at the given time, unless
-// this instance has read them already. It is called before Run or while Run reads.
+// this instance has read them already, and the removals in any case. It is called before
+// Run or while Run reads.
 func (f *TargetFollower) Restore(state peer.TargetState, at time.Time) {
+	f.directory.AddRemoved(state.Removed)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.next != unknownPosition || f.directory.Loaded() {
--- a/registry/target_state_test.go
+++ b/registry/target_state_test.go
@@ -92,3 +92,37 @@
 		assert.Equal(t, readyCount(directories[0]), 0)
 	})
 }
+
+// Guards against a target that had left and is in use again after a restoration, on an
+// instance that started after the target had left.
+func TestTargetThatLeftStaysRemovedAfterRestoration(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		loaded bool // whether the starting instance has read the store before it joins
+	}{{"joined", false}, {"read the store, then joined", true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				store.put(platform.TargetTopic, "i", registration("ready", 1))
+				network, directories := startTargetFollowers(t, store, 1)
+				time.Sleep(time.Second)
+				store.put(platform.TargetTopic, "i", registration("draining", 2))
+				store.put(platform.TargetTopic, "i", "")
+				time.Sleep(time.Second)
+				assert.Equal(t, directories[0].Count(), 0)
+				f, directory := newTestFollower(store, &fakeNetwork{})
+				if tt.loaded {
+					assert.NilError(t, f.read(context.Background()))
+				}
+				state, ok := network.followers[0].State()
+				assert.Assert(t, ok)
+				f.Restore(state, time.Now())
+				restoreTargets(store, 1)
+				assert.ErrorIs(t, f.read(context.Background()), platform.ErrRestored)
+				f.recordExpiry()
+				assert.NilError(t, f.read(context.Background()))
+				assert.Equal(t, directory.Count(), 0)
+			})
+		})
+	}
+}
--- a/targets/directory.go
+++ b/targets/directory.go
@@ -44,10 +44,11 @@
 
 // removal is the last registration of a removed incarnation.
 type removal struct {
-	at       time.Time
+	at time.Time
+	// sequence is that of the last registration, or the one before if that was lost:
+	// registrations up to it do not add the target again.
 	sequence int64
 	state    State
-	lost     bool // whether a restored registry lacked the registration
 }
 
 // removalRetention is how long the last registration of a removed incarnation is
@@ -151,7 +152,7 @@
 
 // apply applies a registration and reports whether that was an effective change.
 // It ignores a registration that is older than the known one, or not newer than
-// the last one of an incarnation that was removed. One that was lost may be equal to it.
+// the last one of an incarnation that was removed.
 func (d *Directory) apply(t *Target, changedServices map[string]bool) bool {
 	e := d.entries[t.ID]
 	if e != nil && stale(e.target, t) {
@@ -159,7 +160,7 @@
 	}
 	merged := *t
 	if last, ok := d.removed[t.Incarnation()]; ok && e == nil {
-		if t.Sequence < last.sequence || t.Sequence == last.sequence && !last.lost {
+		if t.Sequence <= last.sequence {
 			return false
 		}
 		// An incarnation that has reported Draining never becomes Ready again.
@@ -207,11 +208,20 @@
 }
 
 func (d *Directory) removeNow(id string, e *entry, changedServices map[string]bool) {
-	d.removed[e.target.Incarnation()] = removal{at: d.clock(), sequence: e.target.Sequence, state: e.target.State, lost: e.lost}
+	d.removed[e.target.Incarnation()] = removal{at: d.clock(), sequence: e.lastSequence(), state: e.target.State}
 	changedServices[e.target.Service] = true
 	delete(d.entries, id)
 }
 
+// lastSequence returns the sequence up to which registrations do not add the target
+// again once it is removed.
+func (e *entry) lastSequence() int64 {
+	if e.lost {
+		return e.target.Sequence - 1
+	}
+	return e.target.Sequence
+}
+
 // RemoveDue carries out the delayed removals that are due. It also deletes the
 // last registrations of incarnations that were removed more than removalRetention
 // ago.
