registry: do not continue a state of an older era from another instance

What callers would see: a draining target in use beyond the drain delay on instances that start during a restoration. An instance that had heard of the new era took over a state of the older one as if it were current: updates of that era, from instances that did not know better, counted as continuing it, and it handed the state on. It did not note the era of the state either, so that the next restoration was neither logged nor shown by the metric.

Class: a position is compared without the history that it belongs to.

Restore records the era of the state. If others have reported a newer one, the targets are used, since during an outage they are better than none, but the position is not: the next read, at its regular time, reads all registrations and broadcasts the difference like that of an instance that was running.

So a starting instance is as complete as the one that it joined through, and no more.

Before: TestStateOfOlderEraIsNotContinued: assertion failed: 0s (time.Duration) != 1.001s TestEraOfRestoredState: assertion failed: 0 (int64) != 3 (int64)

--- a/registry/target_state.go
+++ b/registry/target_state.go
@@ -36,4 +36,8 @@
 	}
 	f.directory.Replace(state.Targets)
 	f.next, f.freshAt = state.Next, at.Add(-state.Age)
+	f.recordEra(state.Next.Era, "peer")
+	if state.Next.Era < f.era {
+		f.forgetPosition() // another instance has reported the new era already
+	}
 }
--- a/registry/target_state_test.go
+++ b/registry/target_state_test.go
@@ -126,3 +126,43 @@
 		})
 	}
 }
+
+// Guards against a starting instance that takes over a state of an older era than others
+// have reported, counts updates of that era as continuing it and hands it on.
+func TestStateOfOlderEraIsNotContinued(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(platform.TargetTopic, "i", registration("ready", 1))
+		network, _ := startTargetFollowers(t, store, 1)
+		time.Sleep(time.Millisecond)
+		state, ok := network.followers[0].State()
+		assert.Assert(t, ok)
+		restoreTargets(store, 0)
+		own := &fakeNetwork{}
+		f, directory := newTestFollower(store, own)
+		f.ApplyUpdate(peer.TargetUpdate{From: in(2, 0), To: in(2, 0)})
+		f.Restore(state, time.Now())
+		assert.Equal(t, readyCount(directory), 1)
+		time.Sleep(time.Second)
+		f.ApplyUpdate(peer.TargetUpdate{From: at(1), To: at(2)})
+		assert.Equal(t, f.Age(), time.Second+time.Millisecond)
+		_, ok = f.State()
+		assert.Assert(t, !ok)
+		reads, newest := store.counts()
+		assert.NilError(t, f.read(context.Background()))
+		readsAfter, newestAfter := store.counts()
+		assert.Equal(t, readsAfter, reads)
+		assert.Equal(t, newestAfter, newest+1)
+		assert.Equal(t, f.next, in(2, 0))
+		assert.Equal(t, readyCount(directory), 1) // until it can have registered again
+		assert.Equal(t, own.sent[0].From, at(1))
+	})
+}
+
+// Guards against an era that is not known after a state was taken over, so that the next
+// restoration is not reported.
+func TestEraOfRestoredState(t *testing.T) {
+	f, _ := newTestFollower(newFakeStore(), &fakeNetwork{})
+	f.Restore(peer.TargetState{Next: in(3, 5)}, time.Now())
+	assert.Equal(t, f.Era(), int64(3))
+}
