registry: keep targets that a starting instance learns of while it joins

What callers would see: an instance does not use a target that registered while the instance started, until the target changes or the instance misses an update. An update that arrives while the state of the other instance is on its way adds a target that the state, being older, lacks. Taking over the state removed it like one that had left, so that the read of its registration, from the position of the state on, was ignored as a delayed copy.

Class: an older complete list is taken for a decision of the targets that it lacks.

Restore marks the targets that the state lacks as lost: a registration with the same sequence, which is read again, adds them.

Before: TestUpdateDuringJoin: assertion failed: 1 (int) != 2 (int)

--- a/registry/target_state.go
+++ b/registry/target_state.go
@@ -34,7 +34,9 @@
 	if f.next != unknownPosition || f.directory.Loaded() {
 		return
 	}
-	f.directory.Replace(state.Targets)
+	// The state may lack targets whose registrations have arrived by updates. They are
+	// read again, as they are after its position.
+	f.directory.ReplaceRestored(state.Targets)
 	f.next, f.freshAt = state.Next, at.Add(-state.Age)
 	f.recordEra(state.Next.Era, "peer")
 	if state.Next.Era < f.era {
--- a/registry/target_state_test.go
+++ b/registry/target_state_test.go
@@ -166,3 +166,20 @@
 	f.Restore(peer.TargetState{Next: in(3, 5)}, time.Now())
 	assert.Equal(t, f.Era(), int64(3))
 }
+
+// Guards against a target that is missing on a starting instance since its registration
+// arrived by an update while the state, which is older, was on its way.
+func TestUpdateDuringJoin(t *testing.T) {
+	store := newFakeStore()
+	store.put(platform.TargetTopic, "i", registration("ready", 1))
+	provider, _ := newTestFollower(store, &fakeNetwork{})
+	assert.NilError(t, provider.read(context.Background()))
+	state, ok := provider.State()
+	assert.Assert(t, ok)
+	store.put(platform.TargetTopic, "j", registration("ready", 1))
+	f, directory := newTestFollower(store, &fakeNetwork{})
+	f.ApplyUpdate(peer.TargetUpdate{From: at(1), To: at(2), Changes: []targets.Change{readyTarget("j", 1)}})
+	f.Restore(state, time.Now())
+	assert.NilError(t, f.read(context.Background()))
+	assert.Equal(t, directory.Count(), 2)
+}
--- a/targets/directory.go
+++ b/targets/directory.go
@@ -99,8 +99,9 @@
 // entries. Like Apply, it returns the effective changes.
 func (d *Directory) Replace(all []Target) []Change { return d.replace(all, false) }
 
-// ReplaceRestored is like Replace, for a registry that was restored from a copy: the
-// targets that are missing in it can register again as they were.
+// ReplaceRestored is like Replace, for content that may be older than the known one, as
+// that of a registry that was restored from a copy: a later registration adds a target
+// that is missing in it even if nothing has changed.
 func (d *Directory) ReplaceRestored(all []Target) []Change { return d.replace(all, true) }
 
 func (d *Directory) replace(all []Target, lost bool) []Change {
