registry: broadcast again what was known ahead of a gap

What callers would see: requests reach a draining target beyond the drain delay on an instance that has missed two updates. Another instance, which had missed only the first of them, reads the registry from the gap on and broadcasts what it finds, with the whole range of offsets. It left out the changes of the second update, as these were known to it and had no effect. The receiver had neither, and counted as complete.

Class: an update claims a range of positions, but has only what was new to its sender.

The follower notes the targets that were changed by updates after a gap. A read from before the end of these broadcasts the changes of those targets as well.

So an update contains each change of its range that a receiver at its beginning can lack.

Before: TestChangesKnownAfterGapAreBroadcastAgain: assertion failed: expression is false: !isReady(directory, "i") && isReady(directory, "j")

--- a/registry/era.go
+++ b/registry/era.go
@@ -29,9 +29,7 @@
 		f.moveTo(update.To)
 		return true
 	}
-	if len(update.Changes) > 0 && f.ahead.Before(update.To) {
-		f.ahead = update.To
-	}
+	f.noteAhead(update)
 	if f.next.Era < update.To.Era {
 		f.forgetPosition()
 	}
--- a/registry/era_test.go
+++ b/registry/era_test.go
@@ -333,3 +333,31 @@
 		assert.Equal(t, network.sent[0].SinceOutage, 2*time.Second)
 	})
 }
+
+// Guards against a change that is missing on an instance which counts as complete: it has
+// missed two updates, and the one that broadcasts the changes again has missed only the
+// first and knows those of the second.
+func TestChangesKnownAfterGapAreBroadcastAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(platform.TargetTopic, "i", registration("ready", 1))
+		network := &fakeNetwork{}
+		f, _ := newTestFollower(store, network)
+		other, directory := newTestFollower(store, &fakeNetwork{})
+		network.followers = []*TargetFollower{f, other}
+		assert.NilError(t, f.read(context.Background()))
+		assert.NilError(t, other.read(context.Background()))
+		store.put(platform.TargetTopic, "j", registration("ready", 1))
+		store.put(platform.TargetTopic, "i", registration("draining", 2))
+		draining, err := platform.DecodeTarget("i", []byte(registration("draining", 2)))
+		assert.NilError(t, err)
+		f.ApplyUpdate(peer.TargetUpdate{From: at(2), To: at(3), Changes: []targets.Change{{ID: "i", Target: draining}}})
+		assert.NilError(t, f.read(context.Background()))
+		assert.Equal(t, other.position(), at(3))
+		assert.Assert(t, !isReady(directory, "i") && isReady(directory, "j"))
+		time.Sleep(time.Second)
+		store.put(platform.TargetTopic, "i", registration("draining", 3))
+		assert.NilError(t, f.read(context.Background()))
+		assert.Equal(t, len(network.sent[1].Changes), 0) // the next update has only new changes
+	})
+}
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -59,13 +59,16 @@
 	// next is the position before which all changes have been applied and from
 	// which the next read starts. After the history has expired or the store was
 	// restored, expired holds the previous next until all registrations have been read.
-	next         platform.Position
-	expired      platform.Position
-	readFrom     platform.Position // the value of next at the start of the last read
-	ahead        platform.Position // the latest end of an update with changes that did not continue the state; an update from before it would lack these
-	freshAt      time.Time         // the time as of which the state is complete
-	lastReadAt   time.Time         // the start of the last read of changes by this instance
-	lastUpdateAt time.Time         // when the last update arrived, with or without a gap before it
+	next     platform.Position
+	expired  platform.Position
+	readFrom platform.Position // the value of next at the start of the last read
+	// ahead is the latest end of an update with changes that did not continue the state,
+	// aheadIDs are the targets that it and those before it have changed since the gap.
+	ahead        platform.Position
+	aheadIDs     map[string]bool
+	freshAt      time.Time // the time as of which the state is complete
+	lastReadAt   time.Time // the start of the last read of changes by this instance
+	lastUpdateAt time.Time // when the last update arrived, with or without a gap before it
 	// wakeup receives a value when an update has made the next read unnecessary for
 	// now or the read order has changed, readRequested when a read is needed at once.
 	wakeup        chan struct{}
@@ -248,17 +251,19 @@
 	if outage {
 		f.recordOutageEnd(f.clock(), batch.Next.Era)
 	}
-	effective := f.directory.Apply(f.applicable(f.decodeChanges(batch.Records), batch.Next))
+	read := f.applicable(f.decodeChanges(batch.Records), batch.Next)
+	effective := f.directory.Apply(read)
 	f.notifyChanges(effective, "store")
+	changes := f.changesSince(from, read, effective)
 	f.recordRead(batch.Next, start, true)
-	if !noUpdates && len(effective) > peer.MaxUpdateChanges && f.readOrder() >= maxRepeatOrder {
+	if !noUpdates && len(changes) > peer.MaxUpdateChanges && f.readOrder() >= maxRepeatOrder {
 		// The other instances have these changes or receive them from an earlier one in
 		// the read order. If all that missed them sent them again, the datagrams would
 		// make others miss more.
 		return nil
 	}
-	f.broadcaster.BroadcastUpdate(peer.TargetUpdate{From: from, To: batch.Next, Changes: effective, SinceOutage: f.timeSinceOutage()},
-		offsetsOf(effective, batch.Records), noUpdates)
+	f.broadcaster.BroadcastUpdate(peer.TargetUpdate{From: from, To: batch.Next, Changes: changes, SinceOutage: f.timeSinceOutage()},
+		offsetsOf(changes, batch.Records), noUpdates)
 	return nil
 }
 
