registry: ignore late copies of target updates

What callers would see: requests reach a draining target beyond the drain delay, or fewer targets than are registered. A forwarder that was suspended sends old updates when it continues. Each made the state of its receivers count as recent, although it shows nothing of what has changed since. A removal in it removed a target that had registered again meanwhile; as the updates omit registrations that change only the sequence, it stayed missing until the target changed.

Class: a message counts as of the time at which it arrives.

An update that ends before the position of the receiver does not change its age, and the changes of one that ends at the position or before it are not applied: they were before.

Before: TestLateCopyOfUpdate: assertion failed: 0s (time.Duration) != 1s (time.Second time.Duration)

--- a/registry/era.go
+++ b/registry/era.go
@@ -21,8 +21,8 @@
 // whether it does. After an update of a newer era that does not, next is unknown. f.mu
 // is held.
 func (f *TargetFollower) advance(update peer.TargetUpdate) bool {
-	if update.To.Era < f.next.Era {
-		return false
+	if update.To.Before(f.next) {
+		return false // also a late copy: it does not show what has changed since
 	}
 	if f.continues(update) {
 		f.freshAt = f.clock()
@@ -81,6 +81,22 @@
 	return marked
 }
 
+// newChanges returns the changes of an update that apply: none if it ends in the era of
+// the state, at its position or before. A target that it removes may have registered
+// again.
+func (f *TargetFollower) newChanges(update peer.TargetUpdate) []targets.Change {
+	f.mu.Lock()
+	known := update.To.Era == f.next.Era && !f.next.Before(update.To)
+	f.mu.Unlock()
+	switch {
+	case known:
+		return nil
+	case beginsEra(update):
+		return f.applicable(lost(update.Changes), update.To)
+	}
+	return f.applicable(update.Changes, update.To)
+}
+
 // applicable returns the changes without the registrations of an older era of targets
 // that are not known. The restored store may lack them, and if their targets do not
 // register again, no removal follows.
--- a/registry/era_test.go
+++ b/registry/era_test.go
@@ -361,3 +361,23 @@
 		assert.Equal(t, len(network.sent[1].Changes), 0) // the next update has only new changes
 	})
 }
+
+// Guards against a state that counts as recent, and against a target that is missing
+// although it has registered again, because a copy of an old update arrives late, from a
+// forwarder that was suspended.
+func TestLateCopyOfUpdate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, directory := newTestFollower(newFakeStore(), &fakeNetwork{})
+		assert.NilError(t, f.read(context.Background()))
+		removal := peer.TargetUpdate{From: at(1), To: at(2), Changes: []targets.Change{{ID: "i"}}}
+		f.ApplyUpdate(peer.TargetUpdate{From: at(0), To: at(1), Changes: []targets.Change{readyTarget("i", 1)}})
+		f.ApplyUpdate(removal)
+		f.ApplyUpdate(peer.TargetUpdate{From: at(2), To: at(3), Changes: []targets.Change{readyTarget("i", 2)}})
+		time.Sleep(time.Second)
+		f.ApplyUpdate(removal)
+		assert.Equal(t, f.Age(), time.Second)
+		assert.Assert(t, isReady(directory, "i"))
+		f.ApplyUpdate(peer.TargetUpdate{From: at(3), To: at(3)})
+		assert.Equal(t, f.Age(), time.Duration(0))
+	})
+}
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -335,10 +335,7 @@
 	if update.SinceOutage > 0 {
 		f.recordOutageEnd(f.clock().Add(-update.SinceOutage), update.To.Era)
 	}
-	if beginsEra(update) {
-		update.Changes = lost(update.Changes)
-	}
-	f.notifyChanges(f.directory.Apply(f.applicable(update.Changes, update.To)), "peer")
+	f.notifyChanges(f.directory.Apply(f.newChanges(update)), "peer")
 	f.mu.Lock()
 	f.lastUpdateAt = f.clock()
 	f.recordEra(update.To.Era, "peer")
