registry: broadcast no range whose changes an update has brought meanwhile

What callers would see: requests reach a draining target beyond the drain delay on an instance that has missed an update. If the update reached another reader during its read, the changes in it had no effect there, and that reader broadcast their range of offsets without them. The instance then counted as complete.

Class: an update claims a range of positions, but has only what was new to its sender.

After its response has arrived, a read ignores the records before the present position and broadcasts only the range from there on, so that an instance that has missed the update notices the gap. A read no longer sets the position back either.

--- a/registry/era_test.go
+++ b/registry/era_test.go
@@ -381,3 +381,29 @@
 		assert.Equal(t, f.Age(), time.Duration(0))
 	})
 }
+
+// Guards against a change that is missing on an instance which counts as complete: the
+// update with it has reached the sender of the next one during its read, but not the
+// instance itself.
+func TestUpdateDuringRead(t *testing.T) {
+	store := newFakeStore()
+	store.put(platform.TargetTopic, "i", registration("ready", 1))
+	network := &fakeNetwork{}
+	f, _ := newTestFollower(store, network)
+	other, directory := newTestFollower(store, &fakeNetwork{})
+	assert.NilError(t, f.read(context.Background()))
+	assert.NilError(t, other.read(context.Background()))
+	store.put(platform.TargetTopic, "i", registration("draining", 2))
+	draining, err := platform.DecodeTarget("i", []byte(registration("draining", 2)))
+	assert.NilError(t, err)
+	store.put(platform.TargetTopic, "j", registration("ready", 1))
+	f.store = interruptedStore{store, func() {
+		f.ApplyUpdate(peer.TargetUpdate{From: at(1), To: at(2), Changes: []targets.Change{{ID: "i", Target: draining}}})
+	}}
+	network.followers = []*TargetFollower{f, other}
+	assert.NilError(t, f.read(context.Background()))
+	assert.Equal(t, f.position(), at(3))
+	assert.Equal(t, other.position(), at(1))
+	assert.NilError(t, other.read(context.Background()))
+	assert.Assert(t, !isReady(directory, "i") && isReady(directory, "j"))
+}
--- a/registry/gap.go
+++ b/registry/gap.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"slices"
+
 	"rhubarbrelay/peer"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/targets"
@@ -23,6 +25,22 @@
 	}
 }
 
+// skipKnown returns the start and the records of a batch without those that updates have
+// brought during the read. In a broadcast of the whole range their changes would be
+// missing, as they no longer have an effect.
+func (f *TargetFollower) skipKnown(from platform.Position, batch platform.Batch) (platform.Position, []platform.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.next.Era != from.Era || !from.Before(f.next) {
+		return from, batch.Records
+	}
+	from = f.next
+	if batch.Next.Before(from) {
+		from = batch.Next
+	}
+	return from, slices.DeleteFunc(slices.Clone(batch.Records), func(r platform.Record) bool { return r.Offset < from.Offset })
+}
+
 // changesSince returns the changes to broadcast after a read from a position: the
 // effective ones, and those that had no effect since they were known ahead of it. The
 // receivers may have missed these too.
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -251,6 +251,7 @@
 	if outage {
 		f.recordOutageEnd(f.clock(), batch.Next.Era)
 	}
+	from, batch.Records = f.skipKnown(from, batch)
 	read := f.applicable(f.decodeChanges(batch.Records), batch.Next)
 	effective := f.directory.Apply(read)
 	f.notifyChanges(effective, "store")
@@ -323,7 +324,9 @@
 			return // an update of a newer era has arrived during the read
 		}
 	}
-	f.next = next
+	if f.next.Before(next) {
+		f.next = next
+	}
 	if asOf.After(f.freshAt) {
 		f.freshAt = asOf
 	}
