standin: restore from a marked copy, resets, and targets that register once

The scenario of a restored store needs copies taken at a point of the script and records at known offsets; the soak needs a store that resets connections.

New control requests copy and restore without an age; rewrite can repeat only the newest record of each key, as writers do that keep no history. Rewrite leaves out records whose key was appended since the restoration: an old registration must not replace what its target wrote later. Silent now lasts until the fault ends, not until the next append. A target registers at each change of its state, and its interval can be set; a draining one can pass health probes (lie_well).

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -30,6 +30,8 @@
 	Service string         `arg:"--service,required" help:"service of the target"`
 	Zone    string         `arg:"--zone" default:"zone-a" help:"zone of the target"`
 	Slots   int            `arg:"--slots" default:"4" help:"number of requests that it runs concurrently"`
+
+	Interval time.Duration `arg:"--interval" default:"300ms" help:"time between two registrations without a change of state"`
 }
 
 type proxyArgs struct {
@@ -83,7 +85,7 @@
 	target := standin.NewTarget(standin.NewRegistration(a.ID, a.Service, a.Zone, a.Slots, a.Listen))
 	registered := make(chan error, 1)
 	go func() {
-		registered <- target.Register(ctx, platform.NewStore(a.Store), standin.DefaultRegistrationInterval)
+		registered <- target.Register(ctx, platform.NewStore(a.Store), a.Interval)
 	}()
 	err := serve(ctx, a.Listen.String(), target.Serve, func() error {
 		if err := <-registered; err != nil {
--- a/standin/control.go
+++ b/standin/control.go
@@ -17,23 +17,28 @@
 	Throttled        bool     `json:"throttled"`
 	Full             bool     `json:"full"`
 	Silent           bool     `json:"silent"`
+	Reset            bool     `json:"reset"`
 	DropResponses    bool     `json:"lose_answers"`
 	DelayMS          int64    `json:"delay_ms"`
 	RefusedAddresses []string `json:"refused"`
 }
 
-// restoreMessage is the JSON form of a restoration.
+// restoreMessage is the JSON form of a restoration. Without an age, the last copy
+// made by a control request is used.
 type restoreMessage struct {
 	AgeMS int64 `json:"age_ms"`
 }
 
-// rewriteMessage names the topic whose lost records are appended again.
+// rewriteMessage names the topic whose lost records are appended again, all or only
+// the newest of each key.
 type rewriteMessage struct {
-	Topic string `json:"topic"`
+	Topic  string `json:"topic"`
+	Newest bool   `json:"newest"`
 }
 
 // handleControl handles control requests: PUT /standin/faults, POST /standin/expire,
-// POST /standin/restore, POST /standin/rewrite and GET /standin/calls.
+// POST /standin/copy, POST /standin/restore, POST /standin/rewrite and GET
+// /standin/calls.
 func (s *Store) handleControl(ctx *fasthttp.RequestCtx, path string) {
 	switch path {
 	case controlPrefix + "faults":
@@ -43,17 +48,23 @@
 			return
 		}
 		s.SetFaults(Faults{
-			Down: m.Down, Throttled: m.Throttled, Full: m.Full, Silent: m.Silent, DropResponses: m.DropResponses,
+			Down: m.Down, Throttled: m.Throttled, Full: m.Full, Silent: m.Silent, Reset: m.Reset, DropResponses: m.DropResponses,
 			Delay: time.Duration(m.DelayMS) * time.Millisecond, RefusedAddresses: m.RefusedAddresses,
 		})
 	case controlPrefix + "expire":
 		s.Expire()
+	case controlPrefix + "copy":
+		s.Copy()
 	case controlPrefix + "restore":
 		var m restoreMessage
 		if err := json.Unmarshal(ctx.PostBody(), &m); err != nil {
 			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 			return
 		}
+		if m.AgeMS == 0 {
+			s.RestoreCopy()
+			return
+		}
 		s.Restore(time.Duration(m.AgeMS) * time.Millisecond)
 	case controlPrefix + "rewrite":
 		var m rewriteMessage
@@ -61,6 +72,10 @@
 			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 			return
 		}
+		if m.Newest {
+			s.RewriteNewest(m.Topic)
+			return
+		}
 		s.Rewrite(m.Topic)
 	case controlPrefix + "calls":
 		writeJSON(ctx, s.Calls())
--- a/standin/store.go
+++ b/standin/store.go
@@ -28,15 +28,17 @@
 )
 
 // Faults are the faults of the store that are in effect until they are changed. A
-// long poll that is in progress when Down or Silent is set ends with status 200 and
-// no records.
+// long poll that is in progress when Down, Silent or Reset is set ends with status
+// 200 and no records.
 type Faults struct {
 	// Down makes the store respond to every call with status 503, Throttled to every
 	// call with 429, and Full to appends with 507. It does not execute these calls.
 	Down, Throttled, Full bool
-	// Silent makes the store not respond. It closes the connection at the next
-	// append, change of the faults, Expire, Restore or Close.
+	// Silent makes the store not respond. It closes the connection once the fault
+	// has ended or at Close.
 	Silent bool
+	// Reset makes the store reset the connection of every call.
+	Reset bool
 	// DropResponses makes the store execute appends and close the connection without
 	// a response.
 	DropResponses bool
@@ -57,6 +59,8 @@
 	// era is the number of restorations plus one. Every response states it.
 	era    int64
 	faults Faults
+	// copiedAt is the time of the last Copy.
+	copiedAt time.Time
 	// changed is closed and replaced at each append, change of the faults, Expire,
 	// Restore and Close.
 	changed chan struct{}
@@ -71,7 +75,8 @@
 	// restored store may end before them.
 	records []record
 	newest  map[string]record
-	// lost are the records that the last Restore removed.
+	// lost are the records that the last Restore removed, except those whose key has
+	// been appended since: an older record must not replace what its writer wrote.
 	lost []record
 }
 
@@ -89,6 +94,7 @@
 	r := record{key: key, value: slices.Clone(value), offset: t.end(), appendedAt: time.Now()}
 	t.records = append(t.records, r)
 	t.recordNewest(r)
+	t.lost = slices.DeleteFunc(t.lost, func(l record) bool { return l.key == key })
 }
 
 func (t *topic) recordNewest(r record) {
@@ -162,10 +168,27 @@
 // Restore replaces the content of the store by a copy of the given age and begins a
 // new era. Offsets that the copy lacks are given out again. A long poll in progress
 // ends without a response.
-func (s *Store) Restore(age time.Duration) {
+func (s *Store) Restore(age time.Duration) { s.restore(time.Now().Add(-age)) }
+
+// Copy makes a copy of the store for RestoreCopy.
+func (s *Store) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copiedAt = time.Now()
+}
+
+// RestoreCopy is Restore with the content at the last Copy.
+func (s *Store) RestoreCopy() {
+	s.mu.Lock()
+	at := s.copiedAt
+	s.mu.Unlock()
+	s.restore(at)
+}
+
+// restore removes all records appended at the given time or later.
+func (s *Store) restore(since time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	since := time.Now().Add(-age)
 	for _, t := range s.topics {
 		t.removeSince(since)
 	}
@@ -174,15 +197,30 @@
 }
 
 // Rewrite appends the records that the last Restore removed from a topic, as
-// operators and targets do. It must be called at most once after a Restore.
+// operators and targets do. It leaves out those whose key has been appended since.
 func (s *Store) Rewrite(topicName string) {
+	s.rewrite(topicName, func([]record, int) bool { return true })
+}
+
+// RewriteNewest is Rewrite for writers that repeat only the newest record of each key.
+func (s *Store) RewriteNewest(topicName string) {
+	s.rewrite(topicName, func(lost []record, i int) bool {
+		return !slices.ContainsFunc(lost[i+1:], func(r record) bool { return r.key == lost[i].key })
+	})
+}
+
+// rewrite appends the lost records that are selected by their index.
+func (s *Store) rewrite(topicName string, selected func(lost []record, i int) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(topicName)
-	for _, r := range t.lost {
-		t.append(r.key, r.value)
-	}
+	lost := t.lost
 	t.lost = nil
+	for i, r := range lost {
+		if selected(lost, i) {
+			t.append(r.key, r.value)
+		}
+	}
 	s.notify()
 }
 
@@ -230,9 +268,12 @@
 	time.Sleep(faults.Delay)
 	switch {
 	case faults.Silent:
-		s.waitForChange()
+		s.waitWhileSilent()
 		ctx.HijackSetNoResponse(true)
 		ctx.Hijack(func(net.Conn) {})
+	case faults.Reset:
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(reset)
 	case faults.Down, slices.Contains(faults.RefusedAddresses, ctx.RemoteIP().String()):
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	case faults.Throttled:
@@ -271,13 +312,17 @@
 	}
 }
 
-// waitForChange waits for the next append, change of the faults, Expire, Restore or
-// Close.
-func (s *Store) waitForChange() {
-	s.mu.Lock()
-	changed := s.changed
-	s.mu.Unlock()
-	<-changed
+// waitWhileSilent waits until the fault Silent has ended or the store is closed.
+func (s *Store) waitWhileSilent() {
+	for {
+		s.mu.Lock()
+		silent, changed := s.faults.Silent && !s.closed, s.changed
+		s.mu.Unlock()
+		if !silent {
+			return
+		}
+		<-changed
+	}
 }
 
 func (s *Store) handleAppend(ctx *fasthttp.RequestCtx, topicName string) {
@@ -326,7 +371,7 @@
 			ctx.Hijack(func(net.Conn) {})
 			return
 		}
-		done := s.closed || wait == 0 || from != t.end() || s.faults.Down || s.faults.Silent
+		done := s.closed || wait == 0 || from != t.end() || s.faults.Down || s.faults.Silent || s.faults.Reset
 		if done {
 			writeRecords(ctx, t, from)
 			s.mu.Unlock()
--- a/standin/target.go
+++ b/standin/target.go
@@ -54,6 +54,8 @@
 	state        atomic.Int32
 	http         *fasthttp.Server
 	probes       atomic.Int64
+	// stateChanged receives a value when the state was set, so that it is registered.
+	stateChanged chan struct{}
 
 	running, waiting atomic.Int64
 
@@ -80,7 +82,7 @@
 func NewTarget(registration targets.Target, opts ...TargetOption) *Target {
 	t := &Target{
 		registration: registration, slots: make(chan struct{}, registration.Slots), queueLimit: 2 * int64(registration.Slots), runs: map[string]int{},
-		drainDelay: 2 * time.Second,
+		drainDelay: 2 * time.Second, stateChanged: make(chan struct{}, 1),
 	}
 	t.faults.Store(&TargetFaults{})
 	t.http = &fasthttp.Server{
@@ -110,6 +112,10 @@
 		t.drainingSince = time.Now()
 	}
 	t.state.Store(int32(state))
+	select {
+	case t.stateChanged <- struct{}{}:
+	default:
+	}
 }
 
 // Runs returns the number of runs by request ID.
@@ -145,8 +151,8 @@
 	Append(ctx context.Context, topic platform.Topic, key string, value []byte) (platform.Position, error)
 }
 
-// Register registers the target once per interval until the context ends, then
-// removes its registration.
+// Register registers the target once per interval and at each change of its state
+// until the context ends, then removes its registration.
 func (t *Target) Register(ctx context.Context, store Appender, interval time.Duration) error {
 	for sequence := int64(1); ; sequence++ {
 		registration := t.registration
@@ -164,6 +170,7 @@
 			defer cancel()
 			_, err := store.Append(removeCtx, platform.TargetTopic, registration.ID, nil)
 			return err
+		case <-t.stateChanged:
 		case <-time.After(interval):
 		}
 	}
@@ -184,7 +191,7 @@
 	case healthPath:
 		t.probes.Add(1)
 		h.Set(headerTargetID, t.registration.ID)
-		if faults.ReportUnhealthy || targets.State(t.state.Load()) == targets.Draining {
+		if faults.ReportUnhealthy || !faults.ReportHealthy && targets.State(t.state.Load()) == targets.Draining {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		}
 	case controlPrefix + "stats":
--- a/standin/target_faults.go
+++ b/standin/target_faults.go
@@ -16,6 +16,8 @@
 	// without a response. ServerError makes it run requests and respond with status
 	// 500. ReportUnhealthy makes it fail health probes although it runs requests.
 	Shed, Hang, DropResponses, ServerError, ReportUnhealthy bool
+	// ReportHealthy makes a draining target pass health probes.
+	ReportHealthy bool
 	// ExtraResponse makes the target send a second response after each one.
 	ExtraResponse bool
 	// Endless makes it respond to requests and probes with a body that ends only when
@@ -31,7 +33,7 @@
 	args := ctx.QueryArgs()
 	t.SetFaults(TargetFaults{
 		Shed: args.Has("shed"), Hang: args.Has("mute"), DropResponses: args.Has("cut"), ServerError: args.Has("fail"),
-		ReportUnhealthy: args.Has("lie_ill"), ExtraResponse: args.Has("second"), Endless: args.Has("endless"), SlowFactor: args.GetUintOrZero("slow"),
+		ReportUnhealthy: args.Has("lie_ill"), ReportHealthy: args.Has("lie_well"), ExtraResponse: args.Has("second"), Endless: args.Has("endless"), SlowFactor: args.GetUintOrZero("slow"),
 	})
 }
 
