scenario: a store that is restored from a copy

Two scripts. store_restored restores the store three times so that its logs then end below, at and above the positions that the instances had reached, with offsets given out again to the next version, to a draining target and to a removal. It watches that no instance returns to an older version. store_restored_instances checks that an instance started afterwards finds the others, whose registrations were lost.

New commands: proxy, never and held, and a store port for instance.

Run: go test ./scenario -run 'TestScenarios/store_restored'.

--- a/scenario/processes_test.go
+++ b/scenario/processes_test.go
@@ -20,6 +20,7 @@
 	dir     string
 	running map[string]*process
 	calls   map[string]chan string
+	watches map[string]*watch
 }
 
 // process is one background process.
@@ -73,6 +74,16 @@
 	waitForListener(ts, address)
 }
 
+// startProxy implements the script command "proxy". It starts a proxy to the store on
+// $NET.1:7001, with control requests on $NET.1:7002.
+func startProxy(ts *testscript.TestScript, _ bool, _ []string) {
+	p := processesOf(ts)
+	host := p.network + ".1"
+	ts.Check(p.start("proxy", "standin", "proxy", "--listen", host+":7001", "--to", host+":7000", "--control", host+":7002"))
+	waitForListener(ts, host+":7001")
+	waitForListener(ts, host+":7002")
+}
+
 // startTarget implements the script command "target ID SERVICE HOST [FLAGS...]".
 // It starts a stand-in for a target on $NET.HOST:9000.
 func startTarget(ts *testscript.TestScript, _ bool, args []string) {
@@ -87,18 +98,22 @@
 	waitForListener(ts, address)
 }
 
-// startInstance implements the script command "instance ID ZONE HOST". It starts
-// an instance that listens on $NET.HOST: port 8080 for callers, 8081 for peers,
+// startInstance implements the script command "instance ID ZONE HOST [PORT]". It starts
+// an instance that uses the store at $NET.1:PORT, 7000 if there is none, and listens on $NET.HOST: port 8080 for callers, 8081 for peers,
 // 8082 for administration, 8083 for entry queries and 8084 for readiness checks.
 func startInstance(ts *testscript.TestScript, _ bool, args []string) {
-	if len(args) != 3 {
-		ts.Fatalf("usage: instance ID ZONE HOST")
+	if len(args) < 3 {
+		ts.Fatalf("usage: instance ID ZONE HOST [PORT]")
+	}
+	storePort := "7000"
+	if len(args) > 3 {
+		storePort = args[3]
 	}
 	p := processesOf(ts)
 	host := p.network + "." + args[2]
 	text := fmt.Sprintf("[instance]\nid = %s\nzone = %s\nregion = r\nmemory = 184MiB\n[callers]\nlisten = %[3]s:8080\nentry = %[3]s:8083\nready = %[3]s:8084\n"+
-		"[peers]\nlisten = %[3]s:8081\n[admin]\nlisten = %[3]s:8082\n[store]\naddress = %s.1:7000\n[stop]\ngrace = 4s\n",
-		args[0], args[1], host, p.network)
+		"[peers]\nlisten = %[3]s:8081\n[admin]\nlisten = %[3]s:8082\n[store]\naddress = %s.1:%s\n[stop]\ngrace = 4s\n",
+		args[0], args[1], host, p.network, storePort)
 	path := filepath.Join(p.dir, args[0]+".ini")
 	ts.Check(os.WriteFile(path, []byte(text), 0o600))
 	ts.Check(p.start(args[0], "rhubarbrelayd", "--settings", path))
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -59,6 +59,7 @@
 		Setup: setup,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"store":    startStore,
+			"proxy":    startProxy,
 			"target":   startTarget,
 			"instance": startInstance,
 			"signal":   signal,
@@ -69,6 +70,8 @@
 			"finished": finished,
 			"callmany": callMany,
 			"peakrss":  peakRSS,
+			"never":    never,
+			"held":     held,
 		},
 	})
 }
@@ -86,7 +89,7 @@
 		env.Defer(func() { _ = l.Close() })
 		env.Setenv("NET", network)
 		env.Setenv("RHUBARBRELAY_STORE", network+".1:7000")
-		p := &processes{network: network, dir: env.WorkDir, running: map[string]*process{}, calls: map[string]chan string{}}
+		p := &processes{network: network, dir: env.WorkDir, running: map[string]*process{}, calls: map[string]chan string{}, watches: map[string]*watch{}}
 		env.Values[processesKey{}] = p
 		env.Defer(p.killAll)
 		return expandFiles(env.WorkDir, network)
