soak: restore the store from a copy, and watch that no version is withdrawn

New fault: an outage of random length and kind around a restoration of a copy of random age, with versions published before and after it; the lost records are written again after a random delay, those of operators in full or only the newest. The store counts as not readable in silent and resetting outages too, as in refusing ones.

New check: each instance is asked for the newest version's route all the time; a process that had the version in force and then returns 404 has gone back.

--- a/soak/environment.go
+++ b/soak/environment.go
@@ -54,6 +54,8 @@
 	Callers   int
 	Duration  time.Duration
 	Seed      uint64
+	// Faults is the number of faults, in their order, that the run selects from. 0 means all.
+	Faults int
 	// NoFaults disables all faults.
 	NoFaults bool
 }
@@ -67,10 +69,13 @@
 	instances []*instance
 	// storeOutages are the periods in which the store refused all calls.
 	storeOutages outages
+	// restoring is held from a restoration of the store until what operators and
+	// targets had written is written again. Operators publish nothing meanwhile.
+	restoring sync.Mutex
 
 	mu      sync.Mutex
 	random  *rand.Rand
-	version int64
+	version int64 // the newest one that was published
 	targets []*target
 	closers []func()
 }
@@ -182,6 +187,13 @@
 // publish publishes the next configuration version. Each version has a route of
 // its own, so that a request shows which version is active.
 func (e *environment) publish() error {
+	e.restoring.Lock()
+	defer e.restoring.Unlock()
+	return e.publishNext()
+}
+
+// publishNext is publish while e.restoring is held.
+func (e *environment) publishNext() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.version++
@@ -203,6 +215,13 @@
 	return nil
 }
 
+// newestVersion returns the newest version that was published.
+func (e *environment) newestVersion() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
+
 func (e *environment) randomTarget() *target {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"sync"
 	"syscall"
 	"time"
 
+	"rhubarbrelay/platform"
 	"rhubarbrelay/standin"
 )
 
@@ -18,7 +20,8 @@
 	run            func(env *environment, in *instance, length time.Duration)
 }
 
-// faults are the faults that a run selects from.
+// faults are the faults that a run selects from. New ones are added at the end, so that
+// a seed keeps selecting from those that existed when it was found.
 var faults = []fault{
 	{name: "kill", affectsProcess: true, run: func(_ *environment, in *instance, length time.Duration) {
 		in.signal(syscall.SIGKILL)
@@ -56,6 +59,7 @@
 	{name: "target sends extra responses", run: targetFault(standin.TargetFaults{ExtraResponse: true})},
 	{name: "target reports itself unhealthy", run: targetFault(standin.TargetFaults{ReportUnhealthy: true})},
 	{name: "target replaced", run: replaceTarget},
+	{name: "store restored from a copy", run: restoreStore},
 }
 
 func proxyFault(mode string) func(*environment, *instance, time.Duration) {
@@ -78,7 +82,58 @@
 // make it refuse the calls of every instance.
 func (e *environment) setStoreFaults(f standin.Faults) {
 	e.store.SetFaults(f)
-	e.storeOutages.set(f.Down || f.Throttled, time.Now())
+	e.storeOutages.set(f.Down || f.Throttled || f.Silent || f.Reset, time.Now())
+}
+
+const (
+	minCopyAge      = time.Second
+	maxCopyAge      = 10 * time.Second
+	maxOutage       = 2500 * time.Millisecond
+	maxRewriteDelay = 2 * time.Second
+	// maxRestoredVersions limits the versions published just before a restoration, and
+	// those just after it.
+	maxRestoredVersions = 3
+)
+
+// restoreStore restores the store from a copy amid an outage. Some time later, the lost
+// records of operators and targets are written again in their order: all of the
+// targets, and all or only the newest of the operators. Operators and targets are not
+// affected by the outage. It does nothing while the store is being restored already.
+func restoreStore(env *environment, _ *instance, length time.Duration) {
+	if !env.restoring.TryLock() {
+		return
+	}
+	defer env.restoring.Unlock()
+	env.publishSome()
+	time.Sleep(length / 4)
+	env.setStoreFaults([]standin.Faults{{Silent: true}, {Down: true}, {Reset: true}}[env.randomInt(3)])
+	length = env.randomDuration(maxOutage)
+	before := env.randomDuration(length)
+	time.Sleep(before)
+	env.store.Restore(minCopyAge + env.randomDuration(maxCopyAge-minCopyAge))
+	var outage sync.WaitGroup
+	outage.Go(func() {
+		time.Sleep(length - before)
+		env.setStoreFaults(standin.Faults{})
+	})
+	time.Sleep(env.randomDuration(maxRewriteDelay))
+	rewrite := []func(string){env.store.Rewrite, env.store.RewriteNewest}[env.randomInt(2)]
+	rewrite(string(platform.ConfigTopic))
+	env.store.Rewrite(string(platform.TargetTopic))
+	env.publishSome()
+	outage.Wait()
+}
+
+// publishSome publishes a random number of versions. e.restoring is held.
+func (e *environment) publishSome() {
+	for range e.randomInt(maxRestoredVersions + 1) {
+		_ = e.publishNext()
+	}
+}
+
+// randomDuration returns a random duration of at most the given one, in milliseconds.
+func (e *environment) randomDuration(most time.Duration) time.Duration {
+	return time.Duration(e.randomInt(int(most.Milliseconds())+1)) * time.Millisecond
 }
 
 func targetFault(f standin.TargetFaults) func(*environment, *instance, time.Duration) {
@@ -114,10 +169,13 @@
 // finish. Several may overlap.
 func (e *environment) injectFaults(end time.Time, logFault func(string)) {
 	done := make(chan struct{}, maxConcurrentFaults)
-	active := 0
+	active, faultCount := 0, len(faults)
+	if e.opts.Faults > 0 {
+		faultCount = e.opts.Faults
+	}
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(50+e.randomInt(250)) * time.Millisecond)
-		f := faults[e.randomInt(len(faults))]
+		f := faults[e.randomInt(faultCount)]
 		in := e.instances[e.randomInt(len(e.instances))]
 		length := time.Duration(200+e.randomInt(2500)) * time.Millisecond
 		for len(done) > 0 {
--- a/soak/run.go
+++ b/soak/run.go
@@ -20,6 +20,9 @@
 	// configTimeout is the time within which an instance must serve the newest
 	// configuration version when it is checked.
 	configTimeout = 2 * time.Second
+	// versionInterval is the time between two requests that check that no instance
+	// returns to an older version.
+	versionInterval = 100 * time.Millisecond
 )
 
 // Result is the outcome of a run.
@@ -51,10 +54,19 @@
 		c := &caller{env: env, number: i, random: rand.New(rand.NewPCG(opts.Seed, uint64(2+i))), conns: map[string]*conn{}}
 		group.Go(func() { c.run(end.Add(recoveryTime), results.add) })
 	}
+	regressions := make([]string, len(env.instances))
+	for i, in := range env.instances {
+		group.Go(func() { regressions[i] = in.watchVersions(end.Add(recoveryTime)) })
+	}
 	if !opts.NoFaults {
 		env.injectFaults(end, func(text string) { result.Faults = append(result.Faults, text) })
 	}
 	group.Wait()
+	for _, regression := range regressions {
+		if regression != "" {
+			result.addViolation("%s", regression)
+		}
+	}
 	result.check(env, results.all)
 	return result, nil
 }
@@ -165,19 +177,50 @@
 		}
 		status := 0
 		for deadline := time.Now().Add(configTimeout); status != fasthttp.StatusOK && time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-			req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-			req.SetRequestURI(fmt.Sprintf("http://%s/v%d/", in.address(callerPort), env.version))
-			req.Header.SetHost(host)
-			req.UseHostHeader = true
-			req.Header.Set(standin.HeaderRequestID, fmt.Sprintf("version-%s-%d", in.id, env.version))
-			if fasthttp.DoTimeout(req, resp, time.Second) == nil {
-				status = resp.StatusCode()
-			}
-			fasthttp.ReleaseRequest(req)
-			fasthttp.ReleaseResponse(resp)
+			status = in.requestVersion(env.version)
 		}
 		if status != fasthttp.StatusOK {
 			r.addViolation("instance %s returns status %d for the route of configuration version %d", in.id, status, env.version)
 		}
 	}
 }
+
+// requestVersion requests the route that only the given configuration version has. It
+// returns the status, 0 without a response.
+func (in *instance) requestVersion(version int64) int {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(fmt.Sprintf("http://%s/v%d/", in.address(callerPort), version))
+	req.Header.SetHost(host)
+	req.UseHostHeader = true
+	req.Header.Set(standin.HeaderRequestID, fmt.Sprintf("version-%s-%d", in.id, version))
+	if fasthttp.DoTimeout(req, resp, time.Second) != nil {
+		return 0
+	}
+	return resp.StatusCode()
+}
+
+// watchVersions requests the newest version's route until the end time. It returns a
+// violation if a process that has had a version in force returns to an older one.
+func (in *instance) watchVersions(end time.Time) string {
+	highest, process := int64(0), 0
+	for ; time.Now().Before(end); time.Sleep(versionInterval) {
+		pid, _ := in.running()
+		version := in.env.newestVersion()
+		status := in.requestVersion(version)
+		if after, _ := in.running(); pid == 0 || after != pid || in.env.newestVersion() != version {
+			continue // it is not known which process or version the status is about
+		}
+		if pid != process {
+			highest, process = 0, pid
+		}
+		switch {
+		case status == fasthttp.StatusOK:
+			highest = version
+		case status == fasthttp.StatusNotFound && highest == version:
+			return fmt.Sprintf("instance %s returned to a version older than %d", in.id, version)
+		}
+	}
+	return ""
+}
