soak: run only selected faults, and restore the store after short outages more often

Short outages and delays are now more frequent: after a long outage, instances read everything anew anyway.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -22,6 +22,7 @@
 	Targets   int           `arg:"--targets" default:"9" help:"number of targets"`
 	Callers   int           `arg:"--callers" default:"24" help:"number of callers"`
 	NoFaults  bool          `arg:"--calm" help:"inject no faults"`
+	Fault     string        `arg:"--fault" help:"inject only the faults whose names contain this"`
 	Verbose   bool          `arg:"--verbose" help:"print the injected faults"`
 }
 
@@ -59,7 +60,7 @@
 	}
 	result, err := soak.Run(soak.Options{
 		DaemonPath: filepath.Join(filepath.Dir(self), "rhubarbrelayd"), Dir: dir, Instances: a.Instances, Targets: a.Targets,
-		Callers: a.Callers, Duration: a.Duration, Seed: seed, NoFaults: a.NoFaults,
+		Callers: a.Callers, Duration: a.Duration, Seed: seed, NoFaults: a.NoFaults, OnlyFault: a.Fault,
 	})
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "soak: seed %d: %v; logs in %s\n", seed, err, dir)
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -56,6 +56,8 @@
 	Seed      uint64
 	// Faults is the number of faults, in their order, that the run selects from. 0 means all.
 	Faults int
+	// OnlyFault limits the run to the faults whose names contain it.
+	OnlyFault string
 	// NoFaults disables all faults.
 	NoFaults bool
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -98,7 +100,8 @@
 // restoreStore restores the store from a copy amid an outage. Some time later, the lost
 // records of operators and targets are written again in their order: all of the
 // targets, and all or only the newest of the operators. Operators and targets are not
-// affected by the outage. It does nothing while the store is being restored already.
+// affected by the outage. Short times are more frequent, since readers notice long ones.
+// It does nothing while the store is being restored already.
 func restoreStore(env *environment, _ *instance, length time.Duration) {
 	if !env.restoring.TryLock() {
 		return
@@ -107,7 +110,7 @@
 	env.publishSome()
 	time.Sleep(length / 4)
 	env.setStoreFaults([]standin.Faults{{Silent: true}, {Down: true}, {Reset: true}}[env.randomInt(3)])
-	length = env.randomDuration(maxOutage)
+	length = env.randomDuration(env.randomDuration(maxOutage))
 	before := env.randomDuration(length)
 	time.Sleep(before)
 	env.store.Restore(minCopyAge + env.randomDuration(maxCopyAge-minCopyAge))
@@ -116,7 +119,7 @@
 		time.Sleep(length - before)
 		env.setStoreFaults(standin.Faults{})
 	})
-	time.Sleep(env.randomDuration(maxRewriteDelay))
+	time.Sleep(env.randomDuration(env.randomDuration(maxRewriteDelay)))
 	rewrite := []func(string){env.store.Rewrite, env.store.RewriteNewest}[env.randomInt(2)]
 	rewrite(string(platform.ConfigTopic))
 	env.store.Rewrite(string(platform.TargetTopic))
@@ -165,17 +168,23 @@
 // time.
 const maxConcurrentFaults = 6
 
+// selectedFaults returns the faults that the run selects from.
+func (o Options) selectedFaults() []fault {
+	selected := faults
+	if o.Faults > 0 {
+		selected = faults[:o.Faults]
+	}
+	return slices.DeleteFunc(slices.Clone(selected), func(f fault) bool { return !strings.Contains(f.name, o.OnlyFault) })
+}
+
 // injectFaults injects random faults until the end time and waits for them to
 // finish. Several may overlap.
 func (e *environment) injectFaults(end time.Time, logFault func(string)) {
 	done := make(chan struct{}, maxConcurrentFaults)
-	active, faultCount := 0, len(faults)
-	if e.opts.Faults > 0 {
-		faultCount = e.opts.Faults
-	}
+	active, selected := 0, e.opts.selectedFaults()
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(50+e.randomInt(250)) * time.Millisecond)
-		f := faults[e.randomInt(faultCount)]
+		f := selected[e.randomInt(len(selected))]
 		in := e.instances[e.randomInt(len(e.instances))]
 		length := time.Duration(200+e.randomInt(2500)) * time.Millisecond
 		for len(done) > 0 {
