--- a/soak/environment.go
+++ b/soak/environment.go
@@ -74,6 +74,9 @@
 	// restoring is held from a restoration of the store until what operators and
 	// targets had written is written again. Operators publish nothing meanwhile.
 	restoring sync.Mutex
+	// readyAt is when all instances were ready. No copy of the store is older, as the
+	// first version and the first targets precede all copies.
+	readyAt time.Time
 
 	mu      sync.Mutex
 	random  *rand.Rand
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -113,7 +113,8 @@
 	length = env.randomDuration(env.randomDuration(maxOutage))
 	before := env.randomDuration(length)
 	time.Sleep(before)
-	env.store.Restore(minCopyAge + env.randomDuration(maxCopyAge-minCopyAge))
+	age := minCopyAge + env.randomDuration(maxCopyAge-minCopyAge)
+	env.store.Restore(min(age, time.Since(env.readyAt)))
 	var outage sync.WaitGroup
 	outage.Go(func() {
 		time.Sleep(length - before)
--- a/soak/run.go
+++ b/soak/run.go
@@ -47,7 +47,8 @@
 	if err := env.waitForReady(); err != nil {
 		return result, err
 	}
-	end := time.Now().Add(opts.Duration)
+	env.readyAt = time.Now()
+	end := env.readyAt.Add(opts.Duration)
 	var results resultLog
 	var group sync.WaitGroup
 	for i := range opts.Callers {
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -15,10 +15,11 @@
 	instances, targets, callers int
 	duration                    time.Duration
 	faults                      int // how many of the faults existed when the seed was found
+	onlyFault                   string
 }
 
 // smallRun returns a run of the size with which most seeds were found.
-func smallRun(seed uint64) seededRun { return seededRun{seed, 4, 6, 12, 4 * time.Second, 22} }
+func smallRun(seed uint64) seededRun { return seededRun{seed, 4, 6, 12, 4 * time.Second, 22, ""} }
 
 // seededRuns are the runs that CI repeats. A seed that has found a bug stays here,
 // with its cause.
@@ -34,12 +35,15 @@
 	smallRun(2479946651),
 	// The check of drains counted requests as late although the store had refused the
 	// calls of all instances from the start of the drain until the end of the delay.
-	{2439008661, 5, 9, 24, 8 * time.Second, 22},
+	{2439008661, 5, 9, 24, 8 * time.Second, 22, ""},
+	{1, 4, 6, 12, 4 * time.Second, 0, ""},
+	{1, 4, 6, 6, 8 * time.Second, 0, "restored"},
 }
 
 // Guards against faults of processes, the store and targets that overlap and
 // lead to a non-idempotent request that runs twice, a wrong response, a request
-// to a draining target, or an instance that does not recover.
+// to a draining target, an instance that does not recover,
+// or one that returns to an older version.
 func TestSeeds(t *testing.T) {
 	daemon := filepath.Join(t.TempDir(), "rhubarbrelayd")
 	out, err := exec.Command("go", "build", "-o", daemon, "rhubarbrelay/cmd/rhubarbrelayd").CombinedOutput()
@@ -47,7 +51,7 @@
 	for _, run := range seededRuns {
 		result, err := Run(Options{
 			DaemonPath: daemon, Dir: t.TempDir(), Instances: run.instances, Targets: run.targets, Callers: run.callers, Duration: run.duration, Seed: run.seed,
-			Faults: run.faults,
+			Faults: run.faults, OnlyFault: run.onlyFault,
 		})
 		assert.NilError(t, err)
 		assert.Equal(t, len(result.Violations), 0, "seed %d: violations %q after the faults %q", run.seed, result.Violations, result.Faults)
