registry: read the newest configuration after a failed read

What callers would see: after the store was away and came back from a copy, a version is in force later than 2 s after its acknowledgement. The follower long-polled again at the position that it had reached before. If the end of the restored log equalled that offset, the read waited, up to 4 s on all instances but the first in the read order, and only its response showed the new era; versions appended before that offset were missed until then.

Class: a position is used although the history that it belongs to may have ended.

After any failed read the next one now fetches the newest version. That is a call without a wait in place of a long poll, so that the number of calls stays, and it states the era in which the following long poll waits.

TestVersionAtOffsetsReadBeforeOutage failed before on the second watcher: rank_1: assertion failed: []int64{7, + 9} that is, version 9 was not active 2 s after the end of the outage.

--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -249,9 +249,10 @@
 			from = unknownPosition
 		case err != nil:
 			f.recordReadResult(err)
-			if retryDelay.wait(readCtx); readCtx.Err() != nil {
-				from = unknownPosition
-			}
+			// The store may have been restored meanwhile: a long poll at the known
+			// position would learn that only from its response.
+			from = unknownPosition
+			retryDelay.wait(readCtx)
 			f.waitUntilReadDue(ctx)
 		default:
 			f.recordReadResult(nil)
