registry, daemon: end a long poll of the configuration after a restoration

What callers would see: a version is in force late. A long poll that the store keeps open while it is restored, or that began at a position read just before, waits at an offset of the former era. If the new end equals it, its response shows the new era only at the end of the wait, up to 4 s later, although the instance has long learned of it from the registry or from another instance.

Class: what one component has learned does not reach another that depends on it.

TargetFollower calls a function, outside its lock, once for each higher era that a read or an update shows, but not for the first. ConfigFollower then fetches the newest version: an instance that long-polls restarts its read at once, a watcher also ends its backoff.

readInProgress is now set before refreshRequested is read. Otherwise a restoration recorded between the two would neither be seen by that read nor cancel it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -77,7 +77,7 @@
 	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger),
 		peer.WithOnTargetUpdate(d.onTargetUpdate), peer.WithSeeds(seedAddresses(s)), peer.WithActive(d.selector.IsActive))
 	d.targetFollower = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, d.members.ReadOrder, d.recordTargetChange,
-		d.onRegistryRecovered, logger)
+		d.onRegistryRecovered, logger, registry.WithOnRestored(d.onStoreRestored))
 	d.configFollower = registry.NewConfigFollower(store, registry.ReadRole{
 		IsReader: d.targetFollower.IsReader, StoreFailing: d.targetFollower.Failing, Rank: d.members.Rank, ReadOrder: d.members.ReadOrder,
 	}, d.fetchConfig, logger, d.applyConfig)
@@ -158,6 +158,10 @@
 	d.configFollower.Wake()
 }
 
+// onStoreRestored reads the configuration again, as a version may have been published
+// at an offset that was read before.
+func (d *Daemon) onStoreRestored() { d.configFollower.RecordRestoration() }
+
 func (d *Daemon) onMembersChanged() {
 	counts := routing.InstanceCounts{Known: d.members.Count(), Active: d.selector.ActiveCount()}
 	if d.table.SetInstanceCounts(counts) {
--- a/daemon/run_test.go
+++ b/daemon/run_test.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log/handlers/memory"
 	"gotest.tools/v3/assert"
 
+	"rhubarbrelay/peer"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/settings"
 	"rhubarbrelay/standin"
@@ -91,3 +92,20 @@
 		assert.Equal(t, messages[want], 1, "lines with %q", want)
 	}
 }
+
+// Guards against an instance that learns of a restoration of the store from another one
+// and does not read the configuration again.
+func TestConfigurationIsReadAfterRestoration(t *testing.T) {
+	d, _ := newTestDaemon(t)
+	stopCtx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Run(stopCtx) }()
+	eventually(t, "the instance is ready", d.ready)
+	eventually(t, "the instance watches the store", d.configFollower.IsWatcher)
+	eventually(t, "the era of the store is known", func() bool { return d.targetFollower.Era() > 0 })
+	reported := time.Now()
+	d.onTargetUpdate(peer.TargetUpdate{To: platform.Position{Era: d.targetFollower.Era() + 1}})
+	eventually(t, "the configuration is read again", func() bool { return d.configFollower.ReadAge() < time.Since(reported) })
+	cancel()
+	assert.NilError(t, <-stopped)
+}
--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -219,6 +219,16 @@
 	}
 }
 
+// RecordRestoration makes the next read fetch the newest configuration, because the
+// store was restored from a copy. A read in progress is restarted, and a watcher starts
+// one at once. Any other instance continues to rely on the versions that are reported.
+func (f *ConfigFollower) RecordRestoration() {
+	f.refreshRequested.Store(true)
+	if f.IsWatcher() || f.readInProgress.Load() {
+		f.Refresh()
+	}
+}
+
 // Run follows the store until the context ends. It reads the newest configuration at
 // once unless ApplyIfNewer was called.
 func (f *ConfigFollower) Run(ctx context.Context) error {
@@ -230,12 +240,12 @@
 	for ctx.Err() == nil {
 		readCtx, cancel := context.WithCancel(ctx)
 		f.cancelRead.Store(&cancel)
-		// The flag is cleared only after cancelRead is replaced: a Refresh that is
-		// not seen here cancels this read.
+		f.readInProgress.Store(true)
+		// The flag is cleared only after cancelRead and readInProgress are set: a
+		// request that is not seen here cancels this read.
 		if f.refreshRequested.Swap(false) {
 			from = unknownPosition
 		}
-		f.readInProgress.Store(true)
 		next, err := f.read(readCtx, from)
 		f.readInProgress.Store(false)
 		interrupted := readCtx.Err() != nil
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -52,6 +52,7 @@
 	readOrder   func() int
 	onChange    func(change targets.Change, source string)
 	onRecovery  func()
+	onRestored  func()
 	logger      log.Interface
 	clock       func() time.Time
 
@@ -79,6 +80,15 @@
 	era           int64 // of the last position that was read or received
 }
 
+// TargetFollowerOption changes an optional property of a TargetFollower.
+type TargetFollowerOption func(*TargetFollower)
+
+// WithOnRestored calls onRestored each time the store was restored from a copy, as soon
+// as a read or an update of another instance shows it.
+func WithOnRestored(onRestored func()) TargetFollowerOption {
+	return func(f *TargetFollower) { f.onRestored = onRestored }
+}
+
 // NewTargetFollower returns a follower. rank returns the number of instances
 // presumed alive with a lower ID, readOrder the position of this instance among those
 // that read the registry when they receive no updates. onChange is called with each
@@ -86,11 +96,16 @@
 func NewTargetFollower(
 	store Store, directory *targets.Directory, broadcaster Broadcaster, rank, readOrder func() int,
 	onChange func(change targets.Change, source string), onRecovery func(), logger log.Interface,
+	options ...TargetFollowerOption,
 ) *TargetFollower {
-	return &TargetFollower{
-		store: store, directory: directory, broadcaster: broadcaster, rank: rank, readOrder: readOrder, onChange: onChange, onRecovery: onRecovery, logger: logger, clock: time.Now,
+	f := &TargetFollower{
+		store: store, directory: directory, broadcaster: broadcaster, rank: rank, readOrder: readOrder, onChange: onChange, onRecovery: onRecovery, onRestored: func() {}, logger: logger, clock: time.Now,
 		next: unknownPosition, expired: unknownPosition, wakeup: make(chan struct{}, 1), readRequested: make(chan struct{}, 1),
 	}
+	for _, option := range options {
+		option(f)
+	}
+	return f
 }
 
 // Age returns the time since the state was last known to be complete, or the
@@ -316,8 +331,16 @@
 // does not make this instance a reader.
 func (f *TargetFollower) recordRead(next platform.Position, asOf time.Time, reader bool) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.recordEra(next.Era, "store")
+	restored := f.recordEra(next.Era, "store")
+	f.advanceByRead(next, asOf, reader)
+	f.mu.Unlock()
+	if restored {
+		f.onRestored()
+	}
+}
+
+// advanceByRead moves next to the end of a read. f.mu is held.
+func (f *TargetFollower) advanceByRead(next platform.Position, asOf time.Time, reader bool) {
 	if reader {
 		f.lastReadAt = asOf
 		if f.next == unknownPosition || next.Era < f.next.Era {
@@ -341,9 +364,12 @@
 	f.notifyChanges(f.directory.Apply(f.newChanges(update)), "peer")
 	f.mu.Lock()
 	f.lastUpdateAt = f.clock()
-	f.recordEra(update.To.Era, "peer")
+	restored := f.recordEra(update.To.Era, "peer")
 	contiguous := f.advance(update)
 	f.mu.Unlock()
+	if restored {
+		f.onRestored()
+	}
 	if contiguous {
 		signal(f.wakeup)
 	}
@@ -356,16 +382,19 @@
 	return f.era
 }
 
-// recordEra logs a restoration of the store. f.mu is held.
-func (f *TargetFollower) recordEra(era int64, source string) {
+// recordEra logs a restoration of the store and reports whether there was one. If so,
+// the caller must call onRestored once it has released f.mu, which is held.
+func (f *TargetFollower) recordEra(era int64, source string) (restored bool) {
 	if era <= f.era {
-		return
+		return false
 	}
-	if f.era > 0 {
+	restored = f.era > 0
+	if restored {
 		f.logger.WithField("era", era).WithField("previous_era", f.era).WithField("offset", f.next.Offset).WithField("source", source).
 			Warn("store was restored from a copy")
 	}
 	f.era = era
+	return restored
 }
 
 func (f *TargetFollower) notifyChanges(changes []targets.Change, source string) {
--- a/registry/target_state.go
+++ b/registry/target_state.go
@@ -29,17 +29,26 @@
 // Run or while Run reads.
 func (f *TargetFollower) Restore(state peer.TargetState, at time.Time) {
 	f.directory.AddRemoved(state.Removed)
+	if f.takeOver(state, at) {
+		f.onRestored()
+	}
+}
+
+// takeOver replaces the state by that of another instance, unless this one has its own.
+// It reports whether the state shows that the store was restored.
+func (f *TargetFollower) takeOver(state peer.TargetState, at time.Time) (restored bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.next != unknownPosition || f.directory.Loaded() {
-		return
+		return false
 	}
 	// The state may lack targets whose registrations have arrived by updates. They are
 	// read again, as they are after its position.
 	f.directory.ReplaceRestored(state.Targets)
 	f.next, f.freshAt = state.Next, at.Add(-state.Age)
-	f.recordEra(state.Next.Era, "peer")
+	restored = f.recordEra(state.Next.Era, "peer")
 	if state.Next.Era < f.era {
 		f.forgetPosition() // another instance has reported the new era already
 	}
+	return restored
 }
