registry: register instances again after the store was restored

What callers would see: after a restoration from a copy that lacks the registrations, instances that start without a live seed find no other instance: they serve beside the others and share no budgets with them. The registrar knew only that it had registered, so it never wrote the registration again.

Class: a record of what was written outlives what was written.

The store states the era in which it appended the registration. The registrar compares it with the era that the instance knows and registers again if that has risen, still only among the first three of the zone and at its random check interval. With 144 instances a restoration costs three calls.

The removal of a registration may be lost in the same way. An instance that is leaving no longer registers, and removes its registration again if the era rises while it still runs.

Failed before: TestInstancesRegisterAfterRestoration: 0 (int) != 3 (registeredPerZone int) TestLeavingInstanceAfterRestoration, without the check for leaving: copy_with_the_registration, copy_without_the_registration: appended - the registration, + ""

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -81,7 +81,7 @@
 	d.configFollower = registry.NewConfigFollower(store, registry.ReadRole{
 		IsReader: d.targetFollower.IsReader, StoreFailing: d.targetFollower.Failing, Rank: d.members.Rank, ReadOrder: d.members.ReadOrder,
 	}, d.fetchConfig, logger, d.applyConfig)
-	d.registrar = registry.NewRegistrar(store, d.members, logger)
+	d.registrar = registry.NewRegistrar(store, d.members, logger, registry.WithStoreEra(d.targetFollower.Era))
 	d.freshness = newFreshness(d.targetFollower, d.configFollower, s.Budgets.DrainDelay, d.recordSuspension)
 	d.relay = relay.NewServer(d.configFollower, d.table, relay.WithRecorder(d.recorder), relay.WithLogger(logger),
 		relay.WithFreshness(d.freshness), relay.WithMaxConnections(s.Callers.MaxConnections),
--- a/registry/fake_test.go
+++ b/registry/fake_test.go
@@ -114,6 +114,13 @@
 	return slices.Clone(s.newestAt)
 }
 
+// recordsFrom returns the records of a topic from an offset on.
+func (s *fakeStore) recordsFrom(topic platform.Topic, offset int) []platform.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.records[topic][offset:])
+}
+
 // end returns the position after the last record of a topic.
 func (s *fakeStore) end(topic platform.Topic) platform.Position {
 	return platform.Position{Era: s.era, Offset: int64(len(s.records[topic]))}
--- a/registry/registrar.go
+++ b/registry/registrar.go
@@ -43,17 +43,36 @@
 	// registeredCount is the number of instances of the zone in the registration, 0 if
 	// there is none.
 	registeredCount atomic.Int64
+	// storeEra returns the era of the store, 0 if it is not known. The store states the
+	// era in which it has registered or removed this instance.
+	storeEra                  func() int64
+	registeredEra, removedEra atomic.Int64
+	// leaving is set by Deregister.
+	leaving atomic.Bool
 }
 
+// RegistrarOption changes an optional property of a Registrar.
+type RegistrarOption func(*Registrar)
+
+// WithStoreEra sets the function that returns the era of the store, 0 if it is not
+// known.
+func WithStoreEra(era func() int64) RegistrarOption { return func(r *Registrar) { r.storeEra = era } }
+
 // NewRegistrar returns a registrar that registers the instance directory.Self() and
 // adds the other registered instances to the directory.
-func NewRegistrar(store Store, directory *membership.Directory, logger log.Interface) *Registrar {
-	return &Registrar{store: store, directory: directory, logger: logger}
+func NewRegistrar(store Store, directory *membership.Directory, logger log.Interface, options ...RegistrarOption) *Registrar {
+	r := &Registrar{store: store, directory: directory, logger: logger, storeEra: func() int64 { return 0 }}
+	for _, option := range options {
+		option(r)
+	}
+	return r
 }
 
 // Run keeps this instance registered while it is among the first registeredPerZone
 // instances of its zone that are presumed alive, by ID, until the context ends. It
-// registers it again when the number of instances of the zone has doubled or halved.
+// registers it again when the number of instances of the zone has doubled or halved,
+// and after the store was restored from a copy, which may lack the registration. After
+// Deregister it only removes a registration that such a copy contains again.
 func (r *Registrar) Run(ctx context.Context) error {
 	retryDelay := backoff{rank: r.directory.Rank}
 	for {
@@ -61,6 +80,12 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		if r.leaving.Load() {
+			if r.removedEra.Load() > 0 && r.storeEra() > r.removedEra.Load() {
+				r.remove(ctx)
+			}
+			continue
+		}
 		if r.directory.ZoneRank() >= registeredPerZone || !r.outdated() {
 			continue
 		}
@@ -77,7 +102,7 @@
 // least twice the number of instances of the zone that it knows.
 func (r *Registrar) outdated() bool {
 	registered, known := r.registeredCount.Load(), int64(r.directory.ZoneCount())
-	return known >= 2*registered || 2*known <= registered
+	return known >= 2*registered || 2*known <= registered || r.storeEra() > r.registeredEra.Load()
 }
 
 // Register registers this instance and then reads all registrations. In this
@@ -108,9 +133,11 @@
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	r.attempted.Store(true)
-	if _, err := r.store.Append(ctx, platform.InstanceTopic, self.ID, value); err != nil {
+	end, err := r.store.Append(ctx, platform.InstanceTopic, self.ID, value)
+	if err != nil {
 		return err
 	}
+	r.registeredEra.Store(end.Era)
 	r.registeredCount.Store(int64(known))
 	return nil
 }
@@ -151,12 +178,19 @@
 // fails, the registration stays in the store, and instances that start later send
 // packets to its address until they remove the instance from their directories.
 func (r *Registrar) Deregister(ctx context.Context) {
-	if !r.attempted.Load() {
-		return
+	r.leaving.Store(true)
+	if r.attempted.Load() {
+		r.remove(ctx)
 	}
+}
+
+func (r *Registrar) remove(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
 	defer cancel()
-	if _, err := r.store.Append(ctx, platform.InstanceTopic, r.directory.Self().ID, nil); err != nil {
+	end, err := r.store.Append(ctx, platform.InstanceTopic, r.directory.Self().ID, nil)
+	if err != nil {
 		r.logger.WithError(err).Warn("instance could not be deregistered")
+		return
 	}
+	r.removedEra.Store(end.Era)
 }
--- a/registry/restoration_test.go
+++ b/registry/restoration_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"rhubarbrelay/membership"
 	"rhubarbrelay/peer"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/targets"
@@ -169,3 +172,93 @@
 		<-stopped
 	})
 }
+
+// startRegistrars runs n registrars of one zone that know each other, until the test
+// ends.
+func startRegistrars(t *testing.T, store *fakeStore, n int) []*Registrar {
+	t.Helper()
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	directories := make([]*membership.Directory, n)
+	for i := range directories {
+		self := membership.Instance{ID: fmt.Sprintf("i-%03d", i), Zone: "a", PeerAddress: address, CallerAddress: address, AdminAddress: address}
+		directories[i] = membership.NewDirectory(self)
+	}
+	era := func() int64 {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return store.era
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	registrars := make([]*Registrar, n)
+	for i, d := range directories {
+		for _, other := range directories {
+			d.RecordPacket(other.Self(), time.Hour)
+		}
+		registrars[i] = NewRegistrar(store, d, discardLogger, WithStoreEra(era))
+		running.Go(func() { assert.Check(t, registrars[i].Run(ctx)) })
+	}
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return registrars
+}
+
+func registeredInstances(t *testing.T, store *fakeStore) int {
+	t.Helper()
+	batch, err := store.Newest(context.Background(), platform.InstanceTopic)
+	assert.NilError(t, err)
+	return len(batch.Records)
+}
+
+// Guards against registrations that are missing after a restoration, by which starting
+// instances find the others, and against a call of each instance to write them.
+func TestInstancesRegisterAfterRestoration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances = 144
+		store := newFakeStore()
+		startRegistrars(t, store, instances)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, registeredInstances(t, store), registeredPerZone)
+		for restorations := 1; restorations <= 2; restorations++ {
+			store.restore(platform.InstanceTopic, 0)
+			time.Sleep(10 * time.Second)
+			assert.Equal(t, registeredInstances(t, store), registeredPerZone)
+			assert.Equal(t, store.appendCount(), (1+restorations)*registeredPerZone)
+		}
+	})
+}
+
+// Guards against a leaving instance that is registered because the store was restored,
+// from a copy with or without its registration, and against one that removes a
+// registration that it never had.
+func TestLeavingInstanceAfterRestoration(t *testing.T) {
+	tests := []struct {
+		name       string
+		instance   int
+		restoredTo int      // number of records
+		appended   []string // after the restoration; empty for a removal
+	}{
+		{"copy with the registration", 0, registeredPerZone, []string{""}},
+		{"copy without the registration", 0, 0, []string{""}},
+		{"never registered", registeredPerZone, registeredPerZone, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				registrars := startRegistrars(t, store, registeredPerZone+1)
+				time.Sleep(10 * time.Second)
+				leaving := registrars[tt.instance]
+				leaving.Deregister(context.Background())
+				store.restore(platform.InstanceTopic, tt.restoredTo)
+				time.Sleep(10 * time.Second)
+				var appended []string
+				for _, r := range store.recordsFrom(platform.InstanceTopic, tt.restoredTo) {
+					if r.Key == leaving.directory.Self().ID {
+						appended = append(appended, string(r.Value))
+					}
+				}
+				assert.DeepEqual(t, appended, tt.appended)
+			})
+		})
+	}
+}
