daemon: keep an instance registered that is alone

Its registrar never ran: it started only once the instance had joined another one or another had joined through it, so that the instance registered once at its start.

Class: a repeated task waits for an event that may never come.

An instance that reads its state from the store now keeps itself registered from its first registration on. One that joins another still starts its registrar afterwards, when it knows who the first of its zone are.

TestLoneInstanceRegistersAfterRestoration failed before: timed out waiting until the instance is registered again

--- a/daemon/join.go
+++ b/daemon/join.go
@@ -5,10 +5,10 @@
 	"errors"
 	"fmt"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 
 	"rhubarbrelay/admin"
 	"rhubarbrelay/membership"
@@ -46,13 +46,20 @@
 // It calls startFollowers when the state was read from another instance or must be
 // read from the store.
 func (d *Daemon) join(ctx context.Context, startFollowers func()) error {
-	var registration sync.WaitGroup
-	defer registration.Wait()
+	var registration errgroup.Group
+	stateFromStore := false
 	d.newJoiner().run(ctx, func() {
+		stateFromStore = true
 		startFollowers()
-		registration.Go(func() { d.registerAtStart(ctx) })
+		registration.Go(func() error {
+			d.registerAtStart(ctx)
+			return d.registrar.Run(ctx) // an instance may be alone, and then never joins another one
+		})
 	})
 	startFollowers()
+	if stateFromStore {
+		return registration.Wait()
+	}
 	return d.registrar.Run(ctx)
 }
 
--- a/daemon/run_test.go
+++ b/daemon/run_test.go
@@ -29,6 +29,12 @@
 // newTestDaemon returns an instance on unused loopback addresses, whose store has a
 // configuration, and the lines that it logs.
 func newTestDaemon(t *testing.T) (*Daemon, *memory.Handler) {
+	t.Helper()
+	d, lines, _ := newTestDaemonWithStore(t)
+	return d, lines
+}
+
+func newTestDaemonWithStore(t *testing.T) (*Daemon, *memory.Handler, *standin.Store) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -46,7 +52,7 @@
 		unusedAddress(t), unusedAddress(t), unusedAddress(t), unusedAddress(t), unusedAddress(t), l.Addr()))
 	assert.NilError(t, err)
 	lines := memory.New()
-	return New(s, &log.Logger{Handler: lines, Level: log.InfoLevel}), lines
+	return New(s, &log.Logger{Handler: lines, Level: log.InfoLevel}), lines, store
 }
 
 func unusedAddress(t *testing.T) netip.AddrPort {
@@ -109,3 +115,24 @@
 	cancel()
 	assert.NilError(t, <-stopped)
 }
+
+// Guards against an instance that is alone and is not found by those that start after
+// the store was restored.
+func TestLoneInstanceRegistersAfterRestoration(t *testing.T) {
+	d, _, store := newTestDaemonWithStore(t)
+	beforeStart := time.Now()
+	stopCtx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Run(stopCtx) }()
+	registered := func() bool {
+		batch, err := platform.NewStore(d.settings.Store.Address).Newest(stopCtx, platform.InstanceTopic)
+		return err == nil && len(batch.Records) == 1
+	}
+	eventually(t, "the instance is registered", registered)
+	eventually(t, "the era of the store is known", func() bool { return d.targetFollower.Era() > 0 })
+	appends := store.Calls()["/-/log-append"]
+	store.Restore(time.Since(beforeStart))
+	eventually(t, "the instance is registered again", func() bool { return store.Calls()["/-/log-append"] > appends && registered() })
+	cancel()
+	assert.NilError(t, <-stopped)
+}
