commands: report a version that was appended to a restored store

What callers would see: `publish` prints "published version 10" although the version was appended upon a configuration that the operator has never seen, or under a number that instances have in force already and therefore ignore. The append is conditional on the end offset, but a restored store gives out offsets again: a restoration between read and append goes unnoticed if the end is the same.

Class: a condition is checked without the history that it belongs to.

The response to the append states the era. If it differs from that of the read, Publish returns ErrAppendedToRestored, which says that the operator must check the configuration in force; the tool exits with the new code 5. It is neither published as intended nor rejected. Another end is still a conflict, of which nothing was appended.

TestPublishDuringRestoration failed before: end_at_the_position: assertion failed: error is nil, not "the version was appended to a restored store, check the configuration in force" TestPublishAfterRestoration passed before: a lost version can be published again and gets its former number and text.

--- a/cmd/rhubarbrelay/main.go
+++ b/cmd/rhubarbrelay/main.go
@@ -21,10 +21,11 @@
 
 // Exit codes.
 const (
-	exitFailure        = 1
-	exitUsage          = 2
-	exitConflict       = 3
-	exitOutcomeUnknown = 4
+	exitFailure            = 1
+	exitUsage              = 2
+	exitConflict           = 3
+	exitOutcomeUnknown     = 4
+	exitAppendedToRestored = 5
 )
 
 // commandTimeout limits the run time of a command.
@@ -61,7 +62,8 @@
 func (args) Epilogue() string {
 	return "Example:\n  rhubarbrelay --store 10.200.1.7:8142 publish services.ini\n\n" +
 		"Exit codes:\n  0  success\n  1  failure, nothing was changed\n  2  usage error or invalid file\n" +
-		"  3  conflict with a concurrent change\n  4  unknown whether the change was published"
+		"  3  conflict with a concurrent change\n  4  unknown whether the change was published\n" +
+		"  5  published to a store that was restored meanwhile; check the configuration in force"
 }
 
 func main() {
@@ -84,6 +86,8 @@
 		return exitConflict
 	case errors.Is(err, commands.ErrOutcomeUnknown):
 		return exitOutcomeUnknown
+	case errors.Is(err, commands.ErrAppendedToRestored):
+		return exitAppendedToRestored
 	}
 	return exitFailure
 }
--- a/commands/publish.go
+++ b/commands/publish.go
@@ -15,6 +15,11 @@
 // published.
 var ErrOutcomeUnknown = errors.New("unknown whether the change was published")
 
+// ErrAppendedToRestored means that the change was appended, but to a store that was
+// restored from a copy since the published configuration was read: it may replace a
+// configuration that the operator has not seen, or have a version that is in use.
+var ErrAppendedToRestored = errors.New("the version was appended to a restored store, check the configuration in force")
+
 // Store is the part of the platform's store that publishing uses.
 type Store interface {
 	Newest(ctx context.Context, topic platform.Topic) (platform.Batch, error)
@@ -40,7 +45,9 @@
 // Publish publishes the document as the next version, unless it is the same as the
 // latest one, and prints the version number. If several operators publish
 // concurrently, all but one get platform.ErrConflict. The error wraps
-// ErrOutcomeUnknown if the store did not respond to the append.
+// ErrOutcomeUnknown if the store did not respond to the append, and
+// ErrAppendedToRestored if the store was restored since it was read but its end is the
+// same.
 func Publish(ctx context.Context, store Store, d *config.Document, out io.Writer) error {
 	latest, at, err := LatestConfig(ctx, store)
 	if err != nil {
@@ -60,11 +67,14 @@
 	if err != nil {
 		return err
 	}
-	if _, err := store.AppendAt(ctx, platform.ConfigTopic, at, platform.ConfigKey, text); err != nil {
-		if isRejection(err) {
-			return err
-		}
+	end, err := store.AppendAt(ctx, platform.ConfigTopic, at, platform.ConfigKey, text)
+	switch {
+	case err != nil && isRejection(err):
+		return err
+	case err != nil:
 		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	case end.Era != at.Era:
+		return fmt.Errorf("%w: version %d, era %d after era %d: %w", ErrAppendedToRestored, next.Version, end.Era, at.Era, platform.ErrRestored)
 	}
 	_, err = fmt.Fprintf(out, "published version %d\n", next.Version)
 	return err
--- a/commands/publish_test.go
+++ b/commands/publish_test.go
@@ -15,10 +15,12 @@
 
 // fakeStore is a store with one value. concurrent, if set, replaces the value
 // after the next read, as if another operator published between read and append.
+// restored, if set, replaces the store then, as if it was restored from a copy.
 type fakeStore struct {
 	value      []byte
 	end        platform.Position
 	concurrent []byte
+	restored   *fakeStore
 	appendErr  error // returned by AppendAt if set
 }
 
@@ -31,6 +33,9 @@
 		s.value, s.concurrent = s.concurrent, nil
 		s.end.Offset++
 	}
+	if s.restored != nil {
+		*s = *s.restored
+	}
 	return b, nil
 }
 
@@ -91,3 +96,56 @@
 	s.appendErr = errors.New("connection lost")
 	assert.ErrorIs(t, Publish(ctx, s, &changed, &out), ErrOutcomeUnknown)
 }
+
+// Guards against a version that counts as published or as rejected although it was
+// appended to a store that was restored since the operator's configuration was read.
+func TestPublishDuringRestoration(t *testing.T) {
+	tests := []struct {
+		name     string
+		copyEnd  int64 // the position of the read is 2
+		want     error
+		notWant  []error
+		appended bool
+	}{
+		{"end at the position", 2, ErrAppendedToRestored, []error{platform.ErrConflict, ErrOutcomeUnknown}, true},
+		{"end below the position", 1, platform.ErrConflict, []error{ErrAppendedToRestored, ErrOutcomeUnknown}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx := context.Background()
+			s := &fakeStore{end: platform.Position{Era: 1}}
+			var out bytes.Buffer
+			assert.NilError(t, Publish(ctx, s, parse(t, "kessler"), &out))
+			first := s.value
+			assert.NilError(t, Publish(ctx, s, parse(t, "hanbit"), &out))
+			out.Reset()
+			s.restored = &fakeStore{value: first, end: platform.Position{Era: 2, Offset: tt.copyEnd}}
+			changed := *parse(t, "hanbit")
+			changed.Limits.MaxBodyBytes = 7
+			err := Publish(ctx, s, &changed, &out)
+			assert.ErrorIs(t, err, tt.want)
+			assert.Equal(t, errors.Is(err, platform.ErrRestored), tt.appended)
+			for _, other := range tt.notWant {
+				assert.Assert(t, !errors.Is(err, other), "%v", err)
+			}
+			assert.Equal(t, out.String(), "")
+			assert.Equal(t, s.end.Offset > tt.copyEnd, tt.appended)
+		})
+	}
+}
+
+// Guards against a confirmed version that was lost with a copy and cannot be published
+// again, or only with another number than instances have in force.
+func TestPublishAfterRestoration(t *testing.T) {
+	ctx := context.Background()
+	s := &fakeStore{end: platform.Position{Era: 1}}
+	var out bytes.Buffer
+	assert.NilError(t, Publish(ctx, s, parse(t, "kessler"), &out))
+	first := s.value
+	assert.NilError(t, Publish(ctx, s, parse(t, "hanbit"), &out))
+	lost := s.value
+	*s = fakeStore{value: first, end: platform.Position{Era: 2, Offset: 1}}
+	assert.NilError(t, Publish(ctx, s, parse(t, "hanbit"), &out))
+	assert.Equal(t, out.String(), "published version 1\npublished version 2\npublished version 2\n")
+	assert.Equal(t, string(s.value), string(lost))
+}
