daemon: start with the newest configuration that the instance has heard of

What callers would see: an instance that is started after the store was restored from a copy serves an older version than all others, although a ready instance with the newer one has answered it. If that refuses the join because it is busy, or its targets are older than 2 s, as they are after an outage of the store, the starting instance reads the store and becomes ready at once. It fetched the newer version at the next check of the heartbeats, up to 0.5 s later.

Class: the state is taken from one source although another is known to be newer.

Before it becomes ready, an instance that has its state now fetches the newest version that it has heard of. It gives up after 0.5 s and the attempt in progress, so that an instance that cannot be reached does not prevent the start.

TestStartWithNewestKnownConfiguration failed before: provided: assertion failed: 1 (int64) != 2 (tt.want int64)

--- a/daemon/run.go
+++ b/daemon/run.go
@@ -31,6 +31,12 @@
 	// shutdownTimeout limits the wait for entry and administration requests in
 	// progress at the end.
 	shutdownTimeout = 100 * time.Millisecond
+	// newerConfigTimeout limits the wait of a starting instance, once its state is
+	// loaded, for a newer configuration that it has heard of. An attempt that has
+	// begun by then ends within fetchTimeout. newerConfigInterval is the time between
+	// two attempts to fetch it.
+	newerConfigTimeout  = 500 * time.Millisecond
+	newerConfigInterval = 50 * time.Millisecond
 	// catchUpInterval is the time between checks for a newer configuration on
 	// other instances.
 	catchUpInterval = 500 * time.Millisecond
@@ -137,8 +143,9 @@
 	d.stop()
 }
 
-// waitReady waits until configuration and targets are loaded. It returns false if
-// stopCtx ends first.
+// waitReady waits until configuration and targets are loaded and the configuration is
+// the newest one that this instance has heard of, if that can be fetched. It returns
+// false if stopCtx ends first.
 func (d *Daemon) waitReady(stopCtx context.Context) bool {
 	ticker := time.NewTicker(readyPollInterval)
 	defer ticker.Stop()
@@ -149,7 +156,24 @@
 		case <-ticker.C:
 		}
 	}
-	return true
+	d.fetchNewestKnownConfig(stopCtx)
+	return stopCtx.Err() == nil
+}
+
+// fetchNewestKnownConfig fetches a newer configuration that another instance has. The
+// store may have been restored from a copy that lacks it.
+func (d *Daemon) fetchNewestKnownConfig(stopCtx context.Context) {
+	ctx, cancel := context.WithTimeout(stopCtx, newerConfigTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if _, ok := d.members.PeerWithNewerConfig(d.configFollower.Current().Version); !ok {
+			return
+		}
+		previous := d.configFollower.Current()
+		if d.configFollower.CatchUp(); d.configFollower.Current() == previous {
+			sleepContext(ctx, newerConfigInterval)
+		}
+	}
 }
 
 // stop shuts down gracefully. It announces that the instance is leaving, which
--- a/daemon/run_test.go
+++ b/daemon/run_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +14,7 @@
 	"github.com/apex/log/handlers/memory"
 	"gotest.tools/v3/assert"
 
+	"rhubarbrelay/membership"
 	"rhubarbrelay/peer"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/settings"
@@ -30,11 +32,11 @@
 // configuration, and the lines that it logs.
 func newTestDaemon(t *testing.T) (*Daemon, *memory.Handler) {
 	t.Helper()
-	d, lines, _ := newTestDaemonWithStore(t)
+	d, lines, _ := newTestDaemonWithStore(t, "a-1")
 	return d, lines
 }
 
-func newTestDaemonWithStore(t *testing.T) (*Daemon, *memory.Handler, *standin.Store) {
+func newTestDaemonWithStore(t *testing.T, id string) (*Daemon, *memory.Handler, *standin.Store) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -47,14 +49,26 @@
 		assert.NilError(t, <-served)
 	})
 	s, err := settings.Parse("test.ini", fmt.Appendf(nil,
-		"[instance]\nid = a-1\nzone = a\nregion = r\n[callers]\nlisten = %s\nentry = %s\nready = %s\n[peers]\nlisten = %s\n"+
+		"[instance]\nid = %s\nzone = a\nregion = r\n[callers]\nlisten = %s\nentry = %s\nready = %s\n[peers]\nlisten = %s\n"+
 			"[admin]\nlisten = %s\n[store]\naddress = %s\n[stop]\ngrace = 1s\n",
-		unusedAddress(t), unusedAddress(t), unusedAddress(t), unusedAddress(t), unusedAddress(t), l.Addr()))
+		id, unusedAddress(t), unusedAddress(t), unusedAddress(t), unusedAddress(t), unusedAddress(t), l.Addr()))
 	assert.NilError(t, err)
 	lines := memory.New()
 	return New(s, &log.Logger{Handler: lines, Level: log.InfoLevel}), lines, store
 }
 
+// startTestDaemon runs an instance until the test ends.
+func startTestDaemon(t *testing.T, d *Daemon) {
+	t.Helper()
+	stopCtx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Run(stopCtx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-stopped)
+	})
+}
+
 func unusedAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -119,7 +133,7 @@
 // Guards against an instance that is alone and is not found by those that start after
 // the store was restored.
 func TestLoneInstanceRegistersAfterRestoration(t *testing.T) {
-	d, _, store := newTestDaemonWithStore(t)
+	d, _, store := newTestDaemonWithStore(t, "a-1")
 	beforeStart := time.Now()
 	stopCtx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error, 1)
@@ -136,3 +150,44 @@
 	cancel()
 	assert.NilError(t, <-stopped)
 }
+
+// Guards against an instance that becomes ready with the version of a restored store,
+// or not at all, although an instance that it cannot join through has a newer one.
+func TestStartWithNewestKnownConfiguration(t *testing.T) {
+	tests := []struct {
+		name    string
+		running bool // the other instance
+		want    int64
+	}{
+		{"provided", true, 2},
+		{"not provided", false, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			other, _, store := newTestDaemonWithStore(t, "a-1")
+			store.Put(string(platform.ConfigTopic), platform.ConfigKey, bytes.Replace([]byte(testConfig), []byte(`"version":1`), []byte(`"version":2`), 1))
+			known := other.members.Self()
+			known.State, known.ConfigVersion = membership.Ready, 2
+			if tt.running {
+				startTestDaemon(t, other)
+				eventually(t, "the other instance is ready", other.ready)
+				other.joining.Store(maxConcurrentJoins) // busy with others
+			}
+			d, lines, _ := newTestDaemonWithStore(t, "a-2")
+			d.members.RecordPacket(known, time.Hour)
+			stopCtx, cancel := context.WithCancel(context.Background())
+			stopped := make(chan error, 1)
+			go func() { stopped <- d.Run(stopCtx) }()
+			eventually(t, "the instance is ready", d.ready)
+			cancel()
+			assert.NilError(t, <-stopped)
+			var versions []any
+			for _, entry := range lines.Entries {
+				if entry.Message == "instance is ready" {
+					versions = append(versions, entry.Fields.Get("version"))
+				}
+			}
+			assert.DeepEqual(t, versions, []any{tt.want})
+		})
+	}
+}
