registry: test which documents are accepted after a restoration

After a restoration an older, removed, truncated or invalid document, and another one with the number of the active one, change nothing; a newer valid one that follows an invalid one is in force.

--- a/registry/restoration_test.go
+++ b/registry/restoration_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -262,3 +263,40 @@
 		})
 	}
 }
+
+// Guards against a document of a restored store that an instance accepts although it
+// would not accept it otherwise: an older or malformed one, or another one with the
+// number of the active one.
+func TestDocumentsAfterRestoration(t *testing.T) {
+	other := strings.Replace(documentJSON(7), `"r"`, `"other"`, 1)
+	for _, tt := range []struct {
+		name   string
+		values []string
+		want   []int64
+	}{
+		{"older", []string{documentJSON(6)}, []int64{7}},
+		{"removed", []string{""}, []int64{7}},
+		{"truncated", []string{documentJSON(9)[:40]}, []int64{7}},
+		{"invalid", []string{documentJSON(0), documentJSON(-9), strings.Replace(documentJSON(9), `"attempts":2`, `"attempts":-2`, 1)}, []int64{7}},
+		{"same number", []string{other}, []int64{7}},
+		{"newer after invalid", []string{documentJSON(9)[:40], documentJSON(8)}, []int64{7, 8}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				putVersions(store, 5, 6, 7)
+				f, versions := startConfigFollower(t, store, reader, noPeer)
+				time.Sleep(time.Second)
+				store.restore(platform.ConfigTopic, 1)
+				f.RecordRestoration()
+				for _, value := range tt.values {
+					time.Sleep(time.Second)
+					store.put(platform.ConfigTopic, platform.ConfigKey, value)
+				}
+				time.Sleep(configBound)
+				assert.DeepEqual(t, versions(), tt.want)
+				assert.Equal(t, f.Current().Routes[0].Name, "r")
+			})
+		})
+	}
+}
