registry: list the instances again when registering after a restoration

What operators would see: an instance without a live seed that starts just after the store was restored serves alone, and no other instance learns of it.

The others' registrations are missing from the copy until they register again, up to 1.5 s later. The instance that starts lists nobody and registers itself, but instances list the registered ones only at their own start, so that neither side found the other.

Class: a rule that lets one of two find the other holds only while nothing that was written is lost.

An instance that registers again in a new era now lists the registered ones, as at its start: of two that register, at least one then finds the other.

--- a/registry/registrar.go
+++ b/registry/registrar.go
@@ -89,7 +89,7 @@
 		if r.directory.ZoneRank() >= registeredPerZone || !r.outdated() {
 			continue
 		}
-		if err := r.register(ctx); err != nil {
+		if err := r.registerAgain(ctx); err != nil {
 			r.logger.WithError(err).Warn("instance could not be registered, retrying")
 			retryDelay.wait(ctx)
 			continue
@@ -105,6 +105,24 @@
 	return known >= 2*registered || 2*known <= registered || r.storeEra() > r.registeredEra.Load()
 }
 
+// registerAgain registers this instance. If the store was restored since it was
+// registered, it also reads all registrations: an instance that has started meanwhile
+// found none.
+func (r *Registrar) registerAgain(ctx context.Context) error {
+	previousEra := r.registeredEra.Load()
+	if err := r.register(ctx); err != nil {
+		return err
+	}
+	if previousEra == 0 || r.registeredEra.Load() == previousEra {
+		return nil
+	}
+	if _, err := r.List(ctx); err != nil {
+		r.registeredEra.Store(previousEra) // the next check registers and reads again
+		return err
+	}
+	return nil
+}
+
 // Register registers this instance and then reads all registrations. In this
 // order, at least one of two instances that start at the same time finds the
 // other. It retries until it succeeds or the context ends.
--- a/registry/restoration_test.go
+++ b/registry/restoration_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -230,6 +231,27 @@
 
 // Guards against a leaving instance that is registered because the store was restored,
 // from a copy with or without its registration, and against one that removes a
+// Guards against an instance that starts between a restoration and the others'
+// registrations, finds none and stays alone.
+func TestInstanceThatStartsAfterRestorationIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		registrars := startRegistrars(t, store, 2)
+		time.Sleep(10 * time.Second)
+		store.restore(platform.InstanceTopic, 0)
+		address := netip.MustParseAddrPort("10.0.0.2:80")
+		late := membership.Instance{ID: "late", Zone: "b", PeerAddress: address, CallerAddress: address, AdminAddress: address}
+		value, err := peer.EncodeRegistration(late, 1)
+		assert.NilError(t, err)
+		store.put(platform.InstanceTopic, "late", string(value))
+		time.Sleep(2 * time.Second)
+		for _, r := range registrars {
+			known := slices.ContainsFunc(r.directory.Peers(), func(in membership.Instance) bool { return in.ID == "late" })
+			assert.Assert(t, known, r.directory.Self().ID)
+		}
+	})
+}
+
 // registration that it never had.
 func TestLeavingInstanceAfterRestoration(t *testing.T) {
 	tests := []struct {
