--- a/standin/store.go
+++ b/standin/store.go
@@ -68,58 +68,6 @@
 	closed  bool
 }
 
-// topic is the log of one partition.
-type topic struct {
-	first int64 // offset of the oldest record that can be read
-	// records are all records by offset, also those that have expired, since a
-	// restored store may end before them.
-	records []record
-	newest  map[string]record
-	// lost are the records that the last Restore removed, except those whose key has
-	// been appended since: an older record must not replace what its writer wrote.
-	lost []record
-}
-
-// record is one record with its offset.
-type record struct {
-	key        string
-	value      []byte
-	offset     int64
-	appendedAt time.Time
-}
-
-func (t *topic) end() int64 { return int64(len(t.records)) }
-
-func (t *topic) append(key string, value []byte) {
-	r := record{key: key, value: slices.Clone(value), offset: t.end(), appendedAt: time.Now()}
-	t.records = append(t.records, r)
-	t.recordNewest(r)
-	t.lost = slices.DeleteFunc(t.lost, func(l record) bool { return l.key == key })
-}
-
-func (t *topic) recordNewest(r record) {
-	if r.value == nil {
-		delete(t.newest, r.key)
-		return
-	}
-	t.newest[r.key] = r
-}
-
-// removeSince removes the records that were appended at the given time or later.
-func (t *topic) removeSince(at time.Time) {
-	end := slices.IndexFunc(t.records, func(r record) bool { return !r.appendedAt.Before(at) })
-	if end < 0 {
-		end = len(t.records)
-	}
-	t.lost = slices.Clone(t.records[end:])
-	t.records = t.records[:end]
-	t.first = min(t.first, t.end())
-	t.newest = map[string]record{}
-	for _, r := range t.records {
-		t.recordNewest(r)
-	}
-}
-
 // NewStore returns an empty store.
 func NewStore() *Store {
 	s := &Store{topics: map[string]*topic{}, era: 1, changed: make(chan struct{}), calls: map[string]int{}}
@@ -165,65 +113,6 @@
 	s.notify()
 }
 
-// Restore replaces the content of the store by a copy of the given age and begins a
-// new era. Offsets that the copy lacks are given out again. A long poll in progress
-// ends without a response.
-func (s *Store) Restore(age time.Duration) { s.restore(time.Now().Add(-age)) }
-
-// Copy makes a copy of the store for RestoreCopy.
-func (s *Store) Copy() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.copiedAt = time.Now()
-}
-
-// RestoreCopy is Restore with the content at the last Copy.
-func (s *Store) RestoreCopy() {
-	s.mu.Lock()
-	at := s.copiedAt
-	s.mu.Unlock()
-	s.restore(at)
-}
-
-// restore removes all records appended at the given time or later.
-func (s *Store) restore(since time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, t := range s.topics {
-		t.removeSince(since)
-	}
-	s.era++
-	s.notify()
-}
-
-// Rewrite appends the records that the last Restore removed from a topic, as
-// operators and targets do. It leaves out those whose key has been appended since.
-func (s *Store) Rewrite(topicName string) {
-	s.rewrite(topicName, func([]record, int) bool { return true })
-}
-
-// RewriteNewest is Rewrite for writers that repeat only the newest record of each key.
-func (s *Store) RewriteNewest(topicName string) {
-	s.rewrite(topicName, func(lost []record, i int) bool {
-		return !slices.ContainsFunc(lost[i+1:], func(r record) bool { return r.key == lost[i].key })
-	})
-}
-
-// rewrite appends the lost records that are selected by their index.
-func (s *Store) rewrite(topicName string, selected func(lost []record, i int) bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := s.topic(topicName)
-	lost := t.lost
-	t.lost = nil
-	for i, r := range lost {
-		if selected(lost, i) {
-			t.append(r.key, r.value)
-		}
-	}
-	s.notify()
-}
-
 // Put appends a record to a topic, as an operator or a target does. A nil value
 // deletes the key.
 func (s *Store) Put(topicName, key string, value []byte) {
