admin, daemon: compress what other instances read

Callers got answers of older versions of a large configuration: 404 for routes that were there, and responses of the old service, seconds after the bound for a new version.

Cause: a document of 2,100 routes has 343 KB, which occupies a link of 10 Mbit/s for 280 of the 500 ms after which a fetch from another instance times out. Two transfers at once over the link of the instance that serves, or of the one that fetches (a fetch from another instance by each of two loops, a read of the store), make both time out. Each retry starts again from zero, so the links stay full, also for seconds after the last new version.

Class: a request between instances whose response grows with the configuration, with a timeout that does not. There are two, /config and /join; the administration API now compresses its responses for clients that accept gzip, and the instances do. A version of the configuration is compressed once.

Ruled out: instances that do not learn of the version, and a lack of fetches.

Why it works: gzip makes the document of the test 7.5 times smaller, so it occupies a slow link for 33 ms. That is a factor, not a bound: a document several times as large, or one served to tens of instances at once over a slow link, still times out. Reads of the store are not compressed.

The addresses that newTestDaemon chooses are now different ones; it had chosen the same one twice, which made a test fail, and then hang in the clean-up.

--- a/admin/server.go
+++ b/admin/server.go
@@ -38,6 +38,8 @@
 	Status() Status
 	// RawConfig returns the active configuration as it was published.
 	RawConfig() []byte
+	// CompressedConfig returns the active configuration compressed with gzip.
+	CompressedConfig() []byte
 	// Join returns the encoded state for an instance that starts and sends the
 	// request. An error means that it must join through another instance.
 	Join(request []byte) ([]byte, error)
@@ -62,7 +64,7 @@
 func NewServer(instance Instance, events EventSource, token string, logger log.Interface) *Server {
 	s := &Server{instance: instance, events: events, token: token, logger: logger}
 	s.http = &fasthttp.Server{
-		Handler: s.handle, NoDefaultServerHeader: true, Logger: discardLogger{},
+		Handler: fasthttp.CompressHandlerLevel(s.handle, fasthttp.CompressBestSpeed), NoDefaultServerHeader: true, Logger: discardLogger{},
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 	}
 	return s
@@ -123,7 +125,11 @@
 		return
 	}
 	ctx.SetContentType("application/json")
-	ctx.SetBody(rawConfig)
+	if ctx.Request.Header.HasAcceptEncoding("gzip") {
+		ctx.Response.Header.SetContentEncoding("gzip")
+		rawConfig = s.instance.CompressedConfig()
+	}
+	ctx.Response.SetBodyRaw(rawConfig)
 }
 
 func (s *Server) writeJoinResponse(ctx *fasthttp.RequestCtx) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -204,3 +204,6 @@
 
 // RawConfig returns the active configuration as it was published.
 func (d *Daemon) RawConfig() []byte { return d.configFollower.Raw() }
+
+// CompressedConfig returns the active configuration compressed with gzip.
+func (d *Daemon) CompressedConfig() []byte { return d.configFollower.Compressed() }
--- a/daemon/fetch.go
+++ b/daemon/fetch.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -19,11 +20,26 @@
 	if !ok {
 		return nil, ""
 	}
-	status, body, err := d.peerClient.GetTimeout(nil, "http://"+peer.AdminAddress.String()+admin.ConfigPath, fetchTimeout)
-	if err != nil || status != fasthttp.StatusOK {
-		d.logger.WithField("peer", peer.ID).WithField("status", status).WithField("error", err).
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + peer.AdminAddress.String() + admin.ConfigPath)
+	raw, err := d.callPeer(req, resp, fetchTimeout)
+	if err != nil || resp.StatusCode() != fasthttp.StatusOK {
+		d.logger.WithField("peer", peer.ID).WithField("status", resp.StatusCode()).WithField("error", err).
 			Warn("newer configuration cannot be fetched from another instance")
 		return nil, ""
 	}
-	return body, peer.ID
+	return bytes.Clone(raw), peer.ID
+}
+
+// callPeer sends a request to another instance and returns the body of the response,
+// which is valid until the response is released. It accepts a compressed body, as the
+// links between instances may be slow and configurations large.
+func (d *Daemon) callPeer(req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) ([]byte, error) {
+	req.Header.Set(fasthttp.HeaderAcceptEncoding, "gzip")
+	if err := d.peerClient.DoTimeout(req, resp, timeout); err != nil {
+		return nil, err
+	}
+	return resp.BodyUncompressedWithLimit(maxPeerResponse)
 }
--- a/daemon/join.go
+++ b/daemon/join.go
@@ -98,13 +98,14 @@
 	req.SetRequestURI("http://" + through.AdminAddress.String() + admin.JoinPath)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetBodyRaw(self)
-	if err := d.peerClient.DoTimeout(req, resp, joinTimeout); err != nil {
+	state, err := d.callPeer(req, resp, joinTimeout)
+	if err != nil {
 		return peer.Snapshot{}, err
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return peer.Snapshot{}, fmt.Errorf("%w: status %d", errJoinRefused, resp.StatusCode())
 	}
-	return peer.DecodeSnapshot(resp.Body())
+	return peer.DecodeSnapshot(state)
 }
 
 // restoreState takes over the state of another instance. The ages in it refer to the
--- a/daemon/run_test.go
+++ b/daemon/run_test.go
@@ -30,9 +30,9 @@
 
 // newTestDaemon returns an instance on unused loopback addresses, whose store has a
 // configuration, and the lines that it logs.
-func newTestDaemon(t *testing.T) (*Daemon, *memory.Handler) {
+func newTestDaemon(t *testing.T, id string) (*Daemon, *memory.Handler) {
 	t.Helper()
-	d, lines, _ := newTestDaemonWithStore(t, "a-1")
+	d, lines, _ := newTestDaemonWithStore(t, id)
 	return d, lines
 }
 
@@ -48,10 +48,11 @@
 		assert.NilError(t, store.Close())
 		assert.NilError(t, <-served)
 	})
+	addresses := unusedAddresses(t, 5)
 	s, err := settings.Parse("test.ini", fmt.Appendf(nil,
 		"[instance]\nid = %s\nzone = a\nregion = r\n[callers]\nlisten = %s\nentry = %s\nready = %s\n[peers]\nlisten = %s\n"+
 			"[admin]\nlisten = %s\n[store]\naddress = %s\n[stop]\ngrace = 1s\n",
-		id, unusedAddress(t), unusedAddress(t), unusedAddress(t), unusedAddress(t), unusedAddress(t), l.Addr()))
+		id, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], l.Addr()))
 	assert.NilError(t, err)
 	lines := memory.New()
 	return New(s, &log.Logger{Handler: lines, Level: log.InfoLevel}), lines, store
@@ -71,16 +72,26 @@
 
 func unusedAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { assert.NilError(t, l.Close()) }()
-	return netip.MustParseAddrPort(l.Addr().String())
+	return unusedAddresses(t, 1)[0]
+}
+
+// unusedAddresses returns different addresses: each stays in use until all are chosen.
+func unusedAddresses(t *testing.T, n int) []netip.AddrPort {
+	t.Helper()
+	addresses := make([]netip.AddrPort, 0, n)
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer func() { assert.NilError(t, l.Close()) }()
+		addresses = append(addresses, netip.MustParseAddrPort(l.Addr().String()))
+	}
+	return addresses
 }
 
 // Guards against a component that fails after the instance has become ready and
 // leaves a process that still listens for callers but neither works nor stops.
 func TestFailedComponentStopsInstance(t *testing.T) {
-	d, lines := newTestDaemon(t)
+	d, lines := newTestDaemon(t, "a-1")
 	errBroken := errors.New("broken")
 	failServer := make(chan struct{})
 	servers := append(d.servers(), server{
@@ -116,7 +127,7 @@
 // Guards against an instance that learns of a restoration of the store from another one
 // and does not read the configuration again.
 func TestConfigurationIsReadAfterRestoration(t *testing.T) {
-	d, _ := newTestDaemon(t)
+	d, _ := newTestDaemon(t, "a-1")
 	stopCtx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error, 1)
 	go func() { stopped <- d.Run(stopCtx) }()
--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/valyala/fasthttp"
 
 	"rhubarbrelay/config"
 	"rhubarbrelay/platform"
@@ -58,10 +59,11 @@
 	// the read order has changed.
 	wakeup chan struct{}
 
-	mu            sync.Mutex // guards the fields below and the replacement of current
-	raw           []byte     // the active document, as it was published
-	peerVersion   int64      // the highest version that another instance has reported
-	peerVersionAt time.Time  // when a version was last reported or, before the first report, when the wait for it began
+	mu            sync.Mutex    // guards the fields below and the replacement of current
+	raw           []byte        // the active document, as it was published
+	compressed    func() []byte // returns raw compressed
+	peerVersion   int64         // the highest version that another instance has reported
+	peerVersionAt time.Time     // when a version was last reported or, before the first report, when the wait for it began
 }
 
 // ReadRole describes the role of this instance in reading the store.
@@ -195,6 +197,19 @@
 	return f.raw
 }
 
+// Compressed returns the active configuration as it was published, compressed with
+// gzip, or nil if there is none yet. It compresses each version once, as many
+// instances fetch a new version at the same time.
+func (f *ConfigFollower) Compressed() []byte {
+	f.mu.Lock()
+	compressed := f.compressed
+	f.mu.Unlock()
+	if compressed == nil {
+		return nil
+	}
+	return compressed()
+}
+
 // Failing reports whether the last call to the store failed.
 func (f *ConfigFollower) Failing() bool { return f.failing.Load() }
 
@@ -304,7 +319,11 @@
 	if current := f.current.Load(); current != nil && document.Version <= current.Version {
 		return
 	}
-	f.raw = append([]byte(nil), raw...)
+	published := append([]byte(nil), raw...)
+	f.raw = published
+	f.compressed = sync.OnceValue(func() []byte {
+		return fasthttp.AppendGzipBytesLevel(nil, published, fasthttp.CompressBestSpeed)
+	})
 	f.apply(document)
 	now := time.Now()
 	f.activatedAt.Store(&now)
