registry: take the end of an outage only from updates that may concern the receiver

What callers would see: when one instance, frozen or cut off, learns late that the store was restored, all instances keep sending requests for 2.2 s to targets whose registrations are removed then. The same happens in a rolling upgrade each time an instance joins through one of the previous release, without any restoration.

Cause: an instance that discovers an era records the end of an outage and broadcasts it as 1 ms old, and every receiver accepted it at any time.

Class: a statement about the sender's own past is taken as one about all, and an unknown value is compared as if it were a known one.

A receiver now takes the end over only if its own state is older than minOutageAge, was so within outageBroadcastPeriod, or is of an older era than the update. Only then may removals that the outage has caused still reach it. The second condition covers an instance whose read has waited for the store and ends the outage without having failed. A position of era 0 that was taken over from another instance means that the era is unknown: if the store states one, the first read counts as that of a starting instance, which begins no era and broadcasts nothing. A store that states no era until it is restored is treated as before.

--- a/registry/era.go
+++ b/registry/era.go
@@ -25,7 +25,7 @@
 		return false // also a late copy: it does not show what has changed since
 	}
 	if f.continues(update) {
-		f.freshAt = f.clock()
+		f.recordFresh(f.clock())
 		f.moveTo(update.To)
 		return true
 	}
--- a/registry/era_test.go
+++ b/registry/era_test.go
@@ -407,3 +407,83 @@
 	assert.NilError(t, other.read(context.Background()))
 	assert.Assert(t, !isReady(directory, "i") && isReady(directory, "j"))
 }
+
+// Guards against removals that all delay since one instance, frozen meanwhile, learns late of the era.
+func TestLateDiscovererOfEraDelaysNoRemovals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(platform.TargetTopic, "i", registration("ready", 1))
+		calm, calmDirectory := newTestFollower(store, &fakeNetwork{})
+		assert.NilError(t, calm.read(context.Background()))
+		var sent []peer.TargetUpdate
+		first := func() int { return 0 }
+		late := NewTargetFollower(store, targets.NewDirectory(), captureBroadcaster{&sent}, first, first, ignoreChange, func() {}, discardLogger)
+		assert.NilError(t, late.read(context.Background()))
+		restoreTargets(store, 1)
+		assert.ErrorIs(t, calm.read(context.Background()), platform.ErrRestored)
+		calm.recordExpiry()
+		assert.NilError(t, calm.read(context.Background()))
+		for range 20 {
+			time.Sleep(time.Second)
+			assert.NilError(t, calm.read(context.Background()))
+		}
+		sent = nil
+		assert.ErrorIs(t, late.read(context.Background()), platform.ErrRestored)
+		late.recordExpiry()
+		assert.NilError(t, late.read(context.Background()))
+		for _, u := range sent {
+			calm.ApplyUpdate(u)
+		}
+		store.put(platform.TargetTopic, "i", "")
+		assert.NilError(t, calm.read(context.Background()))
+		assert.Check(t, calmDirectory.Count() == 0, "removal is delayed 20 s after the restoration")
+	})
+}
+
+// Guards against removals that all delay since an instance joins through one that states no era.
+func TestJoinThroughOldReleaseDelaysNoRemovals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(platform.TargetTopic, "i", registration("ready", 1))
+		other, otherDirectory := newTestFollower(store, &fakeNetwork{})
+		assert.NilError(t, other.read(context.Background()))
+		var sent []peer.TargetUpdate
+		first := func() int { return 0 }
+		directory := targets.NewDirectory()
+		f := NewTargetFollower(store, directory, captureBroadcaster{&sent}, first, first, ignoreChange, func() {}, discardLogger)
+		f.Restore(peer.TargetState{Next: platform.Position{Offset: 1}, Targets: f.decodeTargets(store.recordsFrom(platform.TargetTopic, 0))}, time.Now())
+		assert.ErrorIs(t, f.read(context.Background()), platform.ErrRestored)
+		f.recordExpiry()
+		assert.NilError(t, f.read(context.Background()))
+		for _, u := range sent {
+			assert.Check(t, u.SinceOutage == 0, "end of an outage reported: %+v", u)
+			other.ApplyUpdate(u)
+		}
+		store.put(platform.TargetTopic, "i", "")
+		assert.NilError(t, other.read(context.Background()))
+		assert.Check(t, otherDirectory.Count() == 0, "removal is delayed at a calm instance though nothing was restored")
+	})
+}
+
+// Guards against the removal of a running target when a read that waited for the store ends an outage without failing.
+func TestOutageEndIsTakenOverAfterSlowRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(platform.TargetTopic, "i", registration("ready", 1))
+		f, directory := newTestFollower(store, &fakeNetwork{})
+		assert.NilError(t, f.read(context.Background()))
+		time.Sleep(2 * minOutageAge)
+		assert.NilError(t, f.read(context.Background()))
+		time.Sleep(time.Second)
+		f.ApplyUpdate(peer.TargetUpdate{From: at(1), To: at(2), Changes: []targets.Change{{ID: "i"}}, SinceOutage: time.Second})
+		assert.Equal(t, readyCount(directory), 1)
+	})
+}
+
+// captureBroadcaster appends the updates to a list.
+type captureBroadcaster struct{ sent *[]peer.TargetUpdate }
+
+// BroadcastUpdate implements Broadcaster.
+func (b captureBroadcaster) BroadcastUpdate(update peer.TargetUpdate, _ []int64, _ bool) {
+	*b.sent = append(*b.sent, update)
+}
--- a/registry/outage.go
+++ b/registry/outage.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rhubarbrelay/peer"
 	"rhubarbrelay/platform"
 )
 
@@ -38,3 +39,25 @@
 	}
 	return max(time.Millisecond, since)
 }
+
+// outageIsNews reports whether this instance may have been affected by the outage whose
+// end the update reports: its state is or was recently old, or is of an older era.
+// Otherwise the sender alone was, and nothing is to be expected from the store.
+func (f *TargetFollower) outageIsNews(update peer.TargetUpdate) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock()
+	return f.isOld(now) || now.Sub(f.oldUntil) <= outageBroadcastPeriod || f.next.Era < update.To.Era
+}
+
+// isOld reports whether the state is so old that registrations may have expired in an
+// outage. f.mu is held.
+func (f *TargetFollower) isOld(now time.Time) bool { return now.Sub(f.freshAt) > minOutageAge }
+
+// recordFresh records that the state is complete as of the given time. f.mu is held.
+func (f *TargetFollower) recordFresh(asOf time.Time) {
+	if now := f.clock(); f.isOld(now) {
+		f.oldUntil = now
+	}
+	f.freshAt = asOf
+}
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -63,11 +63,15 @@
 	next     platform.Position
 	expired  platform.Position
 	readFrom platform.Position // the value of next at the start of the last read
+	// eraUnknown is set until the first read if next was taken over from an instance that
+	// states no era, as those of the previous release.
+	eraUnknown bool
 	// ahead is the latest end of an update with changes that did not continue the state,
 	// aheadIDs are the targets that it and those before it have changed since the gap.
 	ahead        platform.Position
 	aheadIDs     map[string]bool
 	freshAt      time.Time // the time as of which the state is complete
+	oldUntil     time.Time // when a state older than minOutageAge was last replaced
 	lastReadAt   time.Time // the start of the last read of changes by this instance
 	lastUpdateAt time.Time // when the last update arrived, with or without a gap before it
 	// wakeup receives a value when an update has made the next read unnecessary for
@@ -244,7 +248,7 @@
 // ApplyUpdate applies an update from another instance. If it does not continue the
 // state, changes in between are missing and the state does not count as complete.
 func (f *TargetFollower) ApplyUpdate(update peer.TargetUpdate) {
-	if update.SinceOutage > 0 {
+	if update.SinceOutage > 0 && f.outageIsNews(update) {
 		f.recordOutageEnd(f.clock().Add(-update.SinceOutage), update.To.Era)
 	}
 	f.notifyChanges(f.directory.Apply(f.newChanges(update)), "peer")
--- a/registry/target_read.go
+++ b/registry/target_read.go
@@ -18,7 +18,7 @@
 	from, start := f.next, f.clock()
 	f.readFrom = from
 	hadState := isKnown(from) || isKnown(f.expired)
-	outage := hadState && f.failing && start.Sub(f.freshAt) > minOutageAge
+	outage := hadState && f.failing && f.isOld(start)
 	// noUpdates is true if no update has arrived for readInterval. Only then does
 	// this instance broadcast to all zones: if updates arrive, even with gaps, their
 	// sender has already broadcast them to the other zones.
@@ -61,6 +61,9 @@
 	}
 	f.mu.Lock()
 	continued := isKnown(f.next)
+	if f.eraUnknown && batch.Next.Era > 0 {
+		f.expired = unknownPosition // it may be of this era, as at the start
+	}
 	f.mu.Unlock()
 	if continued {
 		return nil // by Restore or an update during the read; that state may be newer
@@ -100,6 +103,7 @@
 func (f *TargetFollower) recordRead(next platform.Position, asOf time.Time, reader bool) {
 	f.mu.Lock()
 	restored := f.recordEra(next.Era, "store")
+	f.eraUnknown = false
 	f.advanceByRead(next, asOf, reader)
 	f.mu.Unlock()
 	if restored {
@@ -119,6 +123,6 @@
 		f.next = next
 	}
 	if asOf.After(f.freshAt) {
-		f.freshAt = asOf
+		f.recordFresh(asOf)
 	}
 }
--- a/registry/target_state.go
+++ b/registry/target_state.go
@@ -45,7 +45,9 @@
 	// The state may lack targets whose registrations have arrived by updates. They are
 	// read again, as they are after its position.
 	f.directory.ReplaceRestored(state.Targets)
-	f.next, f.freshAt = state.Next, at.Add(-state.Age)
+	f.next = state.Next
+	f.recordFresh(at.Add(-state.Age))
+	f.eraUnknown = state.Next.Era == 0
 	restored = f.recordEra(state.Next.Era, "peer")
 	if state.Next.Era < f.era {
 		f.forgetPosition() // another instance has reported the new era already
