registry: broadcast the beginning of an era only in one datagram

What callers would see: after a restoration of the store, an instance goes on sending requests to a draining target, and counts its state as complete.

Cause: an update that begins an era was split into parts with negative offsets, counted back from the first record of the era. Two readers that read the store at different times have different lists, but their parts have the same offsets, so that a part of one seemed to continue that of the other, and a change in neither of the parts that arrived was missing.

Class: positions that two senders assign independently are compared as if one had assigned them.

An update that begins an era is now broadcast only if its changes fit into one datagram, as after an expired history. Otherwise nothing is broadcast, and each instance reads all registrations itself at its regular time. So every position is one that the store has given out.

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -170,6 +170,9 @@
 }
 
 func updateFromWire(m *peerpb.TargetNews) (TargetUpdate, error) {
+	if m.GetFromOffset() < 0 || m.GetToOffset() < 0 {
+		return TargetUpdate{}, fmt.Errorf("%w: update from offset %d to %d", ErrMalformed, m.GetFromOffset(), m.GetToOffset())
+	}
 	update := TargetUpdate{
 		From:        platform.Position{Era: m.GetFromEra(), Offset: m.GetFromOffset()},
 		To:          platform.Position{Era: m.GetToEra(), Offset: m.GetToOffset()},
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -230,3 +230,11 @@
 	startInstance(t, "b", a.address)
 	waitFor(t, "a has received a packet of b", func() bool { return len(a.directory.Ready()) == 2 })
 }
+
+// Guards against an update that moves the position of its receiver to where no read can start.
+func TestUpdateWithNegativeOffset(t *testing.T) {
+	for _, u := range []TargetUpdate{{From: at(5), To: at(-4)}, {From: at(-4), To: at(5)}} {
+		_, err := updateFromWire(updateToWire(u))
+		assert.ErrorIs(t, err, ErrMalformed)
+	}
+}
--- a/peer/snapshot.go
+++ b/peer/snapshot.go
@@ -62,6 +62,9 @@
 	if err != nil {
 		return Snapshot{}, err
 	}
+	if m.GetNextOffset() < 0 {
+		return Snapshot{}, fmt.Errorf("%w: snapshot at offset %d", ErrMalformed, m.GetNextOffset())
+	}
 	s := Snapshot{Instances: instances, Config: m.GetConfig()}
 	s.Targets.Next = platform.Position{Era: m.GetEra(), Offset: m.GetNextOffset()}
 	s.Targets.Age = time.Duration(m.GetTargetAgeMs()) * time.Millisecond
--- a/peer/snapshot_test.go
+++ b/peer/snapshot_test.go
@@ -74,6 +74,7 @@
 		name   string
 		change func(*Snapshot)
 	}{
+		{"negative offset", func(s *Snapshot) { s.Targets.Next.Offset = -4 }},
 		{"instance without ID", func(s *Snapshot) { s.Instances[0].Instance.ID = "" }},
 		{"target without address", func(s *Snapshot) { s.Targets.Targets[1].Address = netip.AddrPort{} }},
 		{"removed target without ID", func(s *Snapshot) { s.Targets.Removed[1].Incarnation.ID = "" }},
--- a/registry/era.go
+++ b/registry/era.go
@@ -1,7 +1,6 @@
 package registry
 
 import (
-	"cmp"
 	"slices"
 
 	"rhubarbrelay/peer"
@@ -11,7 +10,7 @@
 
 // forgetPosition makes the next read fetch all registrations. f.mu is held.
 func (f *TargetFollower) forgetPosition() {
-	if isKnown(f.next) {
+	if f.next != unknownPosition {
 		f.expired = f.next
 	}
 	f.next = unknownPosition
@@ -26,7 +25,7 @@
 	}
 	if f.continues(update) {
 		f.recordFresh(f.clock())
-		f.moveTo(update.To)
+		f.next, f.expired = update.To, unknownPosition
 		return true
 	}
 	f.noteAhead(update)
@@ -45,33 +44,12 @@
 	// An update that begins an era does not remove targets that its sender did not know.
 	// So the state must be exactly that of the sender.
 	exact := f.next
-	if !isKnown(exact) {
+	if exact == unknownPosition {
 		exact = f.expired
 	}
 	return update.From == exact && update.To.Era == f.era && !exact.Before(f.ahead)
 }
 
-// moveTo sets next unless it is later. f.mu is held.
-func (f *TargetFollower) moveTo(to platform.Position) {
-	if !f.next.Before(to) {
-		return
-	}
-	switch {
-	case isKnown(to):
-		f.expired = unknownPosition
-	case isKnown(f.next):
-		f.expired, f.ahead = f.next, to // until the rest of a split update has arrived
-	default:
-		f.ahead = to
-	}
-	f.next = to
-}
-
-// beginsEra reports whether the update, or the one of which it is a part, begins an era.
-func beginsEra(update peer.TargetUpdate) bool {
-	return update.From.Era < update.To.Era || update.From.Offset < 0
-}
-
 // lost returns the changes with their removals marked as lost registrations.
 func lost(changes []targets.Change) []targets.Change {
 	marked := slices.Clone(changes)
@@ -91,7 +69,7 @@
 	switch {
 	case known:
 		return nil
-	case beginsEra(update):
+	case update.From.Era < update.To.Era:
 		return f.applicable(lost(update.Changes), update.To)
 	}
 	return f.applicable(update.Changes, update.To)
@@ -111,26 +89,10 @@
 }
 
 // broadcastAll broadcasts the changes that a read of all registrations has found, if
-// they fit into one datagram or the update begins an era.
+// they fit into one datagram. Parts of them could not be told from those of another
+// instance that has read the store at another time.
 func (f *TargetFollower) broadcastAll(update peer.TargetUpdate, allZones bool) {
-	var offsets []int64
-	if len(update.Changes) > peer.MaxUpdateChanges {
-		if update.From.Era == update.To.Era || !allZones && f.readOrder() >= maxRepeatOrder {
-			return
-		}
-		offsets = offsetsBeforeEra(update.Changes)
-	}
-	f.broadcaster.BroadcastUpdate(update, offsets, allZones)
-}
-
-// offsetsBeforeEra sorts the changes and returns negative offsets for them, before the
-// records of the era that they begin. So a receiver detects that a part of the split
-// update is missing, and equal changes from two instances have equal offsets.
-func offsetsBeforeEra(changes []targets.Change) []int64 {
-	slices.SortFunc(changes, func(a, b targets.Change) int { return cmp.Compare(a.ID, b.ID) })
-	offsets := make([]int64, 0, len(changes))
-	for i := range changes {
-		offsets = append(offsets, int64(i-len(changes)))
+	if len(update.Changes) <= peer.MaxUpdateChanges {
+		f.broadcaster.BroadcastUpdate(update, nil, allZones)
 	}
-	return offsets
 }
--- a/registry/outage.go
+++ b/registry/outage.go
@@ -24,7 +24,7 @@
 func (f *TargetFollower) beginsEra(next platform.Position) (begins, unreported bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	begins = isKnown(f.expired) && f.expired.Era < next.Era
+	begins = f.expired != unknownPosition && f.expired.Era < next.Era
 	return begins, begins && f.outageEra < next.Era
 }
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -37,10 +37,6 @@
 // the newest record of each key.
 var unknownPosition = platform.Position{Offset: -1}
 
-// isKnown reports whether a read can start at the position. Besides unknownPosition,
-// that excludes the positions within a split update that begins an era.
-func isKnown(p platform.Position) bool { return p.Offset >= 0 }
-
 // backoff computes the exponential delay between failed calls.
 type backoff struct {
 	rank  func() int
--- a/registry/target_read.go
+++ b/registry/target_read.go
@@ -17,14 +17,14 @@
 	f.mu.Lock()
 	from, start := f.next, f.clock()
 	f.readFrom = from
-	hadState := isKnown(from) || isKnown(f.expired)
+	hadState := from != unknownPosition || f.expired != unknownPosition
 	outage := hadState && f.failing && f.isOld(start)
 	// noUpdates is true if no update has arrived for readInterval. Only then does
 	// this instance broadcast to all zones: if updates arrive, even with gaps, their
 	// sender has already broadcast them to the other zones.
 	noUpdates := start.Sub(f.lastUpdateAt) >= readInterval
 	f.mu.Unlock()
-	if !isKnown(from) {
+	if from == unknownPosition {
 		return f.readAll(ctx, start, outage, noUpdates)
 	}
 	batch, err := f.store.Read(ctx, platform.TargetTopic, from, 0)
@@ -60,7 +60,7 @@
 		return err
 	}
 	f.mu.Lock()
-	continued := isKnown(f.next)
+	continued := f.next != unknownPosition
 	if f.eraUnknown && batch.Next.Era > 0 {
 		f.expired = unknownPosition // it may be of this era, as at the start
 	}
--- a/registry/target_state.go
+++ b/registry/target_state.go
@@ -15,7 +15,7 @@
 	state.Next = f.next
 	state.Age = f.clock().Sub(f.freshAt)
 	f.mu.Unlock()
-	if !isKnown(state.Next) || !f.directory.Loaded() {
+	if state.Next == unknownPosition || !f.directory.Loaded() {
 		return peer.TargetState{}, false
 	}
 	// A target that is removed in between is in both lists, of which Restore prefers the
