registry: register once although another instance reports a higher era

What operators would see: the first instances of each zone append a record a second, for the life of the process, once a datagram has stated an era that the store never reaches, or the store goes back in its era. The registration counted as outdated while the known era was above that in which the store had taken it. Found by review.

Class: a number of another instance is taken for the store's own.

An instance is now registered as of the higher of the era that it knew before the call and the one that the store stated.

Failed before: TestWrongEraCausesNoStormOfRegistrations 57 appends in a minute

--- a/registry/registrar.go
+++ b/registry/registrar.go
@@ -151,11 +151,13 @@
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	r.attempted.Store(true)
+	era := r.storeEra()
 	end, err := r.store.Append(ctx, platform.InstanceTopic, self.ID, value)
 	if err != nil {
 		return err
 	}
-	r.registeredEra.Store(end.Era)
+	// The era that was known may be wrong, if another instance has reported it.
+	r.registeredEra.Store(max(era, end.Era))
 	r.registeredCount.Store(int64(known))
 	return nil
 }
--- a/registry/restoration_test.go
+++ b/registry/restoration_test.go
@@ -252,6 +252,21 @@
 	})
 }
 
+// Guards against an instance that registers again and again because another one has
+// reported an era that the store never states.
+func TestWrongEraCausesNoStormOfRegistrations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		address := netip.MustParseAddrPort("10.0.0.1:80")
+		self := membership.Instance{ID: "i", Zone: "a", PeerAddress: address, CallerAddress: address, AdminAddress: address}
+		wrongEra := WithStoreEra(func() int64 { return 1 << 40 })
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		assert.NilError(t, NewRegistrar(store, membership.NewDirectory(self), discardLogger, wrongEra).Run(ctx))
+		assert.Assert(t, store.appendCount() <= 2, "%d appends in a minute", store.appendCount())
+	})
+}
+
 // registration that it never had.
 func TestLeavingInstanceAfterRestoration(t *testing.T) {
 	tests := []struct {
