routing, relay: log and count the limits that targets name

Logs and metrics could not show whether an instance had heard of the limit of a target (Server-Limit): the header was not read. A change of it is logged, the lines of requests carry the limit on which the decision was based, and a metric counts the targets with one. It is not forwarded to callers. No decision depends on it yet.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -68,7 +68,7 @@
 	d := &Daemon{settings: s, logger: logger, startedAt: time.Now(), recorder: timeline.NewRecorder(s.Instance.ID, clock), changeLog: newChangeLog(logger)}
 	d.peerClient = &fasthttp.Client{MaxResponseBodySize: maxPeerResponse, NoDefaultUserAgentHeader: true}
 	d.targets = targets.NewDirectory(targets.WithOnChange(d.onTargetsChanged))
-	d.table = routing.NewTable(d.routingSettings(s), d.targets)
+	d.table = routing.NewTable(d.routingSettings(s), d.targets, routing.WithLogger(logger))
 	d.members = membership.NewDirectory(membership.Instance{
 		ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: time.Now().UnixMilli(),
 		CallerAddress: s.Callers.Listen, PeerAddress: s.Peers.Listen, AdminAddress: s.Admin.Listen,
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -53,6 +53,7 @@
 	Waiting         int    `json:"waiting"`
 	InFlight        int    `json:"in_flight"`
 	Targets         int    `json:"targets"`
+	Limited         int    `json:"limited"`
 }
 
 // peerMetrics counts datagrams exchanged with other instances.
--- a/relay/response.go
+++ b/relay/response.go
@@ -230,6 +230,9 @@
 		f["target"], f["waited"], f["probes"] = t.lease.Target().ID, d.Waited.Round(time.Microsecond).String(), d.Probes
 		f["report_age"], f["running"], f["waiting"] = d.ReportAge.Round(time.Microsecond).String(), d.Running, d.Waiting
 		f["slowdown"], f["target_zone"] = d.Slowdown, t.lease.Target().Zone
+		if d.Limited {
+			f["limit"] = d.Limit
+		}
 	}
 	return f
 }
--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+	"golang.org/x/time/rate"
+
 	"rhubarbrelay/config"
 	"rhubarbrelay/limits"
 	"rhubarbrelay/platform"
@@ -32,6 +35,9 @@
 	clock       func() time.Time
 	retryBudget *limits.RetryBudget
 	newPool     func(upstream.Destination, int) *upstream.Pool
+	logger      log.Interface
+	// statementLogs limits the log lines about statements of targets.
+	statementLogs *rate.Limiter
 
 	mu              sync.Mutex
 	random          *rand.Rand
@@ -63,6 +69,9 @@
 	return func(d *Dispatcher) { d.newPool = newPool }
 }
 
+// WithLogger sets the logger. The default is the global one.
+func WithLogger(logger log.Interface) Option { return func(d *Dispatcher) { d.logger = logger } }
+
 // WithRandom sets the source of random numbers.
 func WithRandom(random *rand.Rand) Option { return func(d *Dispatcher) { d.random = random } }
 
@@ -72,7 +81,8 @@
 		settings: settings, clock: time.Now, service: service, instances: instances,
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		newPool: func(to upstream.Destination, limit int) *upstream.Pool { return upstream.NewPool(to, limit) },
-		targets: map[targets.Incarnation]*target{},
+		targets: map[targets.Incarnation]*target{}, logger: log.Log,
+		statementLogs: rate.NewLimiter(statementLogsPerSecond, statementLogsPerSecond),
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -174,6 +184,9 @@
 	s.Targets = len(d.targets)
 	for _, t := range d.targets {
 		s.InFlight += len(t.inFlight)
+		if t.statements.limited {
+			s.Limited++
+		}
 	}
 	return s
 }
@@ -204,6 +217,9 @@
 	case t.sentSinceReport > 0 && !l.start.Before(t.loadAt):
 		t.sentSinceReport-- // the request was sent after the latest report and has ended
 	}
+	if outcome != Replaced {
+		d.recordStatements(t, info)
+	}
 	d.recordOutcome(l, outcome, now)
 	d.queue.wakeScanners()
 }
--- a/routing/lease.go
+++ b/routing/lease.go
@@ -34,6 +34,10 @@
 	Waiting  int
 	Slots    int
 	Slowdown float64
+	// Limit is the number of requests per second that the target takes from all
+	// instances, as far as this instance has heard; it is valid only if Limited is set.
+	Limit   float64
+	Limited bool
 	// Probes is the number of probes sent for the decision.
 	Probes int
 	// Waited is the time that the request spent in the queue.
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -118,6 +118,7 @@
 	case !healthy:
 		t.recordFailure(shedWeight, now)
 	}
+	d.recordStatements(t, info)
 	if info.HasLoad {
 		d.recordReport(t, info.Load, now)
 	}
--- a/routing/request.go
+++ b/routing/request.go
@@ -115,4 +115,5 @@
 	Waiting         int
 	InFlight        int
 	Targets         int
+	Limited         int // targets that limit their requests
 }
--- a/routing/scan.go
+++ b/routing/scan.go
@@ -104,6 +104,7 @@
 		Decision: Decision{
 			ReportAge: now.Sub(t.loadAt), Running: t.load.Running, Waiting: t.load.Waiting, Slots: t.info.Slots,
 			Slowdown: t.load.Slowdown, Probes: probes, Waited: now.Sub(r.Arrival),
+			Limit: t.statements.limit, Limited: t.statements.limited,
 		},
 	}
 	if !t.hasLoad {
--- a/routing/target.go
+++ b/routing/target.go
@@ -54,7 +54,8 @@
 	// warmAt is the time at which the warm-up of the target ends.
 	warmAt time.Time
 	// replaced is set when another target has responded at the address.
-	replaced bool
+	replaced   bool
+	statements statements
 
 	inFlight []*Lease
 	// load is the latest report. sentSinceReport counts the requests sent since
