routing, limits, entry: keep to the limits that targets name

Callers of such a target, and its other work, suffered: a target that named 2 to 3 requests a second got 40 to 68 in 4 s, from instances that it had told.

Cause: nothing read the limit, and a target that names one reports free capacity, so that it stayed the preferred one of its zone. A limit on each instance alone does not help: the limit is a sum over all instances, of which there may be more than the requests that it allows.

Change: the limit is shared by two instances, active ones of the target's zone, which send it most of its requests anyway, selected by hash and replaced as soon as they are considered dead. Each leaves an interval after each request, and before the first one, so that one that takes over does not add to the requests of the one before. Three quarters of the limit are used: then twice as many sharers, whose views differ, still keep to it (rapid test). All others send nothing. The limit is checked when the target is granted, also for retries, hedges and queued requests. It ends with the first response to a later request that no longer states it; instances that may not send probe for that every 2 s. If no usable target admits a request before its wait limit, it is refused at once, with the time at which the first one does.

Ruled out: equal shares of all instances (300 instances, 1.5 a second: any burst of one each exceeds it), time slots on the system clock (may be stepped).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -67,13 +67,14 @@
 	store := platform.NewStore(s.Store.Address)
 	d := &Daemon{settings: s, logger: logger, startedAt: time.Now(), recorder: timeline.NewRecorder(s.Instance.ID, clock), changeLog: newChangeLog(logger)}
 	d.peerClient = &fasthttp.Client{MaxResponseBodySize: maxPeerResponse, NoDefaultUserAgentHeader: true}
-	d.targets = targets.NewDirectory(targets.WithOnChange(d.onTargetsChanged))
-	d.table = routing.NewTable(d.routingSettings(s), d.targets, routing.WithLogger(logger))
 	d.members = membership.NewDirectory(membership.Instance{
 		ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: time.Now().UnixMilli(),
 		CallerAddress: s.Callers.Listen, PeerAddress: s.Peers.Listen, AdminAddress: s.Admin.Listen,
 	}, membership.WithOnChange(d.onMembersChanged))
 	d.selector = entry.NewSelector(d.members)
+	d.targets = targets.NewDirectory(targets.WithOnChange(d.onTargetsChanged))
+	d.table = routing.NewTable(d.routingSettings(s), d.targets, routing.WithLogger(logger),
+		routing.WithLimitSharing(entry.NewLimitSharing(d.members, time.Now)))
 	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger),
 		peer.WithOnTargetUpdate(d.onTargetUpdate), peer.WithSeeds(seedAddresses(s)), peer.WithActive(d.selector.IsActive))
 	d.targetFollower = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, d.members.ReadOrder, d.recordTargetChange,
--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -77,12 +77,8 @@
 			return nil, d.refuse(ErrNoCapacity)
 		}
 		if mayScan {
-			l, available := d.scan(r, late)
-			if l != nil {
-				return l, nil
-			}
-			if !available && r.Retry {
-				return nil, d.refuse(ErrNoTarget)
+			if l, err := d.scanOrRefuse(r, late, limit); l != nil || err != nil {
+				return l, err
 			}
 		}
 		if final {
@@ -129,7 +125,7 @@
 	throughput := d.throughput * decay(now.Sub(d.throughputAt), throughputTimeConstant)
 	capacity := 0
 	for _, t := range d.targets {
-		if t.usable(now) {
+		if t.usable(now) && !t.statements.limited {
 			capacity += t.capacity()
 		}
 	}
@@ -178,6 +174,38 @@
 	return &RefusalError{Cause: cause, RetryAfter: timeoutRetryAfter}
 }
 
+// scanOrRefuse scans once for a target. Lease and error are nil if the request should
+// wait.
+func (d *Dispatcher) scanOrRefuse(r *Request, late bool, limit time.Time) (*Lease, error) {
+	l, available := d.scan(r, late)
+	if l != nil || available {
+		return l, nil
+	}
+	return nil, d.refuseWithoutCandidate(r, limit)
+}
+
+// refuseWithoutCandidate refuses a retry for which there is no candidate, and any other
+// request if no usable target takes one of this instance before its wait limit, by what
+// the targets have stated. The caller may retry when the first one does. The error is
+// nil if the request should wait.
+func (d *Dispatcher) refuseWithoutCandidate(r *Request, limit time.Time) error {
+	if r.Retry {
+		return d.refuse(ErrNoTarget)
+	}
+	at, known, closed := d.opensAt()
+	if !closed || known && !at.After(limit) {
+		return nil
+	}
+	refusal := &RefusalError{Cause: ErrNoCapacity, RetryAfter: timeoutRetryAfter}
+	if known {
+		refusal.RetryAfter = at.Sub(d.clock())
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stats.RefusedLate++
+	return refusal
+}
+
 // waitForWake waits until the queue wakes the waiter, the next scan is due, the
 // wait limit is reached or the context is done. The queue wakes waiters, for
 // example, after a slot was released.
--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -96,6 +96,9 @@
 		if !t.usable(now) || slices.Contains(r.Exclude, incarnation) || d.recentlyFull(t, now) {
 			continue
 		}
+		if !d.admits(t, now) && !d.mayRecheck(t, now) {
+			continue
+		}
 		score := d.score(t, now) + scoreJitter*d.random.Float64()
 		all = append(all, candidate{target: t, score: score, tier: d.tier(t, score)})
 	}
@@ -124,7 +127,7 @@
 		return false
 	}
 	for _, t := range d.targets {
-		if t.info.Zone == d.settings.Zone && t.usable(now) && d.isGoodLocked(t, now) {
+		if t.info.Zone == d.settings.Zone && t.usable(now) && d.admits(t, now) && d.isGoodLocked(t, now) {
 			return true
 		}
 	}
@@ -204,7 +207,7 @@
 	for _, c := range found {
 		c.score = d.score(c.target, now)
 		switch {
-		case !c.target.usable(now) || c.target.isFull() || !d.mayUse(c.target):
+		case !d.isUsableNow(c.target, now) || !d.mayUse(c.target):
 			c.release()
 		case best.target == nil || c.score < best.score:
 			best.release()
--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -35,6 +35,7 @@
 	clock       func() time.Time
 	retryBudget *limits.RetryBudget
 	newPool     func(upstream.Destination, int) *upstream.Pool
+	sharing     LimitSharing
 	logger      log.Interface
 	// statementLogs limits the log lines about statements of targets.
 	statementLogs *rate.Limiter
@@ -69,6 +70,12 @@
 	return func(d *Dispatcher) { d.newPool = newPool }
 }
 
+// WithLimitSharing sets how the limits of targets are shared with the other instances.
+// By default there are none.
+func WithLimitSharing(sharing LimitSharing) Option {
+	return func(d *Dispatcher) { d.sharing = sharing }
+}
+
 // WithLogger sets the logger. The default is the global one.
 func WithLogger(logger log.Interface) Option { return func(d *Dispatcher) { d.logger = logger } }
 
@@ -81,7 +88,7 @@
 		settings: settings, clock: time.Now, service: service, instances: instances,
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		newPool: func(to upstream.Destination, limit int) *upstream.Pool { return upstream.NewPool(to, limit) },
-		targets: map[targets.Incarnation]*target{}, logger: log.Log,
+		targets: map[targets.Incarnation]*target{}, logger: log.Log, sharing: soleInstance{},
 		statementLogs: rate.NewLimiter(statementLogsPerSecond, statementLogsPerSecond),
 	}
 	for _, opt := range opts {
@@ -218,7 +225,7 @@
 		t.sentSinceReport-- // the request was sent after the latest report and has ended
 	}
 	if outcome != Replaced {
-		d.recordStatements(t, info)
+		d.recordStatements(t, info, l.start, now)
 	}
 	d.recordOutcome(l, outcome, now)
 	d.queue.wakeScanners()
--- a/routing/limit_test.go
+++ b/routing/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -52,7 +53,7 @@
 		now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(1, 2)), limits: map[string]float64{},
 		told: map[string]map[int]time.Time{}, sent: map[string][]time.Time{},
 	}
-	var all []*targets.Target
+	all := make([]*targets.Target, 0, servers)
 	for i := range servers {
 		all = append(all, &targets.Target{
 			ID: fmt.Sprintf("t-%d", i), StartedMS: 1, Service: "s", Zone: limitModelZone(i), Slots: 6,
@@ -63,7 +64,7 @@
 		settings := testSettings()
 		settings.Zone = limitModelZone(i)
 		d := NewDispatcher(&config.Service{Name: "s"}, settings, InstanceCounts{Known: instances, Active: limitModelActive},
-			WithClock(func() time.Time { return m.now }), WithLogger(&log.Logger{Handler: discard.Default}))
+			WithClock(func() time.Time { return m.now }), WithLimitSharing(limitModelSharing{i}), WithLogger(&log.Logger{Handler: discard.Default}))
 		d.SetTargets(all)
 		m.instances = append(m.instances, d)
 	}
@@ -73,6 +74,18 @@
 // limitModelActive is the number of instances that get most of the requests.
 const limitModelActive = 2 * limitModelZones
 
+// limitModelSharing shares the limit of a target between the active instances of its
+// zone.
+type limitModelSharing struct{ instance int }
+
+// Sharers implements LimitSharing.
+func (s limitModelSharing) Sharers(target *targets.Target) int {
+	if s.instance < limitModelActive && limitModelZone(s.instance) == target.Zone {
+		return limitModelActive / limitModelZones
+	}
+	return 0
+}
+
 func limitModelZone(i int) string { return string(rune('a' + i%limitModelZones)) }
 
 // run simulates requests at a rate per second over all instances.
@@ -172,3 +185,71 @@
 		})
 	}
 }
+
+// Guards against a limit that ends or holds wrongly: by a malformed statement, by a late
+// response to a request that began before the target stated its limit, or beyond the
+// first response that no longer states it.
+func TestEndOfLimit(t *testing.T) {
+	limited := platform.ResponseInfo{Received: true, Limit: platform.Limit{Stated: true, PerSecond: 1}}
+	tests := []struct {
+		name     string
+		last     platform.ResponseInfo
+		early    bool // whether the last response is to a request from before the statement
+		wantFree bool
+	}{
+		{"stated again", limited, false, false},
+		{"malformed", platform.ResponseInfo{Received: true, Limit: platform.Limit{Malformed: true}}, false, false},
+		{"late response to an earlier request", platform.ResponseInfo{Received: true}, true, false},
+		{"no response", platform.ResponseInfo{}, false, false},
+		{"no longer stated", platform.ResponseInfo{Received: true}, false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Unix(1_700_000_000, 0)
+			d := newLimitedDispatcher(t, &now, 1)
+			lease := func() *Lease { return acquire(t, d, &Request{Retry: true, Deadline: now.Add(time.Minute)}) }
+			first, early := lease(), lease()
+			now = now.Add(time.Second)
+			first.Release(Succeeded, limited)
+			last := early
+			if !tt.early {
+				now = now.Add(2 * time.Second) // until the limit admits a request
+				last = lease()
+			}
+			last.Release(Succeeded, tt.last)
+			_, err := d.Acquire(context.Background(), &Request{Retry: true, Deadline: now.Add(time.Minute)})
+			assert.Equal(t, err == nil, tt.wantFree, "%v", err)
+		})
+	}
+}
+
+// newLimitedDispatcher returns a dispatcher with targets that cannot be probed.
+func newLimitedDispatcher(t *testing.T, now *time.Time, servers int) *Dispatcher {
+	t.Helper()
+	d := NewDispatcher(&config.Service{Name: "s"}, testSettings(), InstanceCounts{Known: 1, Active: 1},
+		WithClock(func() time.Time { return *now }), WithLogger(&log.Logger{Handler: discard.Default}))
+	all := make([]*targets.Target, 0, servers)
+	for i := range servers {
+		all = append(all, &targets.Target{ID: fmt.Sprintf("t-%d", i), Service: "s", Zone: "a", Slots: 6})
+	}
+	d.SetTargets(all)
+	t.Cleanup(d.Close)
+	return d
+}
+
+// Guards against requests that wait for targets which take none of them in time, or are
+// refused without the time at which the first one does.
+func TestRefusalWhileAllTargetsAreLimited(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	d := newLimitedDispatcher(t, &now, 2)
+	first := acquire(t, d, &Request{Retry: true, Deadline: now.Add(time.Minute)})
+	second := acquire(t, d, &Request{Retry: true, Deadline: now.Add(time.Minute), Exclude: []targets.Incarnation{first.Target().Incarnation()}})
+	first.Release(Succeeded, platform.ResponseInfo{Received: true, Limit: platform.Limit{Stated: true, PerSecond: 0.1}})
+	second.Release(Succeeded, platform.ResponseInfo{Received: true, Limit: platform.Limit{Stated: true, PerSecond: 0.2}})
+	_, err := d.Acquire(context.Background(), &Request{Arrival: now, Deadline: now.Add(2 * time.Second), Objective: time.Second})
+	assert.ErrorIs(t, err, ErrNoCapacity)
+	var refusal *RefusalError
+	assert.Assert(t, errors.As(err, &refusal))
+	// The share of the higher limit opens after 1 / (0.75 * 0.2) seconds.
+	assert.Equal(t, refusal.RetryAfter.Round(time.Millisecond), 6667*time.Millisecond)
+}
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -84,14 +84,15 @@
 // probe probes one target. The result has no connection if the target cannot be
 // used.
 func (d *Dispatcher) probe(t *target) probeResult {
+	began := d.clock()
 	deadline := time.Now().Add(probeTimeout)
 	conn, err := t.pool.Acquire(deadline)
 	if err != nil {
-		d.recordProbe(t, platform.ResponseInfo{}, false, err)
+		d.recordProbe(t, platform.ResponseInfo{}, false, began, err)
 		return probeResult{target: t}
 	}
 	info, healthy, err := conn.Probe(deadline)
-	ok := d.recordProbe(t, info, healthy, err)
+	ok := d.recordProbe(t, info, healthy, began, err)
 	if err != nil || !ok {
 		conn.Release()
 		return probeResult{target: t}
@@ -99,9 +100,9 @@
 	return probeResult{target: t, conn: conn, ok: true}
 }
 
-// recordProbe updates the state of the target with the result of a probe and
-// reports whether the target may run a request.
-func (d *Dispatcher) recordProbe(t *target, info platform.ResponseInfo, healthy bool, err error) bool {
+// recordProbe updates the state of the target with the result of a probe that began at
+// the given time, and reports whether the target may run a request.
+func (d *Dispatcher) recordProbe(t *target, info platform.ResponseInfo, healthy bool, began time.Time, err error) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock()
@@ -118,7 +119,7 @@
 	case !healthy:
 		t.recordFailure(shedWeight, now)
 	}
-	d.recordStatements(t, info)
+	d.recordStatements(t, info, began, now)
 	if info.HasLoad {
 		d.recordReport(t, info.Load, now)
 	}
--- a/routing/scan.go
+++ b/routing/scan.go
@@ -80,7 +80,7 @@
 	defer d.mu.Unlock()
 	now := d.clock()
 	for _, t := range d.recent.targets {
-		if t != nil && t.reportedWithin(now, freshReportAge) && t.info.Zone == d.settings.Zone && t.usable(now) && !t.isFull() && d.isGoodLocked(t, now) &&
+		if t != nil && t.reportedWithin(now, freshReportAge) && t.info.Zone == d.settings.Zone && d.isUsableNow(t, now) && d.isGoodLocked(t, now) &&
 			!slices.Contains(r.Exclude, t.info.Incarnation()) && d.targets[t.info.Incarnation()] == t {
 			return candidate{target: t}
 		}
@@ -88,6 +88,11 @@
 	return candidate{}
 }
 
+// isUsableNow reports whether the target may get a request now.
+func (d *Dispatcher) isUsableNow(t *target, now time.Time) bool {
+	return t.usable(now) && !t.isFull() && d.admits(t, now)
+}
+
 // grant returns a lease for the chosen target, or nil if another request has
 // taken its capacity in the meantime.
 func (d *Dispatcher) grant(r *Request, c candidate, estimate time.Duration, probes int) *Lease {
@@ -95,9 +100,10 @@
 	defer d.mu.Unlock()
 	now := d.clock()
 	t := c.target
-	if t.isFull() || !t.usable(now) {
+	if !d.isUsableNow(t, now) {
 		return nil
 	}
+	t.statements.share.Take(now)
 	l := &Lease{
 		dispatcher: d, target: t, route: r.Route, start: now, conn: c.conn,
 		estimate: estimate, slowdown: t.slowdown(now),
