--- a/standin/target.go
+++ b/standin/target.go
@@ -37,6 +37,7 @@
 	headerNotExecuted    = "Rhubarbrelay-Not-Executed"
 	headerTargetID       = "Rhubarbrelay-Instance-Id"
 	headerLoad           = "Rhubarbrelay-Server-Load"
+	headerLimit          = "Server-Limit"
 	// HeaderWork sets the processing time of the request in milliseconds.
 	HeaderWork = "Standin-Work-Ms"
 	healthPath = "/healthz"
@@ -182,6 +183,9 @@
 	if id := ctx.Request.Header.Peek(HeaderRequestID); len(id) > 0 {
 		h.SetBytesV(HeaderRequestID, id)
 	}
+	if faults.Limit != "" {
+		h.Set(headerLimit, faults.Limit)
+	}
 	path := string(ctx.Path())
 	if faults.Endless && !strings.HasPrefix(path, controlPrefix) {
 		respondEndlessly(ctx)
--- a/standin/target_faults.go
+++ b/standin/target_faults.go
@@ -23,6 +23,9 @@
 	// Endless makes it respond to requests and probes with a body that ends only when
 	// the connection is closed.
 	Endless bool
+	// Limit is the text of the header in which the target names the requests per second
+	// that it takes, empty for none.
+	Limit string
 	// SlowFactor multiplies the processing time.
 	SlowFactor int
 }
@@ -34,6 +37,7 @@
 	t.SetFaults(TargetFaults{
 		Shed: args.Has("shed"), Hang: args.Has("mute"), DropResponses: args.Has("cut"), ServerError: args.Has("fail"),
 		ReportUnhealthy: args.Has("lie_ill"), ReportHealthy: args.Has("lie_well"), ExtraResponse: args.Has("second"), Endless: args.Has("endless"), SlowFactor: args.GetUintOrZero("slow"),
+		Limit: string(args.Peek("limit")),
 	})
 }
 
