relay, crashes: log whether a target ended, and the fingerprint of its requests

Lines of failed tries could not show that copies of one request, each with an ID of its own, were in flight at every target that ended, nor that a target ended at all. After an exchange that broke off, the target is dialed: one that refuses the connection has ended. The fingerprint covers method, host, URI and body.

--- a/relay/response.go
+++ b/relay/response.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rhubarbrelay/bodies"
+	"rhubarbrelay/crashes"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/timeline"
@@ -206,6 +207,11 @@
 	return notRunFailure(refusedMalformed, fasthttp.StatusBadRequest, "request is malformed")
 }
 
+// fingerprint returns the fingerprint of a request to a target.
+func fingerprint(req *fasthttp.Request) crashes.Fingerprint {
+	return crashes.NewFingerprint(req.Header.Method(), req.Header.Host(), req.Header.RequestURI(), req.Body())
+}
+
 func (s *Server) recordEvent(kind timeline.Kind, c *call, target, detail string) {
 	if s.recorder == nil {
 		return
@@ -253,7 +259,11 @@
 	if t.err != nil {
 		reason = t.err.Error()
 	}
-	s.logger.WithFields(s.logFields(c, t)).WithField("try", t.number).WithField("not_run", t.notRun()).
+	fields := s.logFields(c, t)
+	if t.targetEnded {
+		fields["target_ended"], fields["fingerprint"] = true, fingerprint(t.req).String()
+	}
+	s.logger.WithFields(fields).WithField("try", t.number).WithField("not_run", t.notRun()).
 		WithField("reason", reason).Warn("try failed")
 	s.recordEvent(timeline.RequestRetried, c, t.lease.Target().ID, reason)
 }
--- a/relay/try.go
+++ b/relay/try.go
@@ -29,6 +29,8 @@
 	// The result. It may be read after run has sent the try to done.
 	err  error
 	info platform.ResponseInfo
+	// targetEnded is set if the exchange broke off because the target ended.
+	targetEnded bool
 
 	mu         sync.Mutex
 	activeConn *upstream.Conn
@@ -44,6 +46,7 @@
 	if t.err == nil {
 		t.info = platform.ReadResponseInfo(&t.resp.Header)
 	}
+	t.targetEnded = t.brokeOff() && !t.lease.Reachable(time.Now().Add(reachableTimeout))
 	t.lease.Release(t.outcome(), t.info)
 	t.mu.Lock()
 	t.ended = true
@@ -109,6 +112,17 @@
 	return t.canceled, t.superseded
 }
 
+// reachableTimeout limits the check whether the target of an exchange that broke off
+// has ended, which delays the retry. A target that has ended refuses at once.
+const reachableTimeout = 50 * time.Millisecond
+
+// brokeOff reports whether the exchange ended without a response, and neither by this
+// instance nor at its deadline.
+func (t *try) brokeOff() bool {
+	canceled, _ := t.cancellation()
+	return errors.Is(t.err, upstream.ErrOutcomeUnknown) && !canceled && time.Now().Before(t.deadline)
+}
+
 // outcome classifies the try by what it shows about the state of the target.
 func (t *try) outcome() routing.Outcome {
 	if t.err == nil {
--- a/routing/lease.go
+++ b/routing/lease.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"errors"
+	"syscall"
 	"time"
 
 	"rhubarbrelay/platform"
@@ -64,6 +66,17 @@
 	return l.target.pool.Acquire(deadline)
 }
 
+// Reachable reports whether the target accepts connections. It is false only if the
+// target refuses one: its process has ended.
+func (l *Lease) Reachable(deadline time.Time) bool {
+	conn, err := l.target.pool.Acquire(deadline)
+	if err != nil {
+		return !errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn.Release()
+	return true
+}
+
 // Release ends the lease and records the outcome of the try. info is what the
 // headers of the response state, zero without a response.
 func (l *Lease) Release(outcome Outcome, info platform.ResponseInfo) {
