--- a/relay/try.go
+++ b/relay/try.go
@@ -46,7 +46,7 @@
 	if t.err == nil {
 		t.info = platform.ReadResponseInfo(&t.resp.Header)
 	}
-	t.targetEnded = t.brokeOff() && !t.lease.Reachable(time.Now().Add(reachableTimeout))
+	t.targetEnded = t.brokeOff() && t.lease.TargetEnded(time.Now().Add(endedTimeout))
 	t.lease.Release(t.outcome(), t.info)
 	t.mu.Lock()
 	t.ended = true
@@ -112,9 +112,9 @@
 	return t.canceled, t.superseded
 }
 
-// reachableTimeout limits the check whether the target of an exchange that broke off
-// has ended, which delays the retry. A target that has ended refuses at once.
-const reachableTimeout = 50 * time.Millisecond
+// endedTimeout limits the check whether the target of an exchange that broke off has
+// ended, which delays the retry. A target that has ended refuses at once.
+const endedTimeout = 50 * time.Millisecond
 
 // brokeOff reports whether the exchange ended without a response, and neither by this
 // instance nor at its deadline.
--- a/routing/lease.go
+++ b/routing/lease.go
@@ -66,15 +66,10 @@
 	return l.target.pool.Acquire(deadline)
 }
 
-// Reachable reports whether the target accepts connections. It is false only if the
-// target refuses one: its process has ended.
-func (l *Lease) Reachable(deadline time.Time) bool {
-	conn, err := l.target.pool.Acquire(deadline)
-	if err != nil {
-		return !errors.Is(err, syscall.ECONNREFUSED)
-	}
-	conn.Release()
-	return true
+// TargetEnded reports whether the process of the target has ended: it refuses a new
+// connection.
+func (l *Lease) TargetEnded(deadline time.Time) bool {
+	return errors.Is(l.target.pool.Check(deadline), syscall.ECONNREFUSED)
 }
 
 // Release ends the lease and records the outcome of the try. info is what the
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -140,6 +140,20 @@
 	return newConn(netConn, p), nil
 }
 
+// Check opens a connection outside the pool, before the deadline, and closes it again.
+// Open connections do not tell whether the target still runs: the end of each of them
+// may arrive at another time.
+func (p *Pool) Check(deadline time.Time) error {
+	p.dials.Add(1)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	netConn, err := p.dial(ctx, "tcp", p.host)
+	if err != nil {
+		return err
+	}
+	return netConn.Close()
+}
+
 func (p *Pool) release(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
