relay, crashes, peer: send a request to no target after it has ended three

Cause: every copy of a request was judged alone. A target that ends looks like any broken exchange, the copies have an ID each, and what one instance has seen stayed with it.

Change: after an exchange that broke off because the target ended, the request's fingerprint (method, host, URI, body) and the target's incarnation are recorded, in a ledger of at most 1,024 records that instances share in datagrams, complete packets and the state for starting ones. A response of a target removes the record: a request that ends targets never completes, while any other one does sooner or later. After three targets it is answered 502 at once, for ten minutes since the last: not a refusal, as it has run. It is checked again after the wait in the queue. A suspected request is not hedged, and no two of them run on one target, so that those which only ran beside the cause are not blamed with it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"rhubarbrelay/admin"
 	"rhubarbrelay/bodies"
 	"rhubarbrelay/config"
+	"rhubarbrelay/crashes"
 	"rhubarbrelay/entry"
 	"rhubarbrelay/limits"
 	"rhubarbrelay/membership"
@@ -50,6 +51,7 @@
 	targetFollower *registry.TargetFollower
 	registrar      *registry.Registrar
 	freshness      *freshness
+	crashes        *crashes.Ledger
 	relay          *relay.Server
 	entryServer    *relay.EntryServer
 	admin          *admin.Server
@@ -75,7 +77,8 @@
 	d.targets = targets.NewDirectory(targets.WithOnChange(d.onTargetsChanged))
 	d.table = routing.NewTable(d.routingSettings(s), d.targets, routing.WithLogger(logger),
 		routing.WithLimitSharing(entry.NewLimitSharing(d.members, time.Now)))
-	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger),
+	d.crashes = crashes.NewLedger(crashes.WithOnChange(d.onCrashRecord))
+	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger), peer.WithCrashLedger(d.crashes),
 		peer.WithOnTargetUpdate(d.onTargetUpdate), peer.WithSeeds(seedAddresses(s)), peer.WithActive(d.selector.IsActive))
 	d.targetFollower = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, d.members.ReadOrder, d.recordTargetChange,
 		d.onRegistryRecovered, logger, registry.WithOnRestored(d.onStoreRestored))
@@ -85,7 +88,7 @@
 	d.registrar = registry.NewRegistrar(store, d.members, logger, registry.WithStoreEra(d.targetFollower.Era))
 	d.freshness = newFreshness(d.targetFollower, d.configFollower, s.Budgets.DrainDelay, d.recordSuspension)
 	d.relay = relay.NewServer(d.configFollower, d.table, relay.WithRecorder(d.recorder), relay.WithLogger(logger),
-		relay.WithFreshness(d.freshness), relay.WithMaxConnections(s.Callers.MaxConnections),
+		relay.WithFreshness(d.freshness), relay.WithMaxConnections(s.Callers.MaxConnections), relay.WithCrashLedger(d.crashes),
 		relay.WithMemory(newMemory(s, requestMemoryFraction), newMemory(s, responseMemoryFraction)))
 	d.entryServer = relay.NewEntryServer(d.selector, s.Callers.EntryTTL, d.ready, logger)
 	d.admin = admin.NewServer(d, d.recorder, s.Admin.Token, logger)
@@ -176,6 +179,14 @@
 	d.logger.WithField("pause", suspension.String()).Warn("machine was suspended; state is refreshed before use")
 }
 
+// onCrashRecord tells the other instances of a crash record that this one has changed.
+func (d *Daemon) onCrashRecord(record crashes.Record) {
+	d.mesh.BroadcastCrash(record)
+	if len(record.Targets) >= crashes.MaxCrashes {
+		d.logger.WithField("fingerprint", record.Fingerprint.String()).Error("request ends targets and is sent to none any more")
+	}
+}
+
 func (d *Daemon) onTargetUpdate(update peer.TargetUpdate) {
 	d.targetFollower.ApplyUpdate(update)
 	d.configFollower.RecordPeerVersion(update.ConfigVersion)
--- a/daemon/join.go
+++ b/daemon/join.go
@@ -115,6 +115,7 @@
 	d.members.SetListed()
 	d.configFollower.ApplyIfNewer(snapshot.Config, source)
 	d.targetFollower.Restore(snapshot.Targets, at)
+	d.crashes.Merge(snapshot.Blocked)
 	d.logger.WithField("peer", source).WithField("instances", len(snapshot.Instances)).
 		WithField("targets", len(snapshot.Targets.Targets)).Info("joined the other instances")
 }
@@ -141,5 +142,8 @@
 	d.hasJoined.Store(true)
 	d.members.AddSightings([]membership.Sighting{{Instance: in}})
 	d.mesh.Introduce(in)
-	return peer.EncodeSnapshot(peer.Snapshot{Instances: d.members.Sightings(), Targets: targets, Config: d.configFollower.Raw()})
+	return peer.EncodeSnapshot(peer.Snapshot{
+		Instances: d.members.Sightings(), Targets: targets, Config: d.configFollower.Raw(),
+		Blocked: d.crashes.Blocked(peer.MaxSnapshotCrashRecords),
+	})
 }
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -12,18 +12,20 @@
 
 // instanceMetrics is the value of the expvar variable.
 type instanceMetrics struct {
-	ConfigVersion  int64                     `json:"config_version"`
-	Ready          bool                      `json:"ready"`
-	ReadyInstances int                       `json:"ready_instances"`
-	KnownInstances int                       `json:"known_instances"`
-	Targets        int                       `json:"targets"`
-	TargetAgeMS    int64                     `json:"target_age_ms"`
-	StoreFailing   bool                      `json:"store_failing"`
-	StoreEra       int64                     `json:"store_era"`
-	Callers        callerMetrics             `json:"callers"`
-	Services       map[string]serviceMetrics `json:"services"`
-	Peers          peerMetrics               `json:"peers"`
-	Log            logMetrics                `json:"log"`
+	ConfigVersion  int64 `json:"config_version"`
+	Ready          bool  `json:"ready"`
+	ReadyInstances int   `json:"ready_instances"`
+	KnownInstances int   `json:"known_instances"`
+	Targets        int   `json:"targets"`
+	TargetAgeMS    int64 `json:"target_age_ms"`
+	StoreFailing   bool  `json:"store_failing"`
+	StoreEra       int64 `json:"store_era"`
+	// BlockedRequests is the number of different requests.
+	BlockedRequests int                       `json:"blocked_requests"`
+	Callers         callerMetrics             `json:"callers"`
+	Services        map[string]serviceMetrics `json:"services"`
+	Peers           peerMetrics               `json:"peers"`
+	Log             logMetrics                `json:"log"`
 }
 
 // callerMetrics describes the requests of callers and their outcomes.
@@ -34,6 +36,7 @@
 	Retries        uint64            `json:"retries"`
 	Hedges         uint64            `json:"hedges"`
 	Panics         uint64            `json:"panics"`
+	Blocked        uint64            `json:"blocked"`
 	Refused        map[string]uint64 `json:"refused"`
 	LatencyUS      map[string]int64  `json:"latency_us"`
 }
@@ -79,7 +82,7 @@
 	m := instanceMetrics{
 		ConfigVersion: status.ConfigVersion, Ready: status.Ready, ReadyInstances: len(status.Instances),
 		KnownInstances: d.members.Count(), Targets: status.Targets, TargetAgeMS: status.TargetAge.Milliseconds(),
-		StoreFailing: status.StoreFailing, StoreEra: d.targetFollower.Era(), Callers: newCallerMetrics(d.relay.Stats(), status.InProgress),
+		StoreFailing: status.StoreFailing, StoreEra: d.targetFollower.Era(), BlockedRequests: d.crashes.BlockedCount(), Callers: newCallerMetrics(d.relay.Stats(), status.InProgress),
 		Services: map[string]serviceMetrics{}, Peers: newPeerMetrics(d.mesh.Stats()), Log: logMetrics(logStats),
 	}
 	for name, s := range d.table.Stats() {
@@ -90,7 +93,7 @@
 
 func newCallerMetrics(s relay.Stats, inProgress int64) callerMetrics {
 	m := callerMetrics{
-		InProgress: inProgress, Forwarded: s.Forwarded, UnknownOutcome: s.UnknownOutcome, Retries: s.Retries, Hedges: s.Hedges, Panics: s.Panics,
+		InProgress: inProgress, Forwarded: s.Forwarded, UnknownOutcome: s.UnknownOutcome, Retries: s.Retries, Hedges: s.Hedges, Panics: s.Panics, Blocked: s.Blocked,
 		Refused: s.Refused, LatencyUS: map[string]int64{},
 	}
 	for name, latency := range s.Latencies {
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -178,6 +178,14 @@
 	return true
 }
 
+// Knows reports whether the incarnation of another instance is in the directory.
+func (d *Directory) Knows(id string, incarnation int64) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	m := d.members[id]
+	return m != nil && m.instance.Incarnation == incarnation
+}
+
 // alive reports whether less than missedHeartbeats announced intervals have passed
 // since the last packet of the instance.
 func (d *Directory) alive(m *member) bool {
--- /dev/null
+++ b/peer/crash_test.go
@@ -0,0 +1,42 @@
+package peer
+
+import (
+	"testing"
+
+	"rhubarbrelay/crashes"
+	"rhubarbrelay/targets"
+)
+
+// Guards against an instance that sends a request to targets which has ended them
+// elsewhere: in its own zone, in another one, or before it started.
+func TestCrashRecordsReachAllInstances(t *testing.T) {
+	first := startInstance(t, "a-1")
+	all := []*testInstance{
+		first, startInstance(t, "a-2", first.address), startInstanceInZone(t, "b", "b-1", first.address),
+		startInstanceInZone(t, "b", "b-2", first.address), startInstanceInZone(t, "b", "b-3", first.address),
+	}
+	for _, in := range all {
+		waitFor(t, "all know each other", func() bool {
+			for _, other := range all {
+				if in != other {
+					in.mesh.send(in.mesh.heartbeat(activeInterval), other.address)
+				}
+			}
+			return len(in.directory.Peers()) == len(all)-1
+		})
+	}
+	f := crashes.NewFingerprint([]byte("GET"), nil, nil, nil)
+	for i := range int64(crashes.MaxCrashes) {
+		first.crashes.Add(f, targets.Incarnation{ID: "t", StartedMS: i})
+	}
+	first.mesh.BroadcastCrash(first.crashes.Blocked(1)[0])
+	for _, in := range all {
+		waitFor(t, "the record has arrived", func() bool { return in.crashes.Crashes(f) == crashes.MaxCrashes })
+	}
+	late := startInstance(t, "a-3", first.address)
+	waitFor(t, "a later instance has the record", func() bool { return late.crashes.Crashes(f) == crashes.MaxCrashes })
+	first.mesh.BroadcastCrash(crashes.Record{Fingerprint: f})
+	for _, in := range all[1:] {
+		waitFor(t, "the record is removed", func() bool { return in.crashes.IsEmpty() })
+	}
+}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"rhubarbrelay/crashes"
 	"rhubarbrelay/membership"
 	"rhubarbrelay/peer/peerpb"
 	"rhubarbrelay/timeline"
@@ -58,13 +59,17 @@
 	onUpdate  func(TargetUpdate)
 	seeds     []netip.AddrPort
 	active    func() bool
+	crashes   CrashLedger // nil for none
 
-	mu     sync.Mutex            // guards the fields below
-	conn   *net.UDPConn          // nil before Run
-	joined []membership.Sighting // the other instances are not told of these yet
+	mu   sync.Mutex   // guards the fields below
+	conn *net.UDPConn // nil before Run
+	// The other instances are not told yet of the instances in joined and of the records
+	// in changedCrashes.
+	joined         []membership.Sighting
+	changedCrashes []crashes.Record
 
-	// joinedSignal receives a value when joined has got an element.
-	joinedSignal chan struct{}
+	// collectedSignal receives a value when joined or changedCrashes has got an element.
+	collectedSignal chan struct{}
 
 	packetsIn, packetsOut, bytesIn, bytesOut, malformed, sendErrors atomic.Uint64
 }
@@ -91,7 +96,7 @@
 func NewMesh(directory *membership.Directory, clock *timeline.Clock, opts ...Option) *Mesh {
 	m := &Mesh{
 		directory: directory, clock: clock, logger: log.Log, onUpdate: func(TargetUpdate) {}, active: func() bool { return true },
-		joinedSignal: make(chan struct{}, 1),
+		collectedSignal: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -111,7 +116,7 @@
 		return conn.Close()
 	})
 	group.Go(func() error { return m.sendHeartbeats(ctx) })
-	group.Go(func() error { return m.sendIntroductions(ctx) })
+	group.Go(func() error { return m.sendCollected(ctx) })
 	return group.Wait()
 }
 
@@ -139,6 +144,9 @@
 		packet.Sender = instanceToWire(m.directory.Self())
 		local, remote := m.intervals()
 		packet.IntervalMs, packet.LocalIntervalMs = uint32(remote.Milliseconds()), uint32(local.Milliseconds())
+		if m.crashes != nil {
+			packet.Crashes = crashesToWire(m.crashes.Blocked(maxCrashRecords))
+		}
 	}
 	packet.Clock = uint64(m.clock.Now())
 	data, err := proto.Marshal(packet)
@@ -196,6 +204,7 @@
 		return err
 	}
 	m.clock.Observe(timeline.Timestamp(packet.GetClock()))
+	starts := sender.PeerAddress.IsValid() && !m.directory.Knows(sender.ID, sender.Incarnation)
 	known := m.directory.RecordPacket(sender, m.announcedInterval(&packet, sender))
 	if packet.GetNews() != nil {
 		update, err := updateFromWire(packet.GetNews())
@@ -210,12 +219,18 @@
 			return err
 		}
 	}
+	if err := m.handleCrashes(&packet); err != nil {
+		return err
+	}
 	if packet.GetPassOn() {
 		m.forward(&packet)
 	}
 	if packet.GetPassedOn() {
 		return nil // the packet was forwarded, so from is not the address of its sender
 	}
+	if starts {
+		m.sendBlocked(from)
+	}
 	if packet.GetHello() || !known {
 		m.send(&peerpb.Packet{Hello: !known}, from)
 	}
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
+	"rhubarbrelay/crashes"
 	"rhubarbrelay/membership"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/targets"
@@ -29,6 +30,7 @@
 	directory *membership.Directory
 	mesh      *Mesh
 	address   netip.AddrPort
+	crashes   *crashes.Ledger
 
 	mu      sync.Mutex
 	updates []TargetUpdate
@@ -48,11 +50,11 @@
 	t.Helper()
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	assert.NilError(t, err)
-	in := &testInstance{address: netip.MustParseAddrPort(conn.LocalAddr().String())}
+	in := &testInstance{address: netip.MustParseAddrPort(conn.LocalAddr().String()), crashes: crashes.NewLedger()}
 	in.directory = membership.NewDirectory(membership.Instance{
 		ID: id, Zone: zone, Incarnation: 1, State: membership.Ready, PeerAddress: in.address, CallerAddress: in.address, AdminAddress: in.address,
 	}, membership.WithClock(clock))
-	in.mesh = NewMesh(in.directory, timeline.NewClock(time.Now), WithSeeds(seeds), WithOnTargetUpdate(func(update TargetUpdate) {
+	in.mesh = NewMesh(in.directory, timeline.NewClock(time.Now), WithSeeds(seeds), WithCrashLedger(in.crashes), WithOnTargetUpdate(func(update TargetUpdate) {
 		in.mu.Lock()
 		defer in.mu.Unlock()
 		in.updates = append(in.updates, update)
--- a/peer/packet_fuzz_test.go
+++ b/peer/packet_fuzz_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"rhubarbrelay/crashes"
 	"rhubarbrelay/membership"
 	"rhubarbrelay/peer/peerpb"
 	"rhubarbrelay/targets"
@@ -25,6 +26,8 @@
 		{Sender: heartbeatToWire(in), IntervalMs: 500},
 		{Sender: instanceToWire(in), News: updateToWire(update), PassOn: true},
 		{Sender: instanceToWire(in), Joined: []*peerpb.Sighting{sightingToWire(membership.Sighting{Instance: in}), {}}},
+		{Sender: instanceToWire(in), Crashes: []*peerpb.CrashRecord{{Fingerprint: make([]byte, crashes.FingerprintSize), Targets: []uint64{1, 2}}}},
+		{Sender: instanceToWire(in), Crashes: []*peerpb.CrashRecord{{Fingerprint: []byte{1}}}},
 	} {
 		data, err := proto.Marshal(packet)
 		assert.NilError(f, err)
@@ -33,7 +36,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		directory := membership.NewDirectory(membership.Instance{ID: "a", Zone: "z"})
-		m := NewMesh(directory, timeline.NewClock(time.Now))
+		m := NewMesh(directory, timeline.NewClock(time.Now), WithCrashLedger(crashes.NewLedger()))
 		if err := m.handle(data, address); err != nil {
 			assert.ErrorIs(t, err, ErrMalformed)
 		}
--- a/peer/snapshot.go
+++ b/peer/snapshot.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"rhubarbrelay/crashes"
 	"rhubarbrelay/membership"
 	"rhubarbrelay/peer/peerpb"
 	"rhubarbrelay/platform"
@@ -19,6 +20,8 @@
 	Targets   TargetState
 	// Config is the active configuration as it was published.
 	Config []byte
+	// Blocked are the records of requests that are sent to no target any more.
+	Blocked []crashes.Record
 }
 
 // TargetState holds all registered targets.
@@ -48,6 +51,7 @@
 	for _, r := range s.Targets.Removed {
 		m.Removed = append(m.Removed, removalToWire(r))
 	}
+	m.Blocked = crashesToWire(s.Blocked[:min(len(s.Blocked), MaxSnapshotCrashRecords)])
 	return proto.Marshal(m)
 }
 
@@ -81,5 +85,8 @@
 	if s.Targets.Removed, err = removalsFromWire(m.GetRemoved()); err != nil {
 		return Snapshot{}, err
 	}
+	if s.Blocked, err = crashesFromWire(m.GetBlocked()); err != nil {
+		return Snapshot{}, err
+	}
 	return s, nil
 }
--- a/peer/snapshot_test.go
+++ b/peer/snapshot_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"rhubarbrelay/crashes"
 	"rhubarbrelay/membership"
 	"rhubarbrelay/peer/peerpb"
 	"rhubarbrelay/platform"
@@ -35,6 +36,9 @@
 			Next: platform.Position{Era: 3, Offset: 77}, Age: 300 * time.Millisecond,
 		},
 		Config: []byte(`{"version":4}`),
+		Blocked: []crashes.Record{
+			{Fingerprint: crashes.NewFingerprint([]byte("GET"), nil, nil, nil), Targets: []crashes.TargetKey{1, 2, 1 << 63}, Age: time.Minute},
+		},
 	}
 }
 
@@ -77,6 +81,7 @@
 		{"negative offset", func(s *Snapshot) { s.Targets.Next.Offset = -4 }},
 		{"instance without ID", func(s *Snapshot) { s.Instances[0].Instance.ID = "" }},
 		{"target without address", func(s *Snapshot) { s.Targets.Targets[1].Address = netip.AddrPort{} }},
+		{"too many targets of a crash record", func(s *Snapshot) { s.Blocked[0].Targets = make([]crashes.TargetKey, crashes.MaxCrashes+1) }},
 		{"removed target without ID", func(s *Snapshot) { s.Targets.Removed[1].Incarnation.ID = "" }},
 	}
 	for _, tt := range tests {
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
+	"rhubarbrelay/crashes"
 	"rhubarbrelay/targets"
 )
 
@@ -126,3 +127,72 @@
 		})
 	}
 }
+
+// Guards against a request that each instance sends to three targets of its own before
+// it learns that others have seen it end theirs.
+func TestEndedTargetsCountOverAllInstances(t *testing.T) {
+	all, infos := newMortalTargets(t, 8)
+	ledger := crashes.NewLedger()
+	first, second := newHarness(t, infos, WithCrashLedger(ledger)), newHarness(t, infos, WithCrashLedger(ledger))
+	for i := range 8 {
+		h := []*harness{first, second}[i%2]
+		assert.Equal(t, h.call(t, "GET", "/once/deadly", "", fmt.Sprintf("Rhubarbrelay-Attempt-Id: id-%d", i)).status, 502)
+	}
+	assert.Equal(t, countEnded(all), crashes.MaxCrashes)
+	assert.Equal(t, second.relay.Stats().Blocked+first.relay.Stats().Blocked, uint64(8-crashes.MaxCrashes))
+}
+
+// Guards against requests that are suspected without reason: those that a target has
+// completed, that it has refused, or whose exchange broke off while the target runs on.
+func TestInnocentRequestsAreNotSuspected(t *testing.T) {
+	tests := []struct {
+		name   string
+		script targetScript
+		before int // crashes that are known before
+		want   int
+	}{
+		{"connection closed by a running target", func(*fasthttp.Request) (string, bool) { return "", true }, 1, 1},
+		{"truncated response", func(*fasthttp.Request) (string, bool) { return "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx", true }, 1, 1},
+		{"refused", func(req *fasthttp.Request) (string, bool) { return notRunResponse(req, 503), false }, 1, 1},
+		{"completed", echo, 2, 0},
+		{"server error", func(req *fasthttp.Request) (string, bool) { return sealed(req, 500, "x"), false }, 2, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			target := newScriptedTarget(t, "t-1", "a", tt.script)
+			ledger := crashes.NewLedger()
+			h := newHarness(t, targetInfos(target), WithCrashLedger(ledger))
+			f := crashes.NewFingerprint([]byte("POST"), []byte("spoolkeep.example"), []byte("/once/x"), []byte("body"))
+			for i := range tt.before {
+				ledger.Add(f, targets.Incarnation{ID: "ended", StartedMS: int64(i)})
+			}
+			h.call(t, "POST", "/once/x", "body")
+			assert.Equal(t, len(target.receivedIDs()), 1)
+			assert.Equal(t, ledger.Crashes(f), tt.want)
+		})
+	}
+}
+
+// Guards against a harmless request that is taken for the cause, since it runs beside
+// one that ends targets on each of them, as both are retried on the same target.
+func TestSuspectsRunOnDifferentTargets(t *testing.T) {
+	release := make(chan struct{})
+	var slow targetScript = func(req *fasthttp.Request) (string, bool) {
+		<-release
+		return echo(req)
+	}
+	a, b := newScriptedTarget(t, "t-1", "a", slow), newScriptedTarget(t, "t-2", "a", slow)
+	ledger := crashes.NewLedger()
+	h := newHarness(t, targetInfos(a, b), WithCrashLedger(ledger))
+	var calls sync.WaitGroup
+	for i := range 2 {
+		path := fmt.Sprintf("/once/%d", i)
+		ledger.Add(crashes.NewFingerprint([]byte("POST"), []byte("spoolkeep.example"), []byte(path), []byte("body")), targets.Incarnation{ID: "ended"})
+		calls.Go(func() { assert.Check(t, h.call(t, "POST", path, "body").status == 200) })
+		waitFor(t, "the target has the request", func() bool { return len(a.receivedIDs())+len(b.receivedIDs()) == i+1 })
+	}
+	assert.Equal(t, len(a.receivedIDs()), 1)
+	assert.Equal(t, len(b.receivedIDs()), 1)
+	close(release)
+	calls.Wait()
+}
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -7,6 +7,8 @@
 	"github.com/valyala/fasthttp"
 
 	"rhubarbrelay/bodies"
+	"rhubarbrelay/crashes"
+	"rhubarbrelay/platform"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/timeline"
 )
@@ -133,21 +135,40 @@
 	return len(body) <= bodies.SmallBody || r.call.reservation.Add((len(body)+1)/requestCopies) == nil
 }
 
-// startTry acquires a target and starts a try on it.
-func (r *dispatchState) startTry(isRetry bool) error {
+// acquire acquires a target, unless copies of the request have ended too many targets.
+// It checks that again after the wait, in which others may have ended.
+func (r *dispatchState) acquire(isRetry bool) (*routing.Lease, error) {
 	c := r.call
+	ended := r.server.crashCount(r.req)
+	if ended >= crashes.MaxCrashes {
+		return nil, errEndsTargets
+	}
 	lease, err := c.dispatcher.Acquire(r.caller, &routing.Request{
 		Route: c.route.Key(), Arrival: c.arrival, PriorElapsed: c.priorElapsed, Deadline: c.deadline, Objective: c.route.Objective,
-		Priority: c.route.Priority, Exclude: c.triedTargets, Retry: isRetry,
+		Priority: c.route.Priority, Exclude: c.triedTargets, Retry: isRetry, Suspect: ended > 0,
 	})
+	if err != nil {
+		return nil, err
+	}
+	if r.server.crashCount(r.req) >= crashes.MaxCrashes {
+		lease.Release(routing.Inconclusive, platform.ResponseInfo{})
+		return nil, errEndsTargets
+	}
+	return lease, nil
+}
+
+// startTry acquires a target and starts a try on it.
+func (r *dispatchState) startTry(isRetry bool) error {
+	lease, err := r.acquire(isRetry)
 	if err != nil {
 		return err
 	}
+	c := r.call
 	c.sentTries++
 	c.triedTargets = append(c.triedTargets, lease.Target().Incarnation())
 	t := &try{
 		lease: lease, req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(),
-		deadline: c.deadline, started: time.Now(), number: c.sentTries,
+		deadline: c.deadline, started: time.Now(), number: c.sentTries, crashes: r.server.crashes,
 		reservation: bodies.NewReservation(r.server.responseMemory, 1),
 	}
 	r.req.CopyTo(t.req)
@@ -207,10 +228,10 @@
 }
 
 // hedge sends an idempotent request to a second target while the first try is
-// still in flight.
+// still in flight, unless a target has ended while a copy of it was in flight there.
 func (r *dispatchState) hedge() {
 	c := r.call
-	if !c.route.Idempotent || len(r.inFlight) != 1 || !r.allowsFurtherTry() {
+	if !c.route.Idempotent || len(r.inFlight) != 1 || r.server.crashCount(r.req) > 0 || !r.allowsFurtherTry() {
 		return
 	}
 	if !c.dispatcher.AllowRetry() || r.startTry(true) != nil {
--- a/relay/response.go
+++ b/relay/response.go
@@ -9,7 +9,6 @@
 	"github.com/valyala/fasthttp"
 
 	"rhubarbrelay/bodies"
-	"rhubarbrelay/crashes"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/timeline"
@@ -168,6 +167,9 @@
 		s.fail(resp, c, callerClosedFailure(false))
 	case errors.Is(err, bodies.ErrNoMemory):
 		s.fail(resp, c, readFailure(err, c.input.conn))
+	case errors.Is(err, errEndsTargets):
+		s.counters.blocked.Add(1)
+		s.fail(resp, c, unknownOutcomeFailure(fasthttp.StatusBadGateway, err.Error()))
 	case errors.As(err, &refusal):
 		cause := refusedNoCapacity
 		if errors.Is(err, routing.ErrNoTarget) {
@@ -207,11 +209,6 @@
 	return notRunFailure(refusedMalformed, fasthttp.StatusBadRequest, "request is malformed")
 }
 
-// fingerprint returns the fingerprint of a request to a target.
-func fingerprint(req *fasthttp.Request) crashes.Fingerprint {
-	return crashes.NewFingerprint(req.Header.Method(), req.Header.Host(), req.Header.RequestURI(), req.Body())
-}
-
 func (s *Server) recordEvent(kind timeline.Kind, c *call, target, detail string) {
 	if s.recorder == nil {
 		return
--- a/relay/server.go
+++ b/relay/server.go
@@ -16,6 +16,7 @@
 
 	"rhubarbrelay/bodies"
 	"rhubarbrelay/config"
+	"rhubarbrelay/crashes"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/timeline"
 )
@@ -86,6 +87,7 @@
 	logger            log.Interface
 	trafficSplits     trafficSplits
 	timeouts          timeoutHistograms
+	crashes           CrashLedger
 	refusalEvents     *rate.Limiter
 	forwardLogs       *rate.Limiter
 	counters          counters
@@ -141,6 +143,7 @@
 		forwardLogs:   rate.NewLimiter(forwardLogsPerSecond, forwardLogsPerSecond),
 		calls:         sync.Pool{New: func() any { return &call{} }},
 		counters:      newCounters(),
+		crashes:       crashes.NewLedger(),
 	}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -55,6 +55,9 @@
 	Retries        uint64
 	Hedges         uint64
 	Panics         uint64
+	// Blocked counts the requests that were sent to no target, since copies of them have
+	// ended targets. UnknownOutcome includes them.
+	Blocked uint64
 	// Refused counts the failed requests that have not run, by cause. The cause
 	// caller_closed includes requests whose caller closed its connection while a
 	// try was in flight that may run the request, unless an earlier try may have
@@ -67,8 +70,8 @@
 
 // counters are the counters of Stats.
 type counters struct {
-	forwarded, unknownOutcome, retries, hedges, panics atomic.Uint64
-	refused                                            [refusalCauses]atomic.Uint64
+	forwarded, unknownOutcome, retries, hedges, panics, blocked atomic.Uint64
+	refused                                                     [refusalCauses]atomic.Uint64
 
 	mu        *sync.Mutex
 	latencies *hdrhistogram.Histogram
@@ -99,7 +102,7 @@
 	c := &s.counters
 	stats := Stats{
 		Forwarded: c.forwarded.Load(), UnknownOutcome: c.unknownOutcome.Load(), Retries: c.retries.Load(), Hedges: c.hedges.Load(),
-		Panics: c.panics.Load(), Refused: make(map[string]uint64, refusalCauses), Latencies: map[string]time.Duration{},
+		Panics: c.panics.Load(), Blocked: c.blocked.Load(), Refused: make(map[string]uint64, refusalCauses), Latencies: map[string]time.Duration{},
 	}
 	for cause := range refusalCauses {
 		stats.Refused[refusalCauseNames[cause]] = c.refused[cause].Load()
--- a/relay/try.go
+++ b/relay/try.go
@@ -23,6 +23,7 @@
 	deadline time.Time
 	started  time.Time
 	number   int
+	crashes  CrashLedger
 	// reservation is for the body of the response.
 	reservation *bodies.Reservation
 
@@ -47,6 +48,7 @@
 		t.info = platform.ReadResponseInfo(&t.resp.Header)
 	}
 	t.targetEnded = t.brokeOff() && t.lease.TargetEnded(time.Now().Add(endedTimeout))
+	t.recordCrash(t.crashes)
 	t.lease.Release(t.outcome(), t.info)
 	t.mu.Lock()
 	t.ended = true
--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -96,7 +96,7 @@
 		if !t.usable(now) || slices.Contains(r.Exclude, incarnation) || d.recentlyFull(t, now) {
 			continue
 		}
-		if !d.admits(t, now) && !d.mayRecheck(t, now) {
+		if !d.admits(t, now) && !d.mayRecheck(t, now) || !t.admitsSuspicion(r) {
 			continue
 		}
 		score := d.score(t, now) + scoreJitter*d.random.Float64()
--- a/routing/lease.go
+++ b/routing/lease.go
@@ -23,6 +23,7 @@
 	conn     *upstream.Conn
 	// Decision is what the choice of the target was based on, for the log.
 	Decision Decision
+	suspect  bool // see Request.Suspect
 	released bool
 }
 
--- a/routing/request.go
+++ b/routing/request.go
@@ -42,6 +42,10 @@
 	Exclude []targets.Incarnation
 	// Retry marks a retry or a hedge, which does not wait.
 	Retry bool
+	// Suspect marks a request that may end the target that runs it. No two such
+	// requests of this instance run on a target at a time, so that the end of the
+	// target tells which of them is the cause.
+	Suspect bool
 }
 
 // due returns the time until which a response is useful.
--- a/routing/scan.go
+++ b/routing/scan.go
@@ -80,7 +80,7 @@
 	defer d.mu.Unlock()
 	now := d.clock()
 	for _, t := range d.recent.targets {
-		if t != nil && t.reportedWithin(now, freshReportAge) && t.info.Zone == d.settings.Zone && d.isUsableNow(t, now) && d.isGoodLocked(t, now) &&
+		if t != nil && t.reportedWithin(now, freshReportAge) && t.info.Zone == d.settings.Zone && d.isUsableNow(t, now) && d.isGoodLocked(t, now) && t.admitsSuspicion(r) &&
 			!slices.Contains(r.Exclude, t.info.Incarnation()) && d.targets[t.info.Incarnation()] == t {
 			return candidate{target: t}
 		}
@@ -100,13 +100,13 @@
 	defer d.mu.Unlock()
 	now := d.clock()
 	t := c.target
-	if !d.isUsableNow(t, now) {
+	if !d.isUsableNow(t, now) || !t.admitsSuspicion(r) {
 		return nil
 	}
 	t.statements.share.Take(now)
 	l := &Lease{
 		dispatcher: d, target: t, route: r.Route, start: now, conn: c.conn,
-		estimate: estimate, slowdown: t.slowdown(now),
+		estimate: estimate, slowdown: t.slowdown(now), suspect: r.Suspect,
 		Decision: Decision{
 			ReportAge: now.Sub(t.loadAt), Running: t.load.Running, Waiting: t.load.Waiting, Slots: t.info.Slots,
 			Slowdown: t.load.Slowdown, Probes: probes, Waited: now.Sub(r.Arrival),
--- a/routing/target.go
+++ b/routing/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"rhubarbrelay/limits"
@@ -159,6 +160,12 @@
 	t.load, t.loadAt, t.hasLoad, t.sentSinceReport = load, now, true, 0
 }
 
+// admitsSuspicion reports whether the request may run beside those in flight on the
+// target, see Request.Suspect.
+func (t *target) admitsSuspicion(r *Request) bool {
+	return !r.Suspect || !slices.ContainsFunc(t.inFlight, func(l *Lease) bool { return l.suspect })
+}
+
 func (t *target) removeLease(l *Lease) {
 	for i, f := range t.inFlight {
 		if f == l {
--- a/standin/target.go
+++ b/standin/target.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -38,11 +39,16 @@
 	headerTargetID       = "Rhubarbrelay-Instance-Id"
 	headerLoad           = "Rhubarbrelay-Server-Load"
 	headerLimit          = "Server-Limit"
+	// headerEnd ends the process of the target, as a request does that crashes it.
+	headerEnd = "Standin-End"
 	// HeaderWork sets the processing time of the request in milliseconds.
 	HeaderWork = "Standin-Work-Ms"
 	healthPath = "/healthz"
 )
 
+// crashExitCode is the exit code of a target that a request has ended.
+const crashExitCode = 70
+
 // DefaultRegistrationInterval is the time between two registrations of a target.
 const DefaultRegistrationInterval = 300 * time.Millisecond
 
@@ -230,6 +236,9 @@
 		ctx.Hijack(func(net.Conn) {})
 		return
 	}
+	if len(ctx.Request.Header.Peek(headerEnd)) > 0 {
+		os.Exit(crashExitCode)
+	}
 	if !t.acquireSlot(ctx) {
 		return
 	}
