crashes, peer: do not blame requests that only ran beside the cause

Requests in flight are retried at once, by the same rule, often on the same target.

Change: the end of a target does not count for a request if another one is blocked, was in flight there too, and has more such targets; up to eight are recorded for that. Crash records are sent after 5 ms, not 100 ms: at 5.909 s an instance had blocked the request, at 5.980 s another one still sent it.

TestHarmlessRequestBesideCause failed before.

--- a/crashes/ledger.go
+++ b/crashes/ledger.go
@@ -15,6 +15,9 @@
 	// MaxCrashes is the number of targets that may end while copies of a request are in
 	// flight there, before it is sent to no target any more.
 	MaxCrashes = 3
+	// MaxRecordedTargets limits the targets of a record. More than MaxCrashes are
+	// recorded, to tell which other requests only ran beside the one that ended them.
+	MaxRecordedTargets = 8
 	// retention is the time since the last such end after which a record is removed.
 	retention = 10 * time.Minute
 	// maxRecords limits the records, since each end of a target adds one for each
@@ -35,7 +38,7 @@
 // Record is what is known of the copies of one request.
 type Record struct {
 	Fingerprint Fingerprint
-	// Targets ended while a copy was in flight there; MaxCrashes at most.
+	// Targets ended while a copy was in flight there; MaxRecordedTargets at most.
 	Targets []TargetKey
 	// Age is the time since the last of them ended.
 	Age time.Duration
@@ -92,13 +95,14 @@
 	if e == nil || l.clock().Sub(e.lastAt) > retention {
 		return 0
 	}
-	return len(e.targets)
+	return min(l.count(e), MaxCrashes)
 }
 
 // Add records that a target has ended while the request was in flight there.
 func (l *Ledger) Add(f Fingerprint, incarnation targets.Incarnation) {
 	record := Record{Fingerprint: f, Targets: []TargetKey{NewTargetKey(incarnation)}}
 	l.mu.Lock()
+	l.removeExpired()
 	l.merge(record)
 	record.Targets = slices.Clone(l.entries[f].targets)
 	l.mu.Unlock()
@@ -122,6 +126,7 @@
 func (l *Ledger) Merge(records []Record) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.removeExpired()
 	for _, r := range records {
 		if len(r.Targets) == 0 {
 			l.remove(r.Fingerprint)
@@ -134,7 +139,6 @@
 // merge adds a record to the one that is known of the same request. The caller must
 // hold l.mu.
 func (l *Ledger) merge(r Record) {
-	at := l.clock().Add(-r.Age)
 	e := l.entries[r.Fingerprint]
 	if e == nil {
 		l.makeRoom()
@@ -142,42 +146,66 @@
 		l.entries[r.Fingerprint] = e
 		l.size.Store(int64(len(l.entries)))
 	}
-	if at.After(e.lastAt) {
+	if at := l.clock().Add(-r.Age); at.After(e.lastAt) {
 		e.lastAt = at
 	}
 	for _, target := range r.Targets {
-		if len(e.targets) < MaxCrashes && !slices.Contains(e.targets, target) {
+		if len(e.targets) < MaxRecordedTargets && !slices.Contains(e.targets, target) {
 			e.targets = append(e.targets, target)
 		}
 	}
 }
 
+// count returns the number of targets of an entry, without those of a blocked entry with
+// more targets: the request of that one is the cause, and this one only ran beside it.
+// The caller must hold l.mu.
+func (l *Ledger) count(e *entry) int {
+	n := 0
+	for _, target := range e.targets {
+		if !l.isExplained(target, len(e.targets)) {
+			n++
+		}
+	}
+	return n
+}
+
+func (l *Ledger) isExplained(target TargetKey, fewer int) bool {
+	for _, e := range l.entries {
+		if len(e.targets) >= MaxCrashes && len(e.targets) > fewer && slices.Contains(e.targets, target) {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Ledger) remove(f Fingerprint) {
 	delete(l.entries, f)
 	l.size.Store(int64(len(l.entries)))
 }
 
-// makeRoom removes expired records and, if there are still too many, the oldest of
-// those with the fewest crashes. The caller must hold l.mu.
+func (l *Ledger) removeExpired() {
+	now := l.clock()
+	for f, e := range l.entries {
+		if now.Sub(e.lastAt) > retention {
+			l.remove(f)
+		}
+	}
+}
+
+// makeRoom removes the oldest of the records with the fewest crashes if there are
+// maxRecords. The caller must hold l.mu.
 func (l *Ledger) makeRoom() {
 	if len(l.entries) < maxRecords {
 		return
 	}
-	now := l.clock()
 	var victim Fingerprint
 	var least *entry
 	for f, e := range l.entries {
-		if now.Sub(e.lastAt) > retention {
-			delete(l.entries, f)
-			continue
-		}
 		if least == nil || len(e.targets) < len(least.targets) || len(e.targets) == len(least.targets) && e.lastAt.Before(least.lastAt) {
 			victim, least = f, e
 		}
 	}
-	if len(l.entries) >= maxRecords {
-		delete(l.entries, victim)
-	}
+	l.remove(victim)
 }
 
 // BlockedCount returns the number of requests that are sent to no target any more.
@@ -194,7 +222,7 @@
 	now := l.clock()
 	var blocked []Record
 	for f, e := range l.entries {
-		if age := now.Sub(e.lastAt); len(e.targets) >= MaxCrashes && age <= retention {
+		if age := now.Sub(e.lastAt); age <= retention && l.count(e) >= MaxCrashes {
 			blocked = append(blocked, Record{Fingerprint: f, Targets: slices.Clone(e.targets), Age: age})
 		}
 	}
--- a/crashes/ledger_test.go
+++ b/crashes/ledger_test.go
@@ -76,6 +76,36 @@
 	}
 }
 
+// Guards against a harmless request that is blocked together with the one that ends the
+// targets, since by chance it was in flight at the same targets.
+func TestHarmlessRequestBesideCause(t *testing.T) {
+	cause, harmless := testFingerprint(1), testFingerprint(2)
+	type end struct {
+		request Fingerprint
+		target  int64
+	}
+	tests := []struct {
+		name         string
+		ends         []end
+		wantHarmless int
+	}{
+		{"before the cause is known", []end{{harmless, 1}, {cause, 1}, {harmless, 2}, {cause, 2}}, 2},
+		{"once the cause is blocked", []end{{harmless, 1}, {cause, 1}, {harmless, 2}, {cause, 2}, {cause, 3}}, 0},
+		{"beside a blocked request", []end{{cause, 1}, {cause, 2}, {cause, 3}, {harmless, 3}}, 0},
+		{"blocked a moment before the cause", []end{{cause, 1}, {cause, 2}, {harmless, 1}, {harmless, 2}, {harmless, 3}, {cause, 3}, {cause, 4}}, 0},
+		{"at other targets", []end{{cause, 1}, {cause, 2}, {cause, 3}, {harmless, 4}, {harmless, 5}, {harmless, 6}}, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := NewLedger()
+			for _, e := range tt.ends {
+				l.Add(e.request, testTarget(e.target))
+			}
+			assert.Equal(t, l.Crashes(harmless), tt.wantHarmless)
+		})
+	}
+}
+
 // Guards against records that other instances never hear of: an end, or a completion
 // without which the request stays suspect there. Guards against a storm of messages
 // about requests that nobody knows.
--- a/peer/crash.go
+++ b/peer/crash.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"rhubarbrelay/crashes"
@@ -10,6 +11,10 @@
 )
 
 const (
+	// crashRecordDelay is how long changed crash records are collected: the end of a
+	// target changes those of all requests in flight there. Until the others know them,
+	// they may send a request to further targets that it ends.
+	crashRecordDelay = 5 * time.Millisecond
 	// maxCrashRecords limits the crash records in a datagram, so that it is not
 	// fragmented by the network.
 	maxCrashRecords = 16
@@ -29,12 +34,22 @@
 func WithCrashLedger(ledger CrashLedger) Option { return func(m *Mesh) { m.crashes = ledger } }
 
 // BroadcastCrash sends a changed crash record to the instances of all zones, within
-// collectionDelay.
+// crashRecordDelay.
 func (m *Mesh) BroadcastCrash(record crashes.Record) {
 	m.mu.Lock()
 	m.changedCrashes = append(m.changedCrashes, record)
 	m.mu.Unlock()
-	m.signalCollected()
+	signal(m.crashSignal)
+}
+
+func (m *Mesh) sendChangedCrashes() {
+	m.mu.Lock()
+	changed := m.changedCrashes
+	m.changedCrashes = nil
+	m.mu.Unlock()
+	for part := range slices.Chunk(changed, maxCrashRecords) {
+		m.sendCrashes(part)
+	}
 }
 
 // sendBlocked sends the records of blocked requests to an instance that has started, if
@@ -85,7 +100,7 @@
 func crashesFromWire(messages []*peerpb.CrashRecord) ([]crashes.Record, error) {
 	records := make([]crashes.Record, 0, len(messages))
 	for _, m := range messages {
-		if len(m.GetFingerprint()) != crashes.FingerprintSize || len(m.GetTargets()) > crashes.MaxCrashes {
+		if len(m.GetFingerprint()) != crashes.FingerprintSize || len(m.GetTargets()) > crashes.MaxRecordedTargets {
 			return nil, fmt.Errorf("%w: crash record with a fingerprint of %d bytes and %d targets", ErrMalformed, len(m.GetFingerprint()), len(m.GetTargets()))
 		}
 		r := crashes.Record{Fingerprint: crashes.Fingerprint(m.GetFingerprint()), Age: time.Duration(m.GetAgeMs()) * time.Millisecond}
--- a/peer/introduction.go
+++ b/peer/introduction.go
@@ -10,58 +10,60 @@
 )
 
 const (
-	// collectionDelay is how long instances that join and changed crash records are
-	// collected before the others are told of them, since there may be many at the same
-	// time.
-	collectionDelay = 100 * time.Millisecond
+	// introductionDelay is how long instances that join are collected before the
+	// others are told of them, since many may start at the same time.
+	introductionDelay = 100 * time.Millisecond
 	// maxIntroduced limits the instances in one datagram, so that it is not fragmented
 	// by the network.
 	maxIntroduced = 10
 )
 
 // Introduce tells the instances of all zones of an instance that has joined through
-// this one, within collectionDelay. Those of a remote zone are told by the
+// this one, within introductionDelay. Those of a remote zone are told by the
 // forwarders of that zone.
 func (m *Mesh) Introduce(in membership.Instance) {
 	m.mu.Lock()
 	m.joined = append(m.joined, membership.Sighting{Instance: in})
 	m.mu.Unlock()
-	m.signalCollected()
+	signal(m.joinedSignal)
 }
 
-func (m *Mesh) signalCollected() {
+// signal sends a value that collect receives.
+func signal(to chan<- struct{}) {
 	select {
-	case m.collectedSignal <- struct{}{}:
+	case to <- struct{}{}:
 	default: // a value is pending already
 	}
 }
 
-// sendCollected sends introductions and crash records until the context ends.
-func (m *Mesh) sendCollected(ctx context.Context) error {
+// collect calls send, with a delay after each signal, until the context ends.
+func collect(ctx context.Context, signal <-chan struct{}, delay time.Duration, send func()) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-m.collectedSignal:
+			return
+		case <-signal:
 		}
-		timer.Reset(collectionDelay)
+		timer.Reset(delay)
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-timer.C:
 		}
-		m.mu.Lock()
-		joined, changed := m.joined, m.changedCrashes
-		m.joined, m.changedCrashes = nil, nil
-		m.mu.Unlock()
-		for part := range slices.Chunk(joined, maxIntroduced) {
-			m.sendIntroduction(part)
-		}
-		for part := range slices.Chunk(changed, maxCrashRecords) {
-			m.sendCrashes(part)
-		}
+		send()
+	}
+}
+
+// sendIntroductions sends the introductions that are pending.
+func (m *Mesh) sendIntroductions() {
+	m.mu.Lock()
+	joined := m.joined
+	m.joined = nil
+	m.mu.Unlock()
+	for part := range slices.Chunk(joined, maxIntroduced) {
+		m.sendIntroduction(part)
 	}
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -68,8 +68,9 @@
 	joined         []membership.Sighting
 	changedCrashes []crashes.Record
 
-	// collectedSignal receives a value when joined or changedCrashes has got an element.
-	collectedSignal chan struct{}
+	// joinedSignal and crashSignal receive a value when joined and changedCrashes have got
+	// an element.
+	joinedSignal, crashSignal chan struct{}
 
 	packetsIn, packetsOut, bytesIn, bytesOut, malformed, sendErrors atomic.Uint64
 }
@@ -96,7 +97,7 @@
 func NewMesh(directory *membership.Directory, clock *timeline.Clock, opts ...Option) *Mesh {
 	m := &Mesh{
 		directory: directory, clock: clock, logger: log.Log, onUpdate: func(TargetUpdate) {}, active: func() bool { return true },
-		collectedSignal: make(chan struct{}, 1),
+		joinedSignal: make(chan struct{}, 1), crashSignal: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -116,7 +117,14 @@
 		return conn.Close()
 	})
 	group.Go(func() error { return m.sendHeartbeats(ctx) })
-	group.Go(func() error { return m.sendCollected(ctx) })
+	group.Go(func() error {
+		collect(ctx, m.joinedSignal, introductionDelay, m.sendIntroductions)
+		return nil
+	})
+	group.Go(func() error {
+		collect(ctx, m.crashSignal, crashRecordDelay, m.sendChangedCrashes)
+		return nil
+	})
 	return group.Wait()
 }
 
--- a/peer/snapshot_test.go
+++ b/peer/snapshot_test.go
@@ -81,7 +81,7 @@
 		{"negative offset", func(s *Snapshot) { s.Targets.Next.Offset = -4 }},
 		{"instance without ID", func(s *Snapshot) { s.Instances[0].Instance.ID = "" }},
 		{"target without address", func(s *Snapshot) { s.Targets.Targets[1].Address = netip.AddrPort{} }},
-		{"too many targets of a crash record", func(s *Snapshot) { s.Blocked[0].Targets = make([]crashes.TargetKey, crashes.MaxCrashes+1) }},
+		{"too many targets of a crash record", func(s *Snapshot) { s.Blocked[0].Targets = make([]crashes.TargetKey, crashes.MaxRecordedTargets+1) }},
 		{"removed target without ID", func(s *Snapshot) { s.Targets.Removed[1].Incarnation.ID = "" }},
 	}
 	for _, tt := range tests {
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -17,7 +17,7 @@
 // there.
 type CrashLedger interface {
 	IsEmpty() bool
-	// Crashes returns crashes.MaxCrashes at most.
+	// Crashes returns the number of these targets, crashes.MaxCrashes at most.
 	Crashes(f crashes.Fingerprint) int
 	// Add records that a target has ended, Complete that one has responded.
 	Add(f crashes.Fingerprint, target targets.Incarnation)
