upstream: accept a refusal without ID only on a new connection

Callers of a faulty target were told "not run, try again" for requests that the target had run, or such a request ran at a second target.

Cause: an error response may lack the request's ID. A refusal of an earlier request or probe that the target writes once more on a kept connection therefore counted for the next request; with an ID it did so for a request with the same.

Change: a refusal without ID counts only for the first request on a connection; otherwise the outcome is unknown. A connection carries no request with the ID of one that was refused on it.

TestRepeatedRefusal failed in five of nine cases before; three are controls.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -51,8 +52,15 @@
 	bytesSent int
 	// noReuse is set when the connection must not carry another request.
 	noReuse bool
+	// used is set once the connection has carried a request or a probe, whose response a
+	// faulty target may write once more. refusedIDs are those of refused requests.
+	used       bool
+	refusedIDs []string
 }
 
+// maxRefusedIDs limits the refusals on a connection, after which it is closed.
+const maxRefusedIDs = 8
+
 func newConn(netConn net.Conn, pool *Pool) *Conn {
 	c := &Conn{
 		netConn: netConn, pool: pool, reader: bufio.NewReaderSize(netConn, maxResponseHeader),
@@ -125,13 +133,30 @@
 // deadline. The memory of a large body is added to the reservation, which the caller
 // releases. The error wraps ErrNotSent or ErrOutcomeUnknown.
 func (c *Conn) RoundTrip(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, reservation *bodies.Reservation) error {
+	id := platform.RequestID(&req.Header)
+	if slices.Contains(c.refusedIDs, string(id)) {
+		c.noReuse = true
+		return fmt.Errorf("%w: %w", ErrNotSent, errRefusedBefore)
+	}
 	if err := c.roundTrip(req, resp, deadline, bodyLimit{c.pool.maxResponseBody, reservation}); err != nil {
 		return err
 	}
 	c.updateReuse(resp)
+	if platform.ReadResponseInfo(&resp.Header).NotRun {
+		c.addRefusal(string(id))
+	}
 	return nil
 }
 
+// addRefusal records that the target has refused a request. If the connection carried
+// another one with its ID, the refusal, written once more, would count for that.
+func (c *Conn) addRefusal(id string) {
+	c.refusedIDs = append(c.refusedIDs, id)
+	if len(c.refusedIDs) >= maxRefusedIDs {
+		c.noReuse = true
+	}
+}
+
 // updateReuse records whether, and for how long, the connection may be reused
 // after a response.
 func (c *Conn) updateReuse(resp *fasthttp.Response) {
@@ -207,6 +232,8 @@
 // requests.
 func (c *Conn) readResponse(req *fasthttp.Request, resp *fasthttp.Response, limit bodyLimit) error {
 	id := platform.RequestID(&req.Header)
+	fresh := !c.used
+	c.used = true
 	for range maxResponseReads {
 		if err := c.readOneResponse(req, resp, limit); err != nil {
 			c.noReuse = true
@@ -214,7 +241,7 @@
 		}
 		matches, hasID := platform.MatchRequestID(&resp.Header, id)
 		if matches || !hasID {
-			return c.checkResponse(resp, matches)
+			return c.checkResponse(resp, matches, fresh || len(id) == 0)
 		}
 		if len(id) == 0 { // a probe; Probe rejects the response
 			return nil
@@ -226,15 +253,17 @@
 }
 
 // checkResponse rejects a response that is not certainly the target's response
-// to this request: one with a content encoding, and a sealed success without the
-// ID of the request. Errors and responses to probes may lack the ID.
-func (c *Conn) checkResponse(resp *fasthttp.Response, matches bool) error {
+// to this request: one with a content encoding, and, without the ID of the request, a
+// sealed success or a refusal. Other errors and responses to probes may lack the ID, and
+// a refusal if mayRefuse is set.
+func (c *Conn) checkResponse(resp *fasthttp.Response, matches, mayRefuse bool) error {
 	success := resp.StatusCode() < fasthttp.StatusMultipleChoices
+	info := platform.ReadResponseInfo(&resp.Header)
 	switch {
 	case len(resp.Header.Peek(fasthttp.HeaderContentEncoding)) > 0:
 		c.noReuse = true
 		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, errContentEncoding)
-	case success && !matches && platform.ReadResponseInfo(&resp.Header).Sealed:
+	case !matches && (success && info.Sealed || info.NotRun && !mayRefuse):
 		c.noReuse = true
 		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, errOtherRequest)
 	}
--- /dev/null
+++ b/upstream/refusal_test.go
@@ -0,0 +1,110 @@
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/platform"
+)
+
+// newRequest returns a request that a target can read, with the ID.
+func newRequest(id string) *fasthttp.Request {
+	req := fasthttp.AcquireRequest()
+	req.SetRequestURI("/x")
+	req.Header.SetHost("target")
+	req.Header.Set("Rhubarbrelay-Attempt-Id", id)
+	return req
+}
+
+// respondInOrder returns a script that responds to the requests of each connection with
+// the texts, in their order.
+func respondInOrder(t *testing.T, responses ...string) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, r *bufio.Reader) {
+		for i, response := range responses {
+			var req fasthttp.Request
+			if err := req.Read(r); err != nil {
+				assert.Check(t, i > 0, "the target cannot read the request: %v", err)
+				return
+			}
+			if _, err := c.Write([]byte(response)); err != nil {
+				return
+			}
+		}
+		_, _ = r.ReadByte()
+	}
+}
+
+func refusal(id string) string {
+	line := ""
+	if id != "" {
+		line = "Rhubarbrelay-Attempt-Id: " + id + "\r\n"
+	}
+	return "HTTP/1.1 503 Busy\r\n" + line + "Rhubarbrelay-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+}
+
+func success(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRhubarbrelay-Attempt-Id: %s\r\nRhubarbrelay-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok", id)
+}
+
+// Guards against a refusal of an earlier request, or of a probe, that a target writes
+// once more on a kept connection and that counts as the refusal of the next request,
+// which the target runs. The right response follows it.
+func TestRepeatedRefusal(t *testing.T) {
+	const healthy = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	tests := []struct {
+		name          string
+		first, second string // IDs of the requests, empty for a probe
+		responses     []string
+		want          string // what is known of the second request
+	}{
+		{"control: first on its connection", "", "b", []string{refusal("b")}, "refused"},
+		{"control: own refusal", "a", "b", []string{success("a"), refusal("b")}, "refused"},
+		{"control: own response after a refusal", "a", "b", []string{refusal("a"), success("b")}, "ran"},
+		{"with the ID of the earlier request", "a", "b", []string{refusal("a"), refusal("a") + success("b")}, "ran"},
+		{"without ID", "a", "b", []string{refusal(""), refusal("") + success("b")}, "unknown"},
+		{"without ID after a success", "a", "b", []string{success("a"), refusal("") + success("b")}, "unknown"},
+		{"of a probe", "", "b", []string{refusal(""), refusal("") + success("b")}, "unknown"},
+		{"without ID after a healthy probe", "", "b", []string{healthy, refusal("") + success("b")}, "unknown"},
+		{"next request has the same ID", "a", "a", []string{refusal("a"), refusal("a") + success("a")}, "not sent"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := NewPool(startTarget(t, respondInOrder(t, tt.responses...)), 1)
+			defer p.Close()
+			c := acquire(t, p)
+			defer func() { c.Release() }()
+			resp := fasthttp.AcquireResponse()
+			deadline := time.Now().Add(testTimeout)
+			switch {
+			case len(tt.responses) == 1: // the connection is new
+			case tt.first == "":
+				_, _, err := c.Probe(deadline)
+				assert.NilError(t, err)
+			default:
+				assert.NilError(t, c.RoundTrip(newRequest(tt.first), resp, deadline, nil))
+			}
+			err := c.RoundTrip(newRequest(tt.second), resp, deadline, nil)
+			assert.Equal(t, knowledge(resp, err), tt.want, "%v", err)
+		})
+	}
+}
+
+// knowledge returns what is known of a request after its exchange.
+func knowledge(resp *fasthttp.Response, err error) string {
+	switch {
+	case errors.Is(err, ErrNotSent):
+		return "not sent"
+	case err != nil:
+		return "unknown"
+	case platform.ReadResponseInfo(&resp.Header).NotRun:
+		return "refused"
+	}
+	return "ran"
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -21,9 +21,10 @@
 	ErrPoolExhausted = errors.New("no connection to the target is free")
 )
 
-// Causes that are wrapped together with ErrOutcomeUnknown.
+// Causes that are wrapped together with ErrOutcomeUnknown or ErrNotSent.
 var (
 	errOtherRequest      = errors.New("response belongs to another request")
+	errRefusedBefore     = errors.New("target has refused a request with this ID on the connection")
 	errSwitchedProtocols = errors.New("target switched protocols")
 	errTooManyInterim    = errors.New("too many interim responses")
 	errContentEncoding   = errors.New("response has a content encoding")
