upstream: truncated and endless responses of targets that read their request

The scripted targets of TestTruncatedResponse and of the endless responses could not read the request (it had no Host), closed at once, and every case passed. Now a target that cannot read its request fails the test, and the whole responses are accepted as controls. No bound or check has changed.

A body without a length that a target ends early by a close, not a reset, cannot be told from a whole one; the platform defines its end so.

--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -33,12 +33,9 @@
 
 // sendEndlessly returns a script that responds to each request with a start and then
 // repeats a part until the connection is closed.
-func sendEndlessly(start, part string) func(net.Conn, *bufio.Reader) {
+func sendEndlessly(t *testing.T, start, part string) func(net.Conn, *bufio.Reader) {
 	return func(c net.Conn, r *bufio.Reader) {
-		var req fasthttp.Request
-		if req.Read(r) != nil {
-			return
-		}
+		readRequest(t, r)
 		_, err := c.Write([]byte(start))
 		for block := []byte(strings.Repeat(part, 4096/len(part)+1)); err == nil; {
 			_, err = c.Write(block)
@@ -46,6 +43,23 @@
 	}
 }
 
+// Guards against the two tests below passing because no response of their target is
+// accepted: ends of the endless responses are.
+func TestEndlessResponsesThatEnd(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\r\nRhubarbrelay-Attempt-Id: own\r\n"
+	for _, response := range []string{
+		header + "A: b\r\nContent-Length: 1\r\n\r\nb",
+		"HTTP/1.1 102 Processing\r\n\r\n" + header + "Content-Length: 1\r\n\r\nb",
+		"HTTP/1.1 200 OK\r\nRhubarbrelay-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n" + header + "Content-Length: 1\r\n\r\nb",
+		header + "Connection: close\r\n\r\nb",
+		header + "Transfer-Encoding: chunked\r\n\r\n1;a=b\r\nb\r\n0\r\nA: b\r\n\r\n",
+	} {
+		resp, err := exchange(t, sendPart(t, response, false))
+		assert.NilError(t, err, "%q", response)
+		assert.Equal(t, string(resp.Body()), "b", "%q", response)
+	}
+}
+
 // allocated returns the bytes that fn allocates on the heap.
 func allocated(fn func()) uint64 {
 	var before, after runtime.MemStats
@@ -62,17 +76,15 @@
 	const maxBody, memoryLimit, maxAllocated = 1 << 20, 4 << 20, 6 << 20
 	for _, tt := range endlessResponses {
 		t.Run(tt.name, func(t *testing.T) {
-			p := NewPool(startTarget(t, sendEndlessly(tt.start, tt.part)), 1, WithMaxResponseBody(maxBody))
+			p := NewPool(startTarget(t, sendEndlessly(t, tt.start, tt.part)), 1, WithMaxResponseBody(maxBody))
 			defer p.Close()
 			memory := bodies.NewMemory(memoryLimit)
 			reservation := bodies.NewReservation(memory, 1)
 			c := acquire(t, p)
 			start := time.Now()
 			n := allocated(func() {
-				req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-				req.SetRequestURI("http://target/")
-				req.Header.Set("Rhubarbrelay-Attempt-Id", "own")
-				err := c.RoundTrip(req, resp, time.Now().Add(testTimeout), reservation)
+				resp := fasthttp.AcquireResponse()
+				err := c.RoundTrip(newRequest("own"), resp, time.Now().Add(testTimeout), reservation)
 				assert.ErrorIs(t, err, ErrOutcomeUnknown)
 			})
 			c.Release() // before the checks: the target sends until the connection is closed
@@ -91,7 +103,7 @@
 	const maxAllocated = 1 << 20
 	for _, tt := range endlessResponses {
 		t.Run(tt.name, func(t *testing.T) {
-			p := NewPool(startTarget(t, sendEndlessly(tt.start, tt.part)), 1)
+			p := NewPool(startTarget(t, sendEndlessly(t, tt.start, tt.part)), 1)
 			defer p.Close()
 			c := acquire(t, p)
 			n := allocated(func() {
--- a/upstream/refusal_test.go
+++ b/upstream/refusal_test.go
@@ -23,15 +23,22 @@
 	return req
 }
 
+// readRequest reads the request that a test sends to a scripted target, and fails the
+// test if it cannot: the script would not run.
+func readRequest(t *testing.T, r *bufio.Reader) {
+	var req fasthttp.Request
+	assert.Check(t, req.Read(r), "the target cannot read the request")
+}
+
 // respondInOrder returns a script that responds to the requests of each connection with
 // the texts, in their order.
 func respondInOrder(t *testing.T, responses ...string) func(net.Conn, *bufio.Reader) {
 	return func(c net.Conn, r *bufio.Reader) {
 		for i, response := range responses {
-			var req fasthttp.Request
-			if err := req.Read(r); err != nil {
-				assert.Check(t, i > 0, "the target cannot read the request: %v", err)
-				return
+			if i == 0 {
+				readRequest(t, r)
+			} else if new(fasthttp.Request).Read(r) != nil {
+				return // the connection carries no further request
 			}
 			if _, err := c.Write([]byte(response)); err != nil {
 				return
