relay, daemon: take no request while draining that cannot end in time

In a planned stop, requests that an instance took late in its grace period and that were still in progress at its end were cut off without a response, among them some that must not run twice.

Cause: new requests are taken for half of the grace period, whatever their deadline; the wait ends 0.3 s before its end.

Change: while draining, a request whose deadline is after the end, less 0.2 s for the responses, is refused with 503 if it must not run twice or has less time than its objective; any other one gets the end as its deadline, so that the target itself responds in time.

--- a/daemon/run.go
+++ b/daemon/run.go
@@ -28,6 +28,9 @@
 	// fetchConfig, which does not end with the context and takes up to fetchTimeout:
 	// a fetch in progress can delay the exit beyond the end of the grace period.
 	exitMargin = 300 * time.Millisecond
+	// responseTime is the time before the end of the wait at which requests in progress
+	// must end, so that their responses reach the callers.
+	responseTime = 200 * time.Millisecond
 	// shutdownTimeout limits the wait for entry and administration requests in
 	// progress at the end.
 	shutdownTimeout = 100 * time.Millisecond
@@ -188,7 +191,7 @@
 	defer cancel()
 	wasActive := d.selector.IsActive()
 	d.members.SetState(membership.Leaving)
-	d.relay.DisableKeepAlive()
+	d.relay.StartDraining(start.Add(grace - exitMargin - responseTime))
 	d.recorder.Record(timeline.Event{Kind: timeline.InstanceLeaving})
 	d.logger.WithField("in_progress", d.relay.InProgress()).Info("instance leaving")
 	var group errgroup.Group
--- a/relay/listener_test.go
+++ b/relay/listener_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -66,3 +67,40 @@
 	assert.NilError(t, <-ended)
 	assert.Assert(t, time.Since(start) < testTimeout/2)
 }
+
+// Guards against a request that an instance takes while it shuts down and that is still
+// in progress at the end, and against refusing those that will have ended.
+func TestRequestsWhileDraining(t *testing.T) {
+	tests := []struct {
+		name, path, deadlineMS string
+		end                    time.Duration // from the request
+		status                 int
+	}{
+		{"ends in time", "/once/x", "500", time.Minute, 200},
+		{"must not run twice", "/once/x", "9000", 5 * time.Second, 503},
+		{"idempotent", "/safe/x", "9000", 5 * time.Second, 200},
+		{"idempotent, too late", "/safe/x", "9000", time.Second, 503},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var deadline string
+			target := newScriptedTarget(t, "t-1", "a", func(req *fasthttp.Request) (string, bool) {
+				deadline = string(req.Header.Peek("Rhubarbrelay-Deadline-Ms"))
+				return echo(req)
+			})
+			h := newHarness(t, targetInfos(target))
+			h.relay.StartDraining(time.Now().Add(tt.end))
+			got := h.call(t, "POST", tt.path, "body", "Rhubarbrelay-Deadline-Ms: "+tt.deadlineMS)
+			assert.Equal(t, got.status, tt.status, got.body)
+			assert.Equal(t, got.headers["Connection"], "close")
+			if tt.status != 200 {
+				assert.Equal(t, len(target.receivedIDs()), 0)
+				assert.Assert(t, got.headers["Retry-After"] != "")
+				return
+			}
+			ms, err := strconv.Atoi(deadline)
+			assert.NilError(t, err)
+			assert.Assert(t, time.Duration(ms)*time.Millisecond <= tt.end, "%s", deadline)
+		})
+	}
+}
--- a/relay/proper_test.go
+++ b/relay/proper_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
@@ -309,7 +310,7 @@
 		})
 	}
 	waitFor(t, "requests are served", func() bool { return h.relay.Stats().Forwarded > callers })
-	h.relay.DisableKeepAlive()
+	h.relay.StartDraining(time.Now().Add(time.Minute))
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	assert.NilError(t, h.relay.Shutdown(ctx))
--- a/relay/request.go
+++ b/relay/request.go
@@ -73,7 +73,7 @@
 	ctx.Request.ResetBody() // the body refers to the call's buffer
 	c.reset()
 	s.calls.Put(c)
-	if s.keepAliveDisabled.Load() {
+	if s.drainEnd.Load() != nil {
 		ctx.Response.SetConnectionClose()
 	}
 }
@@ -189,6 +189,9 @@
 		}
 		c.priorElapsed = s.timeouts.recordTimeout(c.route.Key(), timeout)
 	}
+	if f := s.limitToDrainEnd(c); f != nil {
+		return f
+	}
 	c.service = s.trafficSplits.next(c.route)
 	c.dispatcher = s.dispatchers.Dispatcher(c.service)
 	if c.dispatcher == nil {
@@ -197,6 +200,21 @@
 	return nil
 }
 
+// limitToDrainEnd refuses a request that may be in progress when the server has drained,
+// or shortens its deadline. A request that must not run twice would end with an unknown
+// outcome.
+func (s *Server) limitToDrainEnd(c *call) *failure {
+	end := s.drainEnd.Load()
+	if end == nil || !c.deadline.After(*end) {
+		return nil
+	}
+	if !c.route.Idempotent || time.Until(*end) < c.route.Objective {
+		return unavailableFailure(refusedDraining, "instance shuts down before the deadline", notReadyRetryAfter)
+	}
+	c.deadline = *end
+	return nil
+}
+
 const (
 	// freshnessTimeout limits the wait for recent state.
 	freshnessTimeout = 300 * time.Millisecond
--- a/relay/server.go
+++ b/relay/server.go
@@ -80,21 +80,23 @@
 
 // Server is the HTTP server for callers.
 type Server struct {
-	config            ConfigSource
-	dispatchers       Dispatchers
-	freshness         Freshness
-	recorder          Recorder
-	logger            log.Interface
-	trafficSplits     trafficSplits
-	timeouts          timeoutHistograms
-	crashes           CrashLedger
-	refusalEvents     *rate.Limiter
-	forwardLogs       *rate.Limiter
-	counters          counters
-	keepAliveDisabled atomic.Bool
-	inProgress        atomic.Int64
-	calls             sync.Pool // of *call
-	http              *fasthttp.Server
+	config        ConfigSource
+	dispatchers   Dispatchers
+	freshness     Freshness
+	recorder      Recorder
+	logger        log.Interface
+	trafficSplits trafficSplits
+	timeouts      timeoutHistograms
+	crashes       CrashLedger
+	refusalEvents *rate.Limiter
+	forwardLogs   *rate.Limiter
+	counters      counters
+	// drainEnd is when the requests in progress must have ended, nil unless the server
+	// drains.
+	drainEnd   atomic.Pointer[time.Time]
+	inProgress atomic.Int64
+	calls      sync.Pool // of *call
+	http       *fasthttp.Server
 	// maxConnections limits the number of connections from callers.
 	maxConnections int
 	// requestMemory and responseMemory limit the large bodies of all requests and all
@@ -191,9 +193,10 @@
 	return s.http.Serve(limited)
 }
 
-// DisableKeepAlive sets Connection: close in every further response, after which
-// the connection is closed.
-func (s *Server) DisableKeepAlive() { s.keepAliveDisabled.Store(true) }
+// StartDraining sets Connection: close in every further response, after which the
+// connection is closed. A further request whose deadline is after the end is refused
+// if it must not run twice; any other one gets the end as its deadline.
+func (s *Server) StartDraining(end time.Time) { s.drainEnd.Store(&end) }
 
 // InProgress returns the number of requests being handled.
 func (s *Server) InProgress() int64 { return s.inProgress.Load() }
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -28,6 +28,7 @@
 	refusedShed                              // the last target that was tried did not run the request
 	refusedDeadline                          // the caller's deadline had passed when the request arrived
 	refusedCallerClosed                      // the caller closed its connection; a try in flight may still run the request
+	refusedDraining                          // the instance shuts down before the deadline of the request
 	refusedInternal
 	refusalCauses // the number of causes
 )
@@ -35,7 +36,7 @@
 // refusalCauseNames are the metric names of the causes.
 var refusalCauseNames = [refusalCauses]string{
 	"malformed", "incomplete", "too_large", "instance_limit", "no_route", "unsupported", "too_late", "no_target", "memory", "stale", "connections",
-	"unreachable", "shed", "deadline", "caller_closed", "internal",
+	"unreachable", "shed", "deadline", "caller_closed", "draining", "internal",
 }
 
 // The range in microseconds and the precision of the latency histogram.
