routing, platform, relay: keep to what targets state in their responses

A target that stated that it leaves (Server-Leaving), or that it wants no request for some seconds (Retry-After beside its 503), got requests and probes as before: nothing read these headers.

They are asked when a target is chosen, before a probe, and right before the send. If all usable targets want none, a request is refused at once until the first one does.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -57,6 +57,8 @@
 	InFlight        int    `json:"in_flight"`
 	Targets         int    `json:"targets"`
 	Limited         int    `json:"limited"`
+	Leaving         int    `json:"leaving"`
+	Quiet           int    `json:"quiet"`
 }
 
 // peerMetrics counts datagrams exchanged with other instances.
--- a/relay/try.go
+++ b/relay/try.go
@@ -79,7 +79,7 @@
 	t.activeConn = conn
 	canceled := t.canceled
 	t.mu.Unlock()
-	if canceled {
+	if canceled || !t.lease.Admitted() {
 		return upstream.ErrNotSent
 	}
 	left := time.Until(t.deadline)
--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -125,7 +125,7 @@
 	throughput := d.throughput * decay(now.Sub(d.throughputAt), throughputTimeConstant)
 	capacity := 0
 	for _, t := range d.targets {
-		if t.usable(now) && !t.statements.limited {
+		if t.usable(now) && !t.statements.limited && !t.statements.silent(now) {
 			capacity += t.capacity()
 		}
 	}
--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -45,6 +45,7 @@
 	service         *config.Service
 	instances       InstanceCounts
 	targets         map[targets.Incarnation]*target
+	former          formerStatements
 	remoteDependent bool // whether the local zone depends on targets of other zones
 	recent          recentTargets
 	// averageFailureRate is the moving average, over all targets, of the fraction
@@ -88,7 +89,7 @@
 		settings: settings, clock: time.Now, service: service, instances: instances,
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		newPool: func(to upstream.Destination, limit int) *upstream.Pool { return upstream.NewPool(to, limit) },
-		targets: map[targets.Incarnation]*target{}, logger: log.Log, sharing: soleInstance{},
+		targets: map[targets.Incarnation]*target{}, former: formerStatements{}, logger: log.Log, sharing: soleInstance{},
 		statementLogs: rate.NewLimiter(statementLogsPerSecond, statementLogsPerSecond),
 	}
 	for _, opt := range opts {
@@ -140,7 +141,8 @@
 		t := d.targets[info.Incarnation()]
 		if t == nil {
 			t = &target{
-				pool: d.openPool(info), warmAt: now.Add(info.WarmupLeft),
+				statements: d.former.take(info.Incarnation()),
+				pool:       d.openPool(info), warmAt: now.Add(info.WarmupLeft),
 				probeBudget: limits.NewProbeBudget(d.settings.ProbesPerSecond, d.instances.Active),
 			}
 			d.targets[info.Incarnation()] = t
@@ -150,6 +152,7 @@
 	for incarnation, t := range d.targets {
 		if !listed[incarnation] {
 			t.pool.Close()
+			d.former.add(incarnation, t.statements, now)
 			delete(d.targets, incarnation)
 		}
 	}
@@ -191,9 +194,7 @@
 	s.Targets = len(d.targets)
 	for _, t := range d.targets {
 		s.InFlight += len(t.inFlight)
-		if t.statements.limited {
-			s.Limited++
-		}
+		t.statements.count(&s, d.clock())
 	}
 	return s
 }
--- a/routing/lease.go
+++ b/routing/lease.go
@@ -67,6 +67,15 @@
 	return l.target.pool.Acquire(deadline)
 }
 
+// Admitted reports whether the target has not stated, since it was chosen, that it wants
+// no requests.
+func (l *Lease) Admitted() bool {
+	d := l.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !l.target.statements.silent(d.clock())
+}
+
 // TargetEnded reports whether the process of the target has ended: it refuses a new
 // connection.
 func (l *Lease) TargetEnded(deadline time.Time) bool {
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -74,7 +74,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock()
-	if d.service.HealthPath == "" || t.reportedWithin(now, freshReportAge) || !t.probeBudget.Allow(now) {
+	if d.service.HealthPath == "" || t.statements.silent(now) || t.reportedWithin(now, freshReportAge) || !t.probeBudget.Allow(now) {
 		return false
 	}
 	d.stats.Probes++
--- a/routing/request.go
+++ b/routing/request.go
@@ -120,4 +120,6 @@
 	InFlight        int
 	Targets         int
 	Limited         int // targets that limit their requests
+	Leaving         int // targets that state that they leave
+	Quiet           int // targets that want no requests for a time
 }
--- a/routing/statements.go
+++ b/routing/statements.go
@@ -33,9 +33,14 @@
 // Sharers implements LimitSharing.
 func (soleInstance) Sharers(*targets.Target) int { return 1 }
 
-// statements is what a target has stated about itself in its responses.
+// statements is what an incarnation of a target has stated about itself in its
+// responses.
 type statements struct {
-	limited bool
+	// leaving is set for good once the target has stated that it leaves.
+	leaving bool
+	// quietUntil is the time until which the target wants no requests of this instance.
+	quietUntil time.Time
+	limited    bool
 	// limit is the number of requests per second from all instances together, if
 	// limited. limitStatedAt is when it was last stated.
 	limit         float64
@@ -43,51 +48,113 @@
 	share         limits.TargetLimit
 }
 
-// record takes over what a response states and reports whether it changed. began is
-// when the request of the response began: a response to an earlier request may arrive
-// after one that states a limit, and does not end it.
-func (s *statements) record(info platform.ResponseInfo, began, now time.Time) (changed bool) {
-	limit := info.Limit
+// statementChanges tells which statements a response has changed.
+type statementChanges struct{ leaving, quiet, limit bool }
+
+// record takes over what a response states. began is when the request of the response
+// began: a response to an earlier request may arrive after one that states a limit, and
+// does not end it.
+func (s *statements) record(info platform.ResponseInfo, began, now time.Time) statementChanges {
+	if !info.Received {
+		return statementChanges{}
+	}
+	changes := statementChanges{leaving: info.Leaving && !s.leaving, limit: s.recordLimit(info.Limit, began, now)}
+	s.leaving = s.leaving || info.Leaving
+	if until := now.Add(info.Quiet.Duration); info.Quiet.Duration > 0 && until.After(s.quietUntil) {
+		changes.quiet = !now.Before(s.quietUntil)
+		s.quietUntil = until
+	}
+	return changes
+}
+
+func (s *statements) recordLimit(limit platform.Limit, began, now time.Time) (changed bool) {
 	switch {
-	case !info.Received || limit.Malformed:
-		return false
+	case limit.Malformed:
 	case limit.Stated:
 		changed = !s.limited || s.limit != limit.PerSecond
 		s.limited, s.limit, s.limitStatedAt = true, limit.PerSecond, now
 	case s.limited && began.After(s.limitStatedAt):
 		changed = true
-		s.limited, s.share = false, limits.TargetLimit{}
+		s.endLimit()
 	}
 	return changed
 }
 
+func (s *statements) endLimit() { s.limited, s.share = false, limits.TargetLimit{} }
+
+// silent reports whether the target wants neither requests nor probes now.
+func (s *statements) silent(now time.Time) bool { return s.leaving || now.Before(s.quietUntil) }
+
+// count counts the statements that hold.
+func (s *statements) count(stats *Stats, now time.Time) {
+	if s.limited {
+		stats.Limited++
+	}
+	if s.leaving {
+		stats.Leaving++
+	}
+	if now.Before(s.quietUntil) {
+		stats.Quiet++
+	}
+}
+
+// opensAt returns the time from which the target takes a request of this instance; ok is
+// false if that is not known, or never.
+func (s *statements) opensAt() (at time.Time, ok bool) {
+	at = s.quietUntil
+	if s.leaving || !s.limited {
+		return at, !s.leaving
+	}
+	opens, ok := s.share.OpensAt()
+	if opens.After(at) {
+		at = opens
+	}
+	return at, ok
+}
+
 // recordStatements takes over what a response of the target states. The caller must
 // hold d.mu.
 func (d *Dispatcher) recordStatements(t *target, info platform.ResponseInfo, began, now time.Time) {
-	fields := d.logger.WithField("target", t.info.ID).WithField("service", d.service.Name)
-	if info.Limit.Malformed && d.statementLogs.Allow() {
-		fields.Warn("target names a malformed limit, which is ignored")
+	s := &t.statements
+	changes := s.record(info, began, now)
+	if s.limited {
+		s.share.Update(s.limit, d.sharing.Sharers(t.info), now)
 	}
-	changed := t.statements.record(info, began, now)
-	if t.statements.limited {
-		t.statements.share.Update(t.statements.limit, d.sharing.Sharers(t.info), now)
+	malformed := info.Limit.Malformed || info.Quiet.Malformed
+	if (malformed || changes != statementChanges{}) && d.statementLogs.Allow() {
+		d.logStatements(t, changes, malformed, now)
 	}
-	if !changed || !d.statementLogs.Allow() {
-		return
+}
+
+func (d *Dispatcher) logStatements(t *target, changes statementChanges, malformed bool, now time.Time) {
+	s := &t.statements
+	logger := d.logger.WithField("target", t.info.ID).WithField("service", d.service.Name)
+	if malformed {
+		logger.Warn("target names a malformed limit or time, which is ignored")
 	}
-	if t.statements.limited {
-		fields.WithField("limit", t.statements.limit).Info("target limits its requests")
-		return
+	if changes.leaving {
+		logger.Info("target states that it leaves")
+	}
+	if changes.quiet {
+		logger.WithField("time", s.quietUntil.Sub(now).String()).Info("target wants no requests for a time")
+	}
+	switch {
+	case changes.limit && s.limited:
+		logger.WithField("limit", s.limit).Info("target limits its requests")
+	case changes.limit:
+		logger.Info("target no longer limits its requests")
 	}
-	fields.Info("target no longer limits its requests")
 }
 
 // admits reports whether the target takes a request of this instance now, by what it
 // has stated. The caller must hold d.mu.
 func (d *Dispatcher) admits(t *target, now time.Time) bool {
 	s := &t.statements
+	if s.silent(now) {
+		return false
+	}
 	if s.limited && d.service.HealthPath == "" && now.Sub(s.limitStatedAt) > unprobedLimitLifetime {
-		s.limited, s.share = false, limits.TargetLimit{}
+		s.endLimit()
 	}
 	if !s.limited {
 		return true
@@ -99,7 +166,8 @@
 // mayRecheck reports whether a target that admits no request is worth a probe, since
 // its limit may have ended. The caller must hold d.mu.
 func (d *Dispatcher) mayRecheck(t *target, now time.Time) bool {
-	return d.service.HealthPath != "" && now.Sub(t.statements.limitStatedAt) >= limitRecheckInterval
+	s := &t.statements
+	return s.limited && !s.silent(now) && d.service.HealthPath != "" && now.Sub(s.limitStatedAt) >= limitRecheckInterval
 }
 
 // opensAt returns the time from which some target takes a request of this instance.
@@ -117,7 +185,7 @@
 			return time.Time{}, false, false
 		}
 		closed = true
-		if opens, known := t.statements.share.OpensAt(); known && (!ok || opens.Before(at)) {
+		if opens, known := t.statements.opensAt(); known && (!ok || opens.Before(at)) {
 			at, ok = opens, true
 		}
 	}
--- a/standin/target.go
+++ b/standin/target.go
@@ -39,6 +39,7 @@
 	headerTargetID       = "Rhubarbrelay-Instance-Id"
 	headerLoad           = "Rhubarbrelay-Server-Load"
 	headerLimit          = "Server-Limit"
+	headerLeaving        = "Server-Leaving"
 	// headerEnd ends the process of the target, as a request does that crashes it.
 	headerEnd = "Standin-End"
 	// HeaderWork sets the processing time of the request in milliseconds.
@@ -189,9 +190,7 @@
 	if id := ctx.Request.Header.Peek(HeaderRequestID); len(id) > 0 {
 		h.SetBytesV(HeaderRequestID, id)
 	}
-	if faults.Limit != "" {
-		h.Set(headerLimit, faults.Limit)
-	}
+	faults.setStatements(h)
 	path := string(ctx.Path())
 	if faults.Endless && !strings.HasPrefix(path, controlPrefix) {
 		respondEndlessly(ctx)
@@ -213,6 +212,9 @@
 	default:
 		t.handleRequest(ctx, faults)
 	}
+	if faults.RetryAfter != "" && ctx.Response.StatusCode() == fasthttp.StatusServiceUnavailable {
+		h.Set(fasthttp.HeaderRetryAfter, faults.RetryAfter)
+	}
 	h.Set(headerLoad, fmt.Sprintf("%d,%d,%d,%d", t.running.Load(), t.waiting.Load(), t.registration.Slots, 100*max(1, faults.SlowFactor)))
 }
 
--- a/standin/target_faults.go
+++ b/standin/target_faults.go
@@ -26,10 +26,25 @@
 	// Limit is the text of the header in which the target names the requests per second
 	// that it takes, empty for none.
 	Limit string
+	// Leaving makes the target state in every response that it leaves. RetryAfter is the
+	// text of the Retry-After header of its responses with status 503, empty for none.
+	Leaving    bool
+	RetryAfter string
 	// SlowFactor multiplies the processing time.
 	SlowFactor int
 }
 
+// setStatements sets the headers in which the target states its limit and that it
+// leaves.
+func (f *TargetFaults) setStatements(h *fasthttp.ResponseHeader) {
+	if f.Limit != "" {
+		h.Set(headerLimit, f.Limit)
+	}
+	if f.Leaving {
+		h.Set(headerLeaving, "1")
+	}
+}
+
 // handleFaults sets the faults that are listed in the query, such as
 // ?shed&slow=4.
 func (t *Target) handleFaults(ctx *fasthttp.RequestCtx) {
@@ -37,7 +52,7 @@
 	t.SetFaults(TargetFaults{
 		Shed: args.Has("shed"), Hang: args.Has("mute"), DropResponses: args.Has("cut"), ServerError: args.Has("fail"),
 		ReportUnhealthy: args.Has("lie_ill"), ReportHealthy: args.Has("lie_well"), ExtraResponse: args.Has("second"), Endless: args.Has("endless"), SlowFactor: args.GetUintOrZero("slow"),
-		Limit: string(args.Peek("limit")),
+		Limit: string(args.Peek("limit")), Leaving: args.Has("leaving"), RetryAfter: string(args.Peek("retry_after")),
 	})
 }
 
