peer, routing: tell the other instances what targets state

An instance learned that a target leaves or limits its requests only from its own exchanges with it. Retry-After is not shared: it is for the instance that was refused.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -76,9 +76,10 @@
 	d.selector = entry.NewSelector(d.members)
 	d.targets = targets.NewDirectory(targets.WithOnChange(d.onTargetsChanged))
 	d.table = routing.NewTable(d.routingSettings(s), d.targets, routing.WithLogger(logger),
-		routing.WithLimitSharing(entry.NewLimitSharing(d.members, time.Now)))
+		routing.WithLimitSharing(entry.NewLimitSharing(d.members, time.Now)),
+		routing.WithOnStatement(func(s targets.Statement) { d.mesh.BroadcastStatement(s) }))
 	d.crashes = crashes.NewLedger(crashes.WithOnChange(d.onCrashRecord))
-	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger), peer.WithCrashLedger(d.crashes),
+	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger), peer.WithCrashLedger(d.crashes), peer.WithOnStatements(d.table.ApplyStatements),
 		peer.WithOnTargetUpdate(d.onTargetUpdate), peer.WithSeeds(seedAddresses(s)), peer.WithActive(d.selector.IsActive))
 	d.targetFollower = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, d.members.ReadOrder, d.recordTargetChange,
 		d.onRegistryRecovered, logger, registry.WithOnRestored(d.onStoreRestored))
--- a/peer/crash_test.go
+++ b/peer/crash_test.go
@@ -3,7 +3,10 @@
 import (
 	"testing"
 
+	"gotest.tools/v3/assert"
+
 	"rhubarbrelay/crashes"
+	"rhubarbrelay/peer/peerpb"
 	"rhubarbrelay/targets"
 )
 
@@ -40,3 +43,18 @@
 		waitFor(t, "the record is removed", func() bool { return in.crashes.IsEmpty() })
 	}
 }
+
+// Guards against a statement of a target that reaches only the zone of the instance that
+// has heard it, or arrives altered.
+func TestStatementsReachAllZones(t *testing.T) {
+	first := startInstance(t, "a-1")
+	second, remote := startInstance(t, "a-2", first.address), startInstanceInZone(t, "b", "b-1", first.address)
+	waitFor(t, "the first knows the others", func() bool { return len(first.directory.Peers()) == 2 })
+	want := targets.Statement{Incarnation: targets.Incarnation{ID: "t", StartedMS: 7}, Leaving: true, Limited: true, Limit: 1.5}
+	first.mesh.BroadcastStatement(want)
+	for _, in := range []*testInstance{second, remote} {
+		waitFor(t, "the statement has arrived", func() bool { return in.hasStatement(want) })
+	}
+	assert.ErrorIs(t, first.mesh.handleStatements(&peerpb.Packet{Statements: []*peerpb.TargetStatement{{Id: "t", Limit: -1}}}), ErrMalformed)
+	assert.ErrorIs(t, first.mesh.handleStatements(&peerpb.Packet{Statements: []*peerpb.TargetStatement{{Limit: 1}}}), ErrMalformed)
+}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -21,6 +21,7 @@
 	"rhubarbrelay/crashes"
 	"rhubarbrelay/membership"
 	"rhubarbrelay/peer/peerpb"
+	"rhubarbrelay/targets"
 	"rhubarbrelay/timeline"
 )
 
@@ -57,20 +58,22 @@
 	clock     *timeline.Clock
 	logger    log.Interface
 	onUpdate  func(TargetUpdate)
-	seeds     []netip.AddrPort
-	active    func() bool
-	crashes   CrashLedger // nil for none
+	// onStatements receives the statements of targets that other instances have heard.
+	onStatements func([]targets.Statement)
+	seeds        []netip.AddrPort
+	active       func() bool
+	crashes      CrashLedger // nil for none
 
 	mu   sync.Mutex   // guards the fields below
 	conn *net.UDPConn // nil before Run
-	// The other instances are not told yet of the instances in joined and of the records
-	// in changedCrashes.
-	joined         []membership.Sighting
-	changedCrashes []crashes.Record
+	// The other instances are not told of these yet.
+	joined            []membership.Sighting
+	changedCrashes    []crashes.Record
+	changedStatements []targets.Statement
 
-	// joinedSignal and crashSignal receive a value when joined and changedCrashes have got
-	// an element.
-	joinedSignal, crashSignal chan struct{}
+	// These receive a value when the corresponding one of the lists above has got an
+	// element.
+	joinedSignal, crashSignal, statementSignal chan struct{}
 
 	packetsIn, packetsOut, bytesIn, bytesOut, malformed, sendErrors atomic.Uint64
 }
@@ -97,7 +100,8 @@
 func NewMesh(directory *membership.Directory, clock *timeline.Clock, opts ...Option) *Mesh {
 	m := &Mesh{
 		directory: directory, clock: clock, logger: log.Log, onUpdate: func(TargetUpdate) {}, active: func() bool { return true },
-		joinedSignal: make(chan struct{}, 1), crashSignal: make(chan struct{}, 1),
+		joinedSignal: make(chan struct{}, 1), crashSignal: make(chan struct{}, 1), statementSignal: make(chan struct{}, 1),
+		onStatements: func([]targets.Statement) {},
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -121,6 +125,10 @@
 		collect(ctx, m.joinedSignal, introductionDelay, m.sendIntroductions)
 		return nil
 	})
+	group.Go(func() error {
+		collect(ctx, m.statementSignal, statementDelay, m.sendChangedStatements)
+		return nil
+	})
 	group.Go(func() error {
 		collect(ctx, m.crashSignal, crashRecordDelay, m.sendChangedCrashes)
 		return nil
@@ -230,6 +238,9 @@
 	if err := m.handleCrashes(&packet); err != nil {
 		return err
 	}
+	if err := m.handleStatements(&packet); err != nil {
+		return err
+	}
 	if packet.GetPassOn() {
 		m.forward(&packet)
 	}
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -32,8 +33,21 @@
 	address   netip.AddrPort
 	crashes   *crashes.Ledger
 
-	mu      sync.Mutex
-	updates []TargetUpdate
+	mu         sync.Mutex
+	updates    []TargetUpdate
+	statements []targets.Statement
+}
+
+func (in *testInstance) addStatements(statements []targets.Statement) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.statements = append(in.statements, statements...)
+}
+
+func (in *testInstance) hasStatement(want targets.Statement) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return slices.Contains(in.statements, want)
 }
 
 func startInstance(t *testing.T, id string, seeds ...netip.AddrPort) *testInstance {
@@ -54,7 +68,7 @@
 	in.directory = membership.NewDirectory(membership.Instance{
 		ID: id, Zone: zone, Incarnation: 1, State: membership.Ready, PeerAddress: in.address, CallerAddress: in.address, AdminAddress: in.address,
 	}, membership.WithClock(clock))
-	in.mesh = NewMesh(in.directory, timeline.NewClock(time.Now), WithSeeds(seeds), WithCrashLedger(in.crashes), WithOnTargetUpdate(func(update TargetUpdate) {
+	in.mesh = NewMesh(in.directory, timeline.NewClock(time.Now), WithSeeds(seeds), WithCrashLedger(in.crashes), WithOnStatements(in.addStatements), WithOnTargetUpdate(func(update TargetUpdate) {
 		in.mu.Lock()
 		defer in.mu.Unlock()
 		in.updates = append(in.updates, update)
--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -37,8 +37,11 @@
 	newPool     func(upstream.Destination, int) *upstream.Pool
 	sharing     LimitSharing
 	logger      log.Interface
-	// statementLogs limits the log lines about statements of targets.
-	statementLogs *rate.Limiter
+	// onStatement is told of changed statements of targets, with d.mu held.
+	onStatement func(targets.Statement)
+	// statementLogs limits the log lines about statements of targets, sharedStatements
+	// the calls of onStatement.
+	statementLogs, sharedStatements *rate.Limiter
 
 	mu              sync.Mutex
 	random          *rand.Rand
@@ -77,6 +80,12 @@
 	return func(d *Dispatcher) { d.sharing = sharing }
 }
 
+// WithOnStatement sets a function that is called when a target has changed what it
+// states, as this instance has heard it. It must not call the dispatcher.
+func WithOnStatement(fn func(targets.Statement)) Option {
+	return func(d *Dispatcher) { d.onStatement = fn }
+}
+
 // WithLogger sets the logger. The default is the global one.
 func WithLogger(logger log.Interface) Option { return func(d *Dispatcher) { d.logger = logger } }
 
@@ -90,7 +99,9 @@
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		newPool: func(to upstream.Destination, limit int) *upstream.Pool { return upstream.NewPool(to, limit) },
 		targets: map[targets.Incarnation]*target{}, former: formerStatements{}, logger: log.Log, sharing: soleInstance{},
-		statementLogs: rate.NewLimiter(statementLogsPerSecond, statementLogsPerSecond),
+		onStatement:      func(targets.Statement) {},
+		sharedStatements: rate.NewLimiter(sharedStatementsPerSecond, sharedStatementsPerSecond),
+		statementLogs:    rate.NewLimiter(statementLogsPerSecond, statementLogsPerSecond),
 	}
 	for _, opt := range opts {
 		opt(d)
--- a/routing/statements.go
+++ b/routing/statements.go
@@ -12,6 +12,9 @@
 	// statementLogsPerSecond limits the log lines per second about statements of the
 	// targets of one service, since a faulty target may change its own in each response.
 	statementLogsPerSecond = 5
+	// sharedStatementsPerSecond limits, for the same reason, those that the other instances
+	// are told of.
+	sharedStatementsPerSecond = 20
 	// limitRecheckInterval is the time since a target has last stated its limit after
 	// which an instance that must not send it requests probes it, as the limit may have
 	// ended.
@@ -120,12 +123,36 @@
 	if s.limited {
 		s.share.Update(s.limit, d.sharing.Sharers(t.info), now)
 	}
+	if (changes.leaving || changes.limit) && d.sharedStatements.Allow() {
+		d.onStatement(targets.Statement{Incarnation: t.info.Incarnation(), Leaving: s.leaving, Limited: s.limited, Limit: s.limit})
+	}
 	malformed := info.Limit.Malformed || info.Quiet.Malformed
 	if (malformed || changes != statementChanges{}) && d.statementLogs.Allow() {
 		d.logStatements(t, changes, malformed, now)
 	}
 }
 
+// ApplyStatement takes over what another instance has heard of a target, if the target
+// is one of this service.
+func (d *Dispatcher) ApplyStatement(statement targets.Statement) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.targets[statement.Incarnation]
+	if t == nil {
+		return
+	}
+	now := d.clock()
+	s := &t.statements
+	s.leaving = s.leaving || statement.Leaving
+	switch {
+	case statement.Limited:
+		s.limited, s.limit, s.limitStatedAt = true, statement.Limit, now
+		s.share.Update(s.limit, d.sharing.Sharers(t.info), now)
+	case s.limited:
+		s.endLimit()
+	}
+}
+
 func (d *Dispatcher) logStatements(t *target, changes statementChanges, malformed bool, now time.Time) {
 	s := &t.statements
 	logger := d.logger.WithField("target", t.info.ID).WithField("service", d.service.Name)
--- a/routing/statements_test.go
+++ b/routing/statements_test.go
@@ -153,3 +153,23 @@
 		second.Release(Inconclusive, platform.ResponseInfo{})
 	}
 }
+
+// Guards against what a target has stated reaching only the instances that it has told,
+// and against a limit that another instance has heard the end of.
+func TestStatementsOfOtherInstances(t *testing.T) {
+	a, b := newStatementsTest(t), newStatementsTest(t)
+	b.all = a.all
+	b.d.SetTargets(b.all)
+	WithOnStatement(b.d.ApplyStatement)(a.d)
+	first := acquire(t, a.d, a.requestFor(a.all[0]))
+	first.Release(Succeeded, platform.ResponseInfo{Received: true, Limit: platform.Limit{Stated: true, PerSecond: 0.1}})
+	assert.Assert(t, !b.takes(b.all[0]))
+	assert.Assert(t, b.takes(b.all[1]))
+	a.now = a.now.Add(time.Minute)
+	a.responds(a.all[0], platform.ResponseInfo{})
+	assert.Assert(t, b.takes(b.all[0]))
+	a.responds(a.all[0], leavingResponse)
+	assert.Assert(t, !b.takes(b.all[0]))
+	b.d.ApplyStatement(targets.Statement{Incarnation: targets.Incarnation{ID: "unknown"}, Leaving: true})
+	assert.Assert(t, b.takes(b.all[1]))
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -83,6 +83,17 @@
 	}
 }
 
+// ApplyStatements takes over what another instance has heard of targets.
+func (t *Table) ApplyStatements(statements []targets.Statement) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, d := range t.dispatchers {
+		for _, statement := range statements {
+			d.ApplyStatement(statement)
+		}
+	}
+}
+
 // RefreshTargets reloads the targets of a service from the target source.
 func (t *Table) RefreshTargets(service string) {
 	if d := t.Dispatcher(service); d != nil {
--- /dev/null
+++ b/targets/statement.go
@@ -0,0 +1,13 @@
+package targets
+
+// Statement is what an incarnation of a target has stated in its responses, as far as
+// it holds for all instances.
+type Statement struct {
+	Incarnation Incarnation
+	// Leaving is set if the target leaves.
+	Leaving bool
+	// Limited is set if the target takes only Limit requests per second from all
+	// instances together.
+	Limited bool
+	Limit   float64
+}
