--- a/soak/faults.go
+++ b/soak/faults.go
@@ -62,6 +62,9 @@
 	{name: "target reports itself unhealthy", run: targetFault(standin.TargetFaults{ReportUnhealthy: true})},
 	{name: "target replaced", run: replaceTarget},
 	{name: "store restored from a copy", run: restoreStore},
+	{name: "target limits its requests", run: targetFault(standin.TargetFaults{Limit: "1"})},
+	{name: "target wants no requests for a time", run: targetFault(standin.TargetFaults{Shed: true, RetryAfter: "1"})},
+	{name: "target states that it leaves", run: replaceStatingTarget},
 }
 
 func proxyFault(mode string) func(*environment, *instance, time.Duration) {
@@ -153,13 +156,25 @@
 // twice the drain delay. Once target 120 exists, it does nothing: target i listens
 // on host 100+i of the network, so that 155 is the highest number with an address.
 func replaceTarget(env *environment, _ *instance, _ time.Duration) {
-	env.mu.Lock()
-	next, old := len(env.targets), env.targets[env.random.IntN(len(env.targets))]
-	env.mu.Unlock()
-	if next > 120 || env.addTarget(next) != nil {
+	env.replaceTarget(func(*target) {})
+}
+
+// replaceStatingTarget is like replaceTarget, but the target that drains also states in
+// its responses that it leaves.
+func replaceStatingTarget(env *environment, _ *instance, _ time.Duration) {
+	env.replaceTarget(func(old *target) { old.SetFaults(standin.TargetFaults{Leaving: true}) })
+}
+
+// replaceTarget adds a target and drains another one, for which it first calls prepare.
+func (e *environment) replaceTarget(prepare func(old *target)) {
+	e.mu.Lock()
+	next, old := len(e.targets), e.targets[e.random.IntN(len(e.targets))]
+	e.mu.Unlock()
+	if next > 120 || e.addTarget(next) != nil {
 		return
 	}
 	time.Sleep(drainDelay / 2)
+	prepare(old)
 	old.startDraining()
 	time.Sleep(2 * drainDelay)
 	old.deregister()
