registry: an era that is first stated after a restoration counts as one

A store that states its era only after its first restoration ended no long poll: the change from none to 1 looked like the first era that an instance learns of. It is a restoration if the instance has read the registry before.

--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -82,6 +82,7 @@
 	outageEndedAt time.Time
 	outageEra     int64 // of the store after the last outage
 	era           int64 // of the last position that was read or received
+	hasRead       bool  // whether this instance has read the registry
 }
 
 // TargetFollowerOption changes an optional property of a TargetFollower.
@@ -273,12 +274,13 @@
 }
 
 // recordEra logs a restoration of the store and reports whether there was one. If so,
-// the caller must call onRestored once it has released f.mu, which is held.
+// the caller must call onRestored once it has released f.mu, which is held. A store may
+// state its era only after its first restoration.
 func (f *TargetFollower) recordEra(era int64, source string) (restored bool) {
 	if era <= f.era {
 		return false
 	}
-	restored = f.era > 0
+	restored = f.era > 0 || f.hasRead
 	if restored {
 		f.logger.WithField("era", era).WithField("previous_era", f.era).WithField("offset", f.next.Offset).WithField("source", source).
 			Warn("store was restored from a copy")
--- a/registry/target_read.go
+++ b/registry/target_read.go
@@ -103,7 +103,7 @@
 func (f *TargetFollower) recordRead(next platform.Position, asOf time.Time, reader bool) {
 	f.mu.Lock()
 	restored := f.recordEra(next.Era, "store")
-	f.eraUnknown = false
+	f.eraUnknown, f.hasRead = false, true
 	f.advanceByRead(next, asOf, reader)
 	f.mu.Unlock()
 	if restored {
