registry: read the configuration again if the first known era is a later one

A store that was restored between the first read of the configuration and that of the targets of a starting instance gives out the configuration's position again; a version before it was missed. The first era that an instance learned of ended no long poll. If it is not the original one, it does now.

--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -273,22 +273,28 @@
 	return f.era
 }
 
-// recordEra logs a restoration of the store and reports whether there was one. If so,
+// recordEra logs a restoration of the store and reports whether there may have been one
+// since this instance has started. If so,
 // the caller must call onRestored once it has released f.mu, which is held. A store may
 // state its era only after its first restoration.
 func (f *TargetFollower) recordEra(era int64, source string) (restored bool) {
 	if era <= f.era {
 		return false
 	}
-	restored = f.era > 0 || f.hasRead
-	if restored {
+	first := f.era == 0 && !f.hasRead
+	if !first {
 		f.logger.WithField("era", era).WithField("previous_era", f.era).WithField("offset", f.next.Offset).WithField("source", source).
 			Warn("store was restored from a copy")
 	}
 	f.era = era
-	return restored
+	return !first || era > originalEra
 }
 
+// originalEra is the era of a store that was never restored. If the first era that an
+// instance learns of is a later one, the store may have been restored since the instance
+// read its configuration.
+const originalEra = 1
+
 func (f *TargetFollower) notifyChanges(changes []targets.Change, source string) {
 	for _, c := range changes {
 		f.onChange(c, source)
