registry: forget reported versions when the store was restored

If the only holder of a reported version ended and the restored store lacked it, every instance stayed behind it and polled the store: 17 calls a minute. After a restoration only versions that are reported from then on count.

--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -219,8 +219,13 @@
 
 // RecordRestoration makes the next read fetch the newest configuration, because the
 // store was restored from a copy. A read in progress is restarted, and a watcher starts
-// one at once. Any other instance continues to rely on the versions that are reported.
+// one at once. Any other instance continues to rely on the versions that are reported
+// from now on: the store may have lost those that were reported before, and the
+// instances that had them may have ended.
 func (f *ConfigFollower) RecordRestoration() {
+	f.mu.Lock()
+	f.peerVersion = 0
+	f.mu.Unlock()
 	f.refreshRequested.Store(true)
 	if f.IsWatcher() || f.readInProgress.Load() {
 		f.Refresh()
