registry: give up an era that a later read of the store contradicts

After a datagram with a wrong, higher era the next real restoration removed running targets at once, ended no long poll, and its beginning was not broadcast. The era of the store never decreases: a read that began after the report and is of an older era shows that the report was wrong.

--- a/registry/era.go
+++ b/registry/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"rhubarbrelay/peer"
 	"rhubarbrelay/platform"
@@ -50,6 +51,21 @@
 	return update.From == exact && update.To.Era == f.era && !exact.Before(f.ahead)
 }
 
+// correctEra gives up an era that was wrongly reported: the era of the store never
+// decreases, so that a read that began after the report cannot be of an older one. f.mu
+// is held.
+func (f *TargetFollower) correctEra(read int64, asOf time.Time) {
+	if read >= f.era || asOf.Before(f.eraAt) {
+		return
+	}
+	f.logger.WithField("era", read).WithField("reported_era", f.era).Warn("era of the store was wrongly reported by another instance")
+	f.era = read
+	f.outageEra = min(f.outageEra, read)
+	if f.ahead.Era > read {
+		f.ahead, f.aheadIDs = platform.Position{}, nil
+	}
+}
+
 // lost returns the changes with their removals marked as lost registrations.
 func lost(changes []targets.Change) []targets.Change {
 	marked := slices.Clone(changes)
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -80,9 +80,10 @@
 	readRequested chan struct{}
 	failing       bool
 	outageEndedAt time.Time
-	outageEra     int64 // of the store after the last outage
-	era           int64 // of the last position that was read or received
-	hasRead       bool  // whether this instance has read the registry
+	outageEra     int64     // of the store after the last outage
+	era           int64     // of the last position that was read or received
+	eraAt         time.Time // when era was last raised
+	hasRead       bool      // whether this instance has read the registry
 }
 
 // TargetFollowerOption changes an optional property of a TargetFollower.
@@ -286,7 +287,7 @@
 		f.logger.WithField("era", era).WithField("previous_era", f.era).WithField("offset", f.next.Offset).WithField("source", source).
 			Warn("store was restored from a copy")
 	}
-	f.era = era
+	f.era, f.eraAt = era, f.clock()
 	return !first || era > originalEra
 }
 
--- a/registry/target_read.go
+++ b/registry/target_read.go
@@ -102,6 +102,7 @@
 // does not make this instance a reader.
 func (f *TargetFollower) recordRead(next platform.Position, asOf time.Time, reader bool) {
 	f.mu.Lock()
+	f.correctEra(next.Era, asOf)
 	restored := f.recordEra(next.Era, "store")
 	f.eraUnknown, f.hasRead = false, true
 	f.advanceByRead(next, asOf, reader)
