registry: keep targets of updates that arrive while all registrations are read

Such a target was removed as not listed, and its registration, not newer than the removed one, did not add it again, so that it was not used until it had registered with a higher sequence. The changes of updates that arrive during the read and are newer than it now join what was read. TestTargetOfUpdateDuringReadOfAllIsKept failed before.

--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -70,10 +70,12 @@
 	// aheadIDs are the targets that it and those before it have changed since the gap.
 	ahead        platform.Position
 	aheadIDs     map[string]bool
-	freshAt      time.Time // the time as of which the state is complete
-	oldUntil     time.Time // when a state older than minOutageAge was last replaced
-	lastReadAt   time.Time // the start of the last read of changes by this instance
-	lastUpdateAt time.Time // when the last update arrived, with or without a gap before it
+	readingAll   bool                // whether all registrations are being read
+	duringRead   []peer.TargetUpdate // updates that have arrived since that began
+	freshAt      time.Time           // the time as of which the state is complete
+	oldUntil     time.Time           // when a state older than minOutageAge was last replaced
+	lastReadAt   time.Time           // the start of the last read of changes by this instance
+	lastUpdateAt time.Time           // when the last update arrived, with or without a gap before it
 	// wakeup receives a value when an update has made the next read unnecessary for
 	// now or the read order has changed, readRequested when a read is needed at once.
 	wakeup        chan struct{}
@@ -253,6 +255,7 @@
 	if update.SinceOutage > 0 && f.outageIsNews(update) {
 		f.recordOutageEnd(f.clock().Add(-update.SinceOutage), update.To.Era)
 	}
+	f.noteDuringRead(update)
 	f.notifyChanges(f.directory.Apply(f.newChanges(update)), "peer")
 	f.mu.Lock()
 	f.lastUpdateAt = f.clock()
--- a/registry/target_read.go
+++ b/registry/target_read.go
@@ -55,6 +55,8 @@
 // restored, other instances may have missed the same changes and be unable to read the
 // store, so it broadcasts the changes.
 func (f *TargetFollower) readAll(ctx context.Context, start time.Time, outage, allZones bool) error {
+	f.setReadingAll(true)
+	defer f.setReadingAll(false)
 	batch, err := f.store.Newest(ctx, platform.TargetTopic)
 	if err != nil {
 		return err
@@ -92,10 +94,14 @@
 	if outage || unreported {
 		f.recordOutageEnd(f.clock(), batch.Next.Era)
 	}
+	all := f.decodeTargets(batch.Records)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all = f.withUpdates(all, batch.Next)
 	if begins {
-		return f.directory.ReplaceRestored(f.decodeTargets(batch.Records))
+		return f.directory.ReplaceRestored(all)
 	}
-	return f.directory.Replace(f.decodeTargets(batch.Records))
+	return f.directory.Replace(all)
 }
 
 // recordRead records a successful read. Reading all registrations, as at the start,
