relay, upstream, routing, limits, targets, peer: tests that see broken code

Tests were added for what matters of the rest: a refusal after a try that may have run, an unsealed error, internal headers, blocked and suspected requests, statements between choice and send, unusable targets where no probe shows them, late requests, the slack after a start, older registrations, content encodings, writes that fail in part.

A scripted target that cannot read its request fails the test. Looked at for a control in the same arrangement: upstream (TestCancel, TestUnsolicitedBytes, TestEarlyResponse, TestRepeatedRefusal, TestTruncated*, TestEndless*), relay (all tests on scriptedTarget), crashes. The other packages were not looked at.

--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -150,6 +150,18 @@
 	assert.Equal(t, spendAll(b), 0)
 }
 
+// Guards against an instance that uses its share of the slack before the others, who
+// may have divided it without this one, have learned of its start.
+func TestSlackAfterStart(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	now := start
+	b := NewRetryBudget(RetryLimits{Slack: 10, Window: time.Second, Since: start}, 1, func() time.Time { return now })
+	now = start.Add(time.Second + maxNoticeDelay)
+	assert.Assert(t, !b.Allow())
+	now = now.Add(time.Millisecond)
+	assert.Assert(t, b.Allow(), "control")
+}
+
 func spendAll(b *RetryBudget) int {
 	n := 0
 	for b.Allow() {
--- a/peer/snapshot_test.go
+++ b/peer/snapshot_test.go
@@ -96,6 +96,14 @@
 	}
 }
 
+// Guards against a target without a state that ends the process of a starting instance.
+func TestTargetWithoutState(t *testing.T) {
+	data, err := proto.Marshal(&peerpb.Snapshot{Targets: []*peerpb.Target{{Id: "t"}}})
+	assert.NilError(t, err)
+	_, err = DecodeSnapshot(data)
+	assert.ErrorIs(t, err, ErrMalformed)
+}
+
 // Guards against a removed target in an unknown state, from a later version of the
 // program, that counts as ready.
 func TestUnknownStateOfRemovedTarget(t *testing.T) {
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -2,18 +2,24 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
+	"rhubarbrelay/bodies"
 	"rhubarbrelay/crashes"
+	"rhubarbrelay/routing"
 	"rhubarbrelay/targets"
+	"rhubarbrelay/upstream"
 )
 
 // mortalTarget is a target that ends when it gets a request to a path with "deadly":
@@ -44,18 +50,19 @@
 			m.mu.Lock()
 			m.conns = append(m.conns, c)
 			m.mu.Unlock()
-			running.Go(func() { m.serve(c) })
+			running.Go(func() { m.serve(t, c) })
 		}
 	})
 	t.Cleanup(func() { m.end(false); running.Wait() })
 	return m
 }
 
-func (m *mortalTarget) serve(c net.Conn) {
+func (m *mortalTarget) serve(t *testing.T, c net.Conn) {
 	reader := bufio.NewReaderSize(c, 64<<10)
 	for {
 		var req fasthttp.Request
 		if err := req.Read(reader); err != nil {
+			checkClosed(t, err)
 			return
 		}
 		path := string(req.URI().Path())
@@ -196,3 +203,103 @@
 	close(release)
 	calls.Wait()
 }
+
+// endsTargets returns a ledger in which copies of a POST request to the path with the
+// body "body" have ended targets.
+func endsTargets(path string, count int) *crashes.Ledger {
+	ledger := crashes.NewLedger()
+	for i := range count {
+		addCrash(ledger, path, int64(i))
+	}
+	return ledger
+}
+
+func addCrash(ledger *crashes.Ledger, path string, target int64) {
+	f := crashes.NewFingerprint([]byte("POST"), []byte("spoolkeep.example"), []byte(path), []byte("body"))
+	ledger.Add(f, targets.Incarnation{ID: "ended", StartedMS: target})
+}
+
+// Guards against a blocked request that waits for a target or takes one, and against one
+// that is sent because it was blocked only while it waited.
+func TestBlockedRequestsAcquireNoTarget(t *testing.T) {
+	release := make(chan struct{})
+	target := newScriptedTarget(t, "t-1", "a", func(req *fasthttp.Request) (string, bool) {
+		<-release
+		return echo(req)
+	})
+	target.info.Slots = 1
+	ledger := endsTargets("/once/blocked", crashes.MaxCrashes)
+	h := newHarness(t, targetInfos(target), WithCrashLedger(ledger))
+	assert.Equal(t, h.call(t, "POST", "/once/blocked", "body").status, 502)
+	assert.Equal(t, h.table.Stats()["spoolkeep"].Acquired, uint64(0))
+	var calls sync.WaitGroup
+	calls.Go(func() { assert.Check(t, h.call(t, "POST", "/once/other", "body").status == 200) })
+	waitFor(t, "the target is busy", func() bool { return len(target.receivedIDs()) == 1 })
+	var waited response
+	calls.Go(func() { waited = h.call(t, "POST", "/once/waits", "body", "Rhubarbrelay-Attempt-Id: waits") })
+	waitFor(t, "the second request waits", func() bool { return h.table.Stats()["spoolkeep"].Waiting == 1 })
+	for i := range int64(crashes.MaxCrashes) {
+		addCrash(ledger, "/once/waits", i)
+	}
+	close(release)
+	calls.Wait()
+	assert.Equal(t, waited.status, 502, waited.body)
+	assert.Equal(t, len(target.receivedIDs()), 1)
+}
+
+// Guards against a suspected request that is sent to a second target while the first one
+// still works on it, and ends both.
+func TestSuspectsAreNotHedged(t *testing.T) {
+	for _, suspect := range []bool{true, false} {
+		release := make(chan struct{})
+		slow := func(req *fasthttp.Request) (string, bool) {
+			<-release
+			return echo(req)
+		}
+		a, b := newScriptedTarget(t, "t-1", "a", slow), newScriptedTarget(t, "t-2", "a", slow)
+		ledger := crashes.NewLedger()
+		if suspect {
+			ledger = endsTargets("/safe/x", 1)
+		}
+		h := newHarness(t, targetInfos(a, b), WithCrashLedger(ledger))
+		var call sync.WaitGroup
+		call.Go(func() { assert.Check(t, h.call(t, "POST", "/safe/x", "body").status == 200) })
+		received := func() int { return len(a.receivedIDs()) + len(b.receivedIDs()) }
+		waitFor(t, "a target has the request", func() bool { return received() > 0 })
+		if suspect {
+			time.Sleep(harnessHedgeDelay + harnessHedgeDelay/2)
+			assert.Equal(t, received(), 1)
+		} else {
+			waitFor(t, "the request is hedged", func() bool { return received() == 2 })
+		}
+		close(release)
+		call.Wait()
+	}
+}
+
+// harnessHedgeDelay is an upper limit of the time after which a request below /safe/ is
+// hedged: 2.5 times the initial estimate of 0.35 objectives.
+const harnessHedgeDelay = 2500 * time.Millisecond
+
+// Guards against a request that is sent although the target has stated, since it was
+// chosen, that it leaves.
+func TestNoSendAfterStatement(t *testing.T) {
+	target := newScriptedTarget(t, "t-1", "a", echo)
+	h := newHarness(t, targetInfos(target))
+	d := h.table.Dispatcher("spoolkeep")
+	for _, leaving := range []bool{false, true} {
+		lease, err := d.Acquire(context.Background(), &routing.Request{Arrival: time.Now(), Deadline: time.Now().Add(testTimeout), Objective: testTimeout})
+		assert.NilError(t, err)
+		d.ApplyStatement(targets.Statement{Incarnation: target.info.Incarnation(), Leaving: leaving})
+		sent := &try{
+			lease: lease, req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(), deadline: time.Now().Add(testTimeout),
+			crashes: crashes.NewLedger(), reservation: bodies.NewReservation(nil, 1),
+		}
+		sent.req.SetRequestURI("/once/x")
+		sent.req.Header.SetHost("h")
+		sent.req.Header.Set("Rhubarbrelay-Attempt-Id", "own")
+		sent.run(make(chan *try, 1))
+		assert.Equal(t, errors.Is(sent.err, upstream.ErrNotSent), leaving, "%v", sent.err)
+		assert.Equal(t, len(target.receivedIDs()), 1)
+	}
+}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -3,13 +3,16 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"net/url"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -139,19 +142,20 @@
 			if err != nil {
 				return
 			}
-			running.Go(func() { s.serve(c, script) })
+			running.Go(func() { s.serve(t, c, script) })
 		}
 	})
 	t.Cleanup(func() { _ = l.Close(); running.Wait() })
 	return s
 }
 
-func (s *scriptedTarget) serve(c net.Conn, script targetScript) {
+func (s *scriptedTarget) serve(t testing.TB, c net.Conn, script targetScript) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReaderSize(c, 64<<10)
 	for {
 		var req fasthttp.Request
 		if err := req.Read(reader); err != nil {
+			checkClosed(t, err)
 			s.closed <- struct{}{}
 			return
 		}
@@ -169,6 +173,16 @@
 	}
 }
 
+// checkClosed fails the test if a target cannot read a request for another reason than
+// that the relay has closed the connection: a test that expects a failure would pass
+// although the script has not run.
+func checkClosed(t testing.TB, err error) {
+	t.Helper()
+	var nothingRead fasthttp.ErrNothingRead
+	closed := errors.As(err, &nothingRead) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+	assert.Check(t, closed, "the target cannot read the request: %v", err)
+}
+
 // receivedIDs returns the IDs of the requests that the target received.
 func (s *scriptedTarget) receivedIDs() []string {
 	s.mu.Lock()
--- a/relay/response_test.go
+++ b/relay/response_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -257,3 +258,37 @@
 	left := got.Header.Peek("Rhubarbrelay-Deadline-Ms")
 	assert.Assert(t, len(left) == 4 && string(left) <= "3000" && string(left) > "2000", "%s", left)
 }
+
+// Guards against a refusal that reaches the caller although an earlier try may have run
+// the request, against an error without a seal that counts as the target's own, and
+// against headers for instances that reach callers.
+func TestOutcomeOverSeveralTries(t *testing.T) {
+	disconnect := respondAlways(func(*fasthttp.Request) string { return "" }, true)
+	shed := respondAlways(func(r *fasthttp.Request) string { return notRunResponse(r, 503) }, false)
+	unsealed := respondAlways(func(r *fasthttp.Request) string {
+		return fmt.Sprintf("HTTP/1.1 404 X\r\nRhubarbrelay-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Peek("Rhubarbrelay-Attempt-Id"))
+	}, false)
+	tests := []struct {
+		name          string
+		first, second targetScript
+		status        int
+	}{
+		{"control: refused twice", shed, shed, 503},
+		{"refused after a try that may have run", disconnect, shed, 502},
+		{"error without a seal", unsealed, echo, 200},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, targetInfos(newScriptedTarget(t, "t-1", "a", tt.first), newScriptedTarget(t, "t-2", "b", tt.second)))
+			assert.Equal(t, h.call(t, "POST", "/safe/1", "body").status, tt.status)
+		})
+	}
+	headers := []string{"Rhubarbrelay-Server-Load: 0,0,8,100", "Rhubarbrelay-Instance-Id: t-1", "Server-Limit: 5", "Server-Leaving: 1"}
+	target := newScriptedTarget(t, "t-1", "a", func(r *fasthttp.Request) (string, bool) { return sealed(r, 200, "x", headers...), false })
+	got := newHarness(t, targetInfos(target)).call(t, "POST", "/safe/1", "body")
+	assert.Equal(t, got.status, 200)
+	for _, line := range headers {
+		name, _, _ := strings.Cut(line, ":")
+		assert.Equal(t, got.headers[name], "")
+	}
+}
--- a/routing/statements_test.go
+++ b/routing/statements_test.go
@@ -3,12 +3,18 @@
 import (
 	"context"
 	"errors"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"gotest.tools/v3/assert"
 
 	"rhubarbrelay/platform"
+	"rhubarbrelay/standin"
 	"rhubarbrelay/targets"
 )
 
@@ -173,3 +179,88 @@
 	b.d.ApplyStatement(targets.Statement{Incarnation: targets.Incarnation{ID: "unknown"}, Leaving: true})
 	assert.Assert(t, b.takes(b.all[1]))
 }
+
+// Guards against requests to a target that is draining, that another one has replaced at
+// its address, or that could not be reached just now, where no probe shows it.
+func TestUnusableTargets(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(s *statementsTest)
+	}{
+		{"draining", func(s *statementsTest) {
+			draining := *s.all[0]
+			draining.State = targets.Draining
+			s.all[0] = &draining
+			s.d.SetTargets(s.all)
+		}},
+		{"replaced", func(s *statementsTest) {
+			acquire(s.t, s.d, s.requestFor(s.all[0])).Release(Replaced, platform.ResponseInfo{})
+		}},
+		{"unreachable", func(s *statementsTest) {
+			acquire(s.t, s.d, s.requestFor(s.all[0])).Release(Unreachable, platform.ResponseInfo{})
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newStatementsTest(t)
+			assert.Assert(t, s.takes(s.all[0]), "control")
+			tt.prepare(s)
+			assert.Assert(t, !s.takes(s.all[0]))
+			assert.Assert(t, s.takes(s.all[1]))
+		})
+	}
+}
+
+// Guards against an instance that never notices the end of a limit which admits none of
+// its requests, and against one that sends a request to find out.
+func TestLimitIsCheckedByProbes(t *testing.T) {
+	target, info := startTarget(t, "t-1", "a", 8)
+	target.SetFaults(standin.TargetFaults{Limit: "0"})
+	var offset atomic.Int64
+	d := NewDispatcher(service, testSettings(), InstanceCounts{Known: 1, Active: 1}, WithLogger(&log.Logger{Handler: discard.Default}),
+		WithClock(func() time.Time { return time.Now().Add(time.Duration(offset.Load())) }))
+	d.SetTargets([]*targets.Target{info})
+	t.Cleanup(d.Close)
+	takes := func() bool {
+		r := request()
+		r.Retry = true
+		l, err := d.Acquire(context.Background(), r)
+		if err == nil {
+			l.Release(Inconclusive, platform.ResponseInfo{})
+		}
+		return err == nil
+	}
+	assert.Assert(t, !takes(), "the probe states the limit")
+	for range 3 {
+		offset.Add(int64(limitRecheckInterval))
+		probes := d.Stats().Probes
+		assert.Assert(t, !takes())
+		assert.Equal(t, d.Stats().Probes, probes+1)
+		assert.Assert(t, !takes(), "not checked again at once")
+		assert.Equal(t, d.Stats().Probes, probes+1)
+	}
+	target.SetFaults(standin.TargetFaults{})
+	offset.Add(int64(limitRecheckInterval))
+	assert.Assert(t, takes())
+}
+
+// Guards against a late request that waits behind all others although it may not scan.
+func TestLateRequestIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := NewDispatcher(service, testSettings(), InstanceCounts{Known: 1, Active: 1})
+		ctx, cancel := context.WithCancel(context.Background())
+		var waiting sync.WaitGroup
+		for range maxScanners {
+			waiting.Go(func() { _, _ = d.Acquire(ctx, request()) })
+		}
+		synctest.Wait()
+		began := time.Now()
+		r := &Request{Arrival: began, Deadline: began.Add(time.Minute), Objective: 20 * time.Second}
+		r.PriorElapsed = r.Objective
+		_, err := d.Acquire(ctx, r)
+		assert.ErrorIs(t, err, ErrNoCapacity)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		cancel()
+		waiting.Wait()
+	})
+}
--- a/targets/directory_test.go
+++ b/targets/directory_test.go
@@ -156,3 +156,14 @@
 		}
 	})
 }
+
+// Guards against an older registration of the same incarnation that replaces a newer one,
+// and against targets of another service.
+func TestOlderRegistrationIsIgnored(t *testing.T) {
+	d := NewDirectory()
+	newer, older := Target{ID: "t", Service: "s", Slots: 4, Sequence: 5}, Target{ID: "t", Service: "s", Slots: 8, Sequence: 4}
+	d.Apply([]Change{{ID: "t", Target: &newer}, {ID: "t", Target: &older}, {ID: "u", Target: &Target{ID: "u", Service: "other", Slots: 1}}})
+	all := d.ByService("s")
+	assert.Equal(t, len(all), 1)
+	assert.Equal(t, all[0].Slots, 4)
+}
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -108,7 +108,7 @@
 	p := NewPool(startTarget(t, func(c net.Conn, r *bufio.Reader) {
 		var req fasthttp.Request
 		if req.Read(r) != nil {
-			return
+			return // the second connection carries no request
 		}
 		_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		<-sent
@@ -195,11 +195,9 @@
 func TestCancel(t *testing.T) {
 	arrived := make(chan struct{})
 	p := NewPool(startTarget(t, func(_ net.Conn, r *bufio.Reader) {
-		var req fasthttp.Request
-		if req.Read(r) == nil {
-			close(arrived)
-			_, _ = r.ReadByte()
-		}
+		readRequest(t, r)
+		close(arrived)
+		_, _ = r.ReadByte()
 	}), 2)
 	defer p.Close()
 	c := acquire(t, p)
--- a/upstream/refusal_test.go
+++ b/upstream/refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -115,3 +116,62 @@
 	}
 	return "ran"
 }
+
+// Guards against a response that is accepted although a caller could not read it, and
+// against a connection that carries on after it.
+func TestRejectedResponses(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRhubarbrelay-Attempt-Id: own\r\nRhubarbrelay-Response-Seal: s\r\n"
+	tests := []struct {
+		name, response string
+		accepted       bool
+	}{
+		{"control", head + "Content-Length: 1\r\n\r\nb", true},
+		{"content encoding", head + "Content-Encoding: gzip\r\nContent-Length: 1\r\n\r\nb", false},
+		{"other protocol", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + head + "Content-Length: 1\r\n\r\nb", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := exchange(t, sendPart(t, tt.response, false))
+			if tt.accepted {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorIs(t, err, ErrOutcomeUnknown)
+		})
+	}
+}
+
+// failingConn accepts some bytes of what is written, then fails.
+type failingConn struct {
+	net.Conn
+	accepts int
+}
+
+func (c *failingConn) Write(b []byte) (int, error) {
+	n := min(c.accepts, len(b))
+	c.accepts -= n
+	if n < len(b) {
+		return n, net.ErrClosed
+	}
+	return n, nil
+}
+
+// Guards against a request that counts as not sent although its target has got a part of
+// it, and against one that counts as sent although it has got nothing.
+func TestFailedWrite(t *testing.T) {
+	for _, tt := range []struct {
+		accepts int
+		want    error
+	}{{0, ErrNotSent}, {1, ErrOutcomeUnknown}} {
+		own, other := net.Pipe()
+		p := NewPool(Destination{}, 1, WithDial(func(context.Context, string, string) (net.Conn, error) {
+			return &failingConn{own, tt.accepts}, nil
+		}))
+		c := acquire(t, p)
+		err := c.RoundTrip(newRequest("own"), fasthttp.AcquireResponse(), time.Now().Add(testTimeout), nil)
+		assert.ErrorIs(t, err, tt.want)
+		c.Release()
+		p.Close()
+		assert.NilError(t, other.Close())
+	}
+}
