--- /dev/null
+++ b/upstream/response.go
@@ -0,0 +1,119 @@
+package upstream
+
+import (
+	"fmt"
+
+	"github.com/valyala/fasthttp"
+
+	"rhubarbrelay/bodies"
+	"rhubarbrelay/platform"
+)
+
+// readResponse reads the response to the request. It skips responses to other
+// requests.
+func (c *Conn) readResponse(req *fasthttp.Request, resp *fasthttp.Response, limit bodyLimit) error {
+	id := platform.RequestID(&req.Header)
+	fresh := !c.used
+	c.used = true
+	for range maxResponseReads {
+		if err := c.readOneResponse(req, resp, limit); err != nil {
+			c.noReuse = true
+			return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		}
+		matches, hasID := platform.MatchRequestID(&resp.Header, id)
+		if matches || !hasID {
+			return c.checkResponse(resp, matches, fresh || len(id) == 0)
+		}
+		if len(id) == 0 { // a probe; Probe rejects the response
+			return nil
+		}
+		// An extra response to an earlier request; the one to this request may follow.
+		c.noReuse = true
+	}
+	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, errOtherRequest)
+}
+
+// checkResponse rejects a response that is not certainly the target's response
+// to this request: one with a content encoding, and, without the ID of the request, a
+// sealed success or a refusal. Other errors and responses to probes may lack the ID, and
+// a refusal if mayRefuse is set.
+func (c *Conn) checkResponse(resp *fasthttp.Response, matches, mayRefuse bool) error {
+	success := resp.StatusCode() < fasthttp.StatusMultipleChoices
+	info := platform.ReadResponseInfo(&resp.Header)
+	switch {
+	case len(resp.Header.Peek(fasthttp.HeaderContentEncoding)) > 0:
+		c.noReuse = true
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, errContentEncoding)
+	case !matches && (success && info.Sealed || info.NotRun && !mayRefuse):
+		c.noReuse = true
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, errOtherRequest)
+	}
+	return nil
+}
+
+func (c *Conn) readOneResponse(req *fasthttp.Request, resp *fasthttp.Response, limit bodyLimit) error {
+	resp.Reset()
+	resp.SkipBody = req.Header.IsHead()
+	if err := c.readHeader(resp); err != nil {
+		return err
+	}
+	if !hasBody(resp) {
+		return nil
+	}
+	return c.readBody(resp, limit)
+}
+
+// bodyLimit limits the body of one response, in bytes, and holds its reservation.
+type bodyLimit struct {
+	size        int
+	reservation *bodies.Reservation
+}
+
+// lengthUntilEOF is the value of fasthttp's ContentLength for a body that ends with
+// the connection.
+const lengthUntilEOF = -2
+
+// readBody reads the body and the trailer of a response. It does not use fasthttp's
+// own reading of a whole body, which allocates the announced length at once.
+func (c *Conn) readBody(resp *fasthttp.Response, limit bodyLimit) error {
+	resp.StreamBody = true
+	if err := resp.ReadBody(c.reader, 0); err != nil {
+		return err
+	}
+	length := resp.Header.ContentLength()
+	body, err := bodies.ReadAll(nil, resp.BodyStream(), length, limit.size, limit.reservation)
+	if closeErr := resp.CloseBodyStream(); err == nil {
+		err = closeErr
+	}
+	resp.StreamBody = false
+	if err != nil {
+		return err
+	}
+	if length == lengthUntilEOF {
+		resp.Header.SetContentLength(len(body))
+		c.noReuse = true
+	}
+	resp.SetBodyRaw(body)
+	return nil
+}
+
+func (c *Conn) readHeader(resp *fasthttp.Response) error {
+	for range maxResponseReads {
+		if err := resp.Header.Read(c.reader); err != nil {
+			return err
+		}
+		status := resp.StatusCode()
+		if status == fasthttp.StatusSwitchingProtocols {
+			return errSwitchedProtocols
+		}
+		if status >= fasthttp.StatusOK {
+			return nil
+		}
+	}
+	return errTooManyInterim
+}
+
+func hasBody(resp *fasthttp.Response) bool {
+	status := resp.StatusCode()
+	return !resp.SkipBody && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
+}
