--- a/crashes/fingerprint_test.go
+++ b/crashes/fingerprint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -33,3 +34,14 @@
 	assert.Assert(t, seen[NewFingerprint([]byte("GET"), []byte("h"), []byte("/p?q=1"), []byte("body"))])
 	assert.Assert(t, !seen[fingerprint([4][]byte{[]byte("GET"), []byte("h"), []byte("/p?q=1"), append(long, 'b')})])
 }
+
+func BenchmarkFingerprint(b *testing.B) {
+	for _, size := range []int{0, 1 << 10, maxHashedBody} {
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			body := make([]byte, size)
+			for b.Loop() {
+				NewFingerprint([]byte("POST"), []byte("spoolkeep.example"), []byte("/orders/1?page=2"), body)
+			}
+		})
+	}
+}
