routing: wait for a target in backoff although the others leave

Found while reading the change: a request was refused at once when all targets that could be reached had stated that they take none, though another one was only in backoff, for 0.1 to 2 s. The end of its backoff now counts as the time from which it takes requests. TestUnreachableTargetBesideOneThatLeaves failed before.

--- a/routing/statements.go
+++ b/routing/statements.go
@@ -198,21 +198,26 @@
 }
 
 // opensAt returns the time from which some target takes a request of this instance.
-// closed is true if targets are usable but none of them admits a request now; ok is
-// false if it is then not known when one will.
+// closed is true if targets have stated that they take none now, and no other one does;
+// ok is false if it is then not known when one will. A target that could not be reached
+// may be tried again after its backoff.
 func (d *Dispatcher) opensAt() (at time.Time, ok, closed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock()
 	for _, t := range d.targets {
-		if !t.usable(now) {
+		if !t.inService() {
 			continue
 		}
-		if d.admits(t, now) || d.mayRecheck(t, now) {
+		opens, known := t.backoffUntil, true
+		if !d.admits(t, now) && !d.mayRecheck(t, now) {
+			closed = true
+			opens, known = t.statements.opensAt()
+		}
+		if known && !now.Before(opens) {
 			return time.Time{}, false, false
 		}
-		closed = true
-		if opens, known := t.statements.opensAt(); known && (!ok || opens.Before(at)) {
+		if known && (!ok || opens.Before(at)) {
 			at, ok = opens, true
 		}
 	}
--- a/routing/statements_test.go
+++ b/routing/statements_test.go
@@ -146,6 +146,16 @@
 	assert.Assert(t, s.takes(s.all[0]))
 }
 
+// Guards against a request that is refused at once because the only target that could be
+// reached now leaves, although another one is tried again in a moment.
+func TestUnreachableTargetBesideOneThatLeaves(t *testing.T) {
+	s := newStatementsTest(t)
+	s.responds(s.all[0], leavingResponse)
+	acquire(t, s.d, s.requestFor(s.all[1])).Release(Unreachable, platform.ResponseInfo{})
+	assert.NilError(t, s.d.refuseWithoutCandidate(&Request{}, s.now.Add(minBackoff)))
+	assert.ErrorIs(t, s.d.refuseWithoutCandidate(&Request{}, s.now.Add(minBackoff-1)), ErrNoCapacity)
+}
+
 // Guards against a request that is sent although the target has stated, after it was
 // chosen, that it wants none.
 func TestStatementAfterGrant(t *testing.T) {
--- a/routing/target.go
+++ b/routing/target.go
@@ -76,9 +76,11 @@
 	backoff      time.Duration
 }
 
-func (t *target) usable(now time.Time) bool {
-	return t.info.State == targets.Ready && !t.replaced && !now.Before(t.backoffUntil)
-}
+// inService reports whether the target runs requests, as far as its registration and
+// the responses at its address tell.
+func (t *target) inService() bool { return t.info.State == targets.Ready && !t.replaced }
+
+func (t *target) usable(now time.Time) bool { return t.inService() && !now.Before(t.backoffUntil) }
 
 // reportedWithin reports whether the latest report is not older than the given
 // age.
