upstream: a test of unsolicited bytes that can fail

TestUnsolicitedBytes waited until a connection with unread bytes is no longer reusable, for as long as the deadline of its probe, after which it never is; and the idle timeout closed it before. So it passed with the check of the socket broken. It now waits for half of the idle timeout. A sealed success without an ID is tested in upstream too.

--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -122,7 +122,8 @@
 	c.Release()
 	sent <- struct{}{}
 	<-sent
-	for deadline := time.Now().Add(testTimeout); c.isReusable(); time.Sleep(time.Millisecond) {
+	// After the idle timeout and the deadline of the probe no connection is reusable.
+	for deadline := time.Now().Add(DefaultIdleTimeout / 2); c.isReusable(); time.Sleep(time.Millisecond) {
 		assert.Assert(t, time.Now().Before(deadline))
 	}
 	other := acquire(t, p)
--- a/upstream/refusal_test.go
+++ b/upstream/refusal_test.go
@@ -126,6 +126,7 @@
 		accepted       bool
 	}{
 		{"control", head + "Content-Length: 1\r\n\r\nb", true},
+		{"sealed success without ID", "HTTP/1.1 200 OK\r\nRhubarbrelay-Response-Seal: s\r\nContent-Length: 1\r\n\r\nb", false},
 		{"content encoding", head + "Content-Encoding: gzip\r\nContent-Length: 1\r\n\r\nb", false},
 		{"other protocol", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + head + "Content-Length: 1\r\n\r\nb", false},
 	}
