relay, targets, peer: tests of the retry budget, late removals, and large updates

Breaks of these were not seen by the tests of their package: retries without the budget, removals delayed for ever after an outage, removed targets that are never forgotten, and an update that is not split.

--- a/peer/crash_test.go
+++ b/peer/crash_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -58,3 +59,27 @@
 	assert.ErrorIs(t, first.mesh.handleStatements(&peerpb.Packet{Statements: []*peerpb.TargetStatement{{Id: "t", Limit: -1}}}), ErrMalformed)
 	assert.ErrorIs(t, first.mesh.handleStatements(&peerpb.Packet{Statements: []*peerpb.TargetStatement{{Limit: 1}}}), ErrMalformed)
 }
+
+// Guards against an update that is too large for a datagram, and against one whose parts
+// leave a gap or repeat a change.
+func TestLargeUpdateIsSplit(t *testing.T) {
+	first := startInstance(t, "a-1")
+	second := startInstance(t, "a-2", first.address)
+	waitFor(t, "the first knows the second", func() bool { return len(first.directory.Peers()) == 1 })
+	const count = 2*MaxUpdateChanges + 3
+	var changes []targets.Change
+	var offsets []int64
+	for i := range count {
+		changes, offsets = append(changes, targets.Change{ID: fmt.Sprintf("t-%d", i)}), append(offsets, int64(i))
+	}
+	first.mesh.BroadcastUpdate(TargetUpdate{From: at(0), To: at(count), Changes: changes}, offsets, false)
+	waitFor(t, "three updates have arrived", func() bool { return len(second.received()) == 3 })
+	next, received := at(0), 0
+	for _, update := range second.received() {
+		assert.Equal(t, update.From, next)
+		assert.Assert(t, len(update.Changes) <= MaxUpdateChanges)
+		next, received = update.To, received+len(update.Changes)
+	}
+	assert.Equal(t, next, at(count))
+	assert.Equal(t, received, count)
+}
--- a/relay/response_test.go
+++ b/relay/response_test.go
@@ -8,6 +8,9 @@
 
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/limits"
+	"rhubarbrelay/routing"
 )
 
 // respondAlways returns a script that handles all requests in the same way.
@@ -292,3 +295,20 @@
 		assert.Equal(t, got.headers[name], "")
 	}
 }
+
+// Guards against retries beyond the retry budget of the service.
+func TestRetriesKeepToBudget(t *testing.T) {
+	for _, slack := range []float64{0, 100} {
+		disconnect := respondAlways(func(*fasthttp.Request) string { return "" }, true)
+		first, second := newScriptedTarget(t, "t-1", "a", disconnect), newScriptedTarget(t, "t-2", "b", echo)
+		h := newHarness(t, targetInfos(first, second))
+		h.table.SetSettings(routing.Settings{Zone: "a", Retries: limits.RetryLimits{Slack: slack, Window: time.Second}, ProbesPerSecond: 10_000})
+		got := h.call(t, "POST", "/safe/1", "body")
+		if slack == 0 {
+			assert.Equal(t, got.status, 502)
+			assert.Equal(t, len(second.receivedIDs()), 0)
+		} else {
+			assert.Equal(t, got.status, 200, "control")
+		}
+	}
+}
--- a/targets/directory_test.go
+++ b/targets/directory_test.go
@@ -167,3 +167,24 @@
 	assert.Equal(t, len(all), 1)
 	assert.Equal(t, all[0].Slots, 4)
 }
+
+// Guards against removals that are delayed long after the end of an outage, and against
+// removed targets that are remembered for ever.
+func TestRemovalsLongAfterOutage(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	d := NewDirectory(WithClock(func() time.Time { return now }))
+	add := func(id string) { d.Apply([]Change{{ID: id, Target: &Target{ID: id, Service: "s", Slots: 1}}}) }
+	add("t")
+	add("u")
+	d.SetOutageEnd(now)
+	d.Apply([]Change{{ID: "t"}})
+	assert.Equal(t, len(d.ByService("s")), 2, "control: delayed")
+	now = now.Add(removalDelay)
+	d.Apply([]Change{{ID: "u"}})
+	d.RemoveDue()
+	assert.Equal(t, len(d.ByService("s")), 0)
+	assert.Equal(t, len(d.Removed()), 2, "control")
+	now = now.Add(removalRetention + 1)
+	d.RemoveDue()
+	assert.Equal(t, len(d.removed), 0)
+}
