--- a/peer/crash_test.go
+++ b/peer/crash_test.go
@@ -67,10 +67,9 @@
 	second := startInstance(t, "a-2", first.address)
 	waitFor(t, "the first knows the second", func() bool { return len(first.directory.Peers()) == 1 })
 	const count = 2*MaxUpdateChanges + 3
-	var changes []targets.Change
-	var offsets []int64
+	changes, offsets := make([]targets.Change, count), make([]int64, count)
 	for i := range count {
-		changes, offsets = append(changes, targets.Change{ID: fmt.Sprintf("t-%d", i)}), append(offsets, int64(i))
+		changes[i], offsets[i] = targets.Change{ID: fmt.Sprintf("t-%d", i)}, int64(i)
 	}
 	first.mesh.BroadcastUpdate(TargetUpdate{From: at(0), To: at(count), Changes: changes}, offsets, false)
 	waitFor(t, "three updates have arrived", func() bool { return len(second.received()) == 3 })
