relay: a test of suspected requests that can fail

With both checks of suspected requests dropped, TestSuspectsRunOnDifferentTargets passed: the second request chose the other target anyway, as it was less loaded. With one target, the second request must wait while a harmless one does not.

--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -183,25 +183,32 @@
 // Guards against a harmless request that is taken for the cause, since it runs beside
 // one that ends targets on each of them, as both are retried on the same target.
 func TestSuspectsRunOnDifferentTargets(t *testing.T) {
-	release := make(chan struct{})
-	var slow targetScript = func(req *fasthttp.Request) (string, bool) {
-		<-release
+	released := make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
+	defer release() // also after a failure
+	target := newScriptedTarget(t, "t-1", "a", func(req *fasthttp.Request) (string, bool) {
+		<-released
 		return echo(req)
-	}
-	a, b := newScriptedTarget(t, "t-1", "a", slow), newScriptedTarget(t, "t-2", "a", slow)
-	ledger := crashes.NewLedger()
-	h := newHarness(t, targetInfos(a, b), WithCrashLedger(ledger))
+	})
+	ledger := endsTargets("/once/first", 1)
+	addCrash(ledger, "/once/second", 0)
+	h := newHarness(t, targetInfos(target), WithCrashLedger(ledger))
 	var calls sync.WaitGroup
-	for i := range 2 {
-		path := fmt.Sprintf("/once/%d", i)
-		ledger.Add(crashes.NewFingerprint([]byte("POST"), []byte("spoolkeep.example"), []byte(path), []byte("body")), targets.Incarnation{ID: "ended"})
-		calls.Go(func() { assert.Check(t, h.call(t, "POST", path, "body").status == 200) })
-		waitFor(t, "the target has the request", func() bool { return len(a.receivedIDs())+len(b.receivedIDs()) == i+1 })
+	call := func(path string) {
+		calls.Go(func() {
+			assert.Check(t, h.call(t, "POST", path, "body", "Rhubarbrelay-Attempt-Id: "+path).status == 200)
+		})
 	}
-	assert.Equal(t, len(a.receivedIDs()), 1)
-	assert.Equal(t, len(b.receivedIDs()), 1)
-	close(release)
+	call("/once/first")
+	waitFor(t, "the target has the first request", func() bool { return len(target.receivedIDs()) == 1 })
+	call("/once/second")
+	waitFor(t, "the second request waits", func() bool { return h.table.Stats()["spoolkeep"].Waiting == 1 })
+	call("/once/harmless")
+	waitFor(t, "the target has the harmless request", func() bool { return len(target.receivedIDs()) == 2 })
+	assert.DeepEqual(t, target.receivedIDs(), []string{"/once/first", "/once/harmless"})
+	release()
 	calls.Wait()
+	assert.Equal(t, len(target.receivedIDs()), 3)
 }
 
 // endsTargets returns a ledger in which copies of a POST request to the path with the
