upstream: recognize a target that accepts a connection while it ends

A process that is ending may accept the connection of the check and reset it, so that the target counted as running. The check now probes on the new connection and, if that fails, opens another one, which a process that has ended refuses. A running target that resets connections is not taken for ended.

TestEnded covers both cases and a control.

--- a/routing/lease.go
+++ b/routing/lease.go
@@ -1,8 +1,6 @@
 package routing
 
 import (
-	"errors"
-	"syscall"
 	"time"
 
 	"rhubarbrelay/platform"
@@ -76,11 +74,9 @@
 	return !l.target.statements.silent(d.clock())
 }
 
-// TargetEnded reports whether the process of the target has ended: it refuses a new
-// connection.
-func (l *Lease) TargetEnded(deadline time.Time) bool {
-	return errors.Is(l.target.pool.Check(deadline), syscall.ECONNREFUSED)
-}
+// TargetEnded reports whether the process of the target has ended, as far as that shows
+// before the deadline.
+func (l *Lease) TargetEnded(deadline time.Time) bool { return l.target.pool.Ended(deadline) }
 
 // Release ends the lease and records the outcome of the try. info is what the
 // headers of the response state, zero without a response.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"rhubarbrelay/sockets"
@@ -140,18 +142,31 @@
 	return newConn(netConn, p), nil
 }
 
-// Check opens a connection outside the pool, before the deadline, and closes it again.
-// Open connections do not tell whether the target still runs: the end of each of them
-// may arrive at another time.
-func (p *Pool) Check(deadline time.Time) error {
+// Ended reports whether the process of the target has ended: it refuses a new
+// connection. Open connections do not tell, as the end of each may arrive at another
+// time. A process that is ending may accept a connection and reset it, and refuses only
+// the next one.
+func (p *Pool) Ended(deadline time.Time) bool {
+	netConn, err := p.dialOnce(deadline)
+	if err == nil && p.destination.HealthPath != "" {
+		if _, _, probeErr := newConn(netConn, p).Probe(deadline); probeErr != nil && time.Now().Before(deadline) {
+			_ = netConn.Close()
+			netConn, err = p.dialOnce(deadline)
+		}
+	}
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = netConn.Close()
+	return false
+}
+
+// dialOnce opens a connection outside the pool.
+func (p *Pool) dialOnce(deadline time.Time) (net.Conn, error) {
 	p.dials.Add(1)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	netConn, err := p.dial(ctx, "tcp", p.host)
-	if err != nil {
-		return err
-	}
-	return netConn.Close()
+	return p.dial(ctx, "tcp", p.host)
 }
 
 func (p *Pool) release(c *Conn) {
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -213,3 +213,51 @@
 	c.Release()
 	assert.Equal(t, p.openConns, 0)
 }
+
+// Guards against a target that counts as running because it accepts a connection while
+// its process ends, and against one that counts as ended although it only resets
+// connections.
+func TestEnded(t *testing.T) {
+	tests := []struct {
+		name    string
+		serves  bool // whether it responds to probes
+		accepts int  // connections until the target refuses them, 0 for no limit
+		want    bool
+	}{
+		{"runs", true, 0, false},
+		{"resets connections", false, 0, false},
+		{"accepts one more connection", false, 1, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			var running sync.WaitGroup
+			running.Go(func() {
+				for n := 1; ; n++ {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					if n == tt.accepts {
+						_ = l.Close()
+					}
+					if tt.serves {
+						running.Go(func() {
+							respondWith("")(c, bufio.NewReader(c))
+							_ = c.Close()
+						})
+						continue
+					}
+					_ = c.Close()
+				}
+			})
+			p := NewPool(Destination{Address: netip.MustParseAddrPort(l.Addr().String()), HealthPath: "/healthz"}, 1)
+			assert.Equal(t, p.Ended(time.Now().Add(testTimeout)), tt.want)
+			p.Close()
+			_ = l.Close()
+			running.Wait()
+			assert.Assert(t, p.Ended(time.Now().Add(testTimeout)), "the listener is closed")
+		})
+	}
+}
