--- a/crashes/ledger.go
+++ b/crashes/ledger.go
@@ -169,9 +169,11 @@
 	return n
 }
 
-func (l *Ledger) isExplained(target TargetKey, fewer int) bool {
+// isExplained reports whether a blocked entry with more targets than the given number has
+// the target. The caller must hold l.mu.
+func (l *Ledger) isExplained(target TargetKey, count int) bool {
 	for _, e := range l.entries {
-		if len(e.targets) >= MaxCrashes && len(e.targets) > fewer && slices.Contains(e.targets, target) {
+		if len(e.targets) >= MaxCrashes && len(e.targets) > count && slices.Contains(e.targets, target) {
 			return true
 		}
 	}
--- a/routing/statements.go
+++ b/routing/statements.go
@@ -190,8 +190,8 @@
 	return s.share.Allows(now)
 }
 
-// mayRecheck reports whether a target that admits no request is worth a probe, since
-// its limit may have ended. The caller must hold d.mu.
+// mayRecheck reports whether a target that admits no request may be probed, to find out
+// whether its limit has ended. The caller must hold d.mu.
 func (d *Dispatcher) mayRecheck(t *target, now time.Time) bool {
 	s := &t.statements
 	return s.limited && !s.silent(now) && d.service.HealthPath != "" && now.Sub(s.limitStatedAt) >= limitRecheckInterval
