reachability, routing, daemon: tell a lost network link from targets that are full

'No target becomes free in time' was logged for full targets and for targets that cannot be reached alike, so that a log could not tell whether an instance is cut off or its targets are busy.

The package reachability concludes from the outcomes of connections whether an instance has lost its links to the targets of a service; instances without requests contact a target each second. The change is logged with the error of the last connection, the metrics are unreached and reach. No decision uses it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"rhubarbrelay/settings"
 	"rhubarbrelay/targets"
 	"rhubarbrelay/timeline"
+	"rhubarbrelay/upstream"
 )
 
 // The fractions of the memory of the process that the large bodies of all requests,
@@ -55,6 +56,7 @@
 	relay          *relay.Server
 	entryServer    *relay.EntryServer
 	admin          *admin.Server
+	targetDial     upstream.DialFunc // nil for the default
 	// peerClient calls the administration API of other instances.
 	peerClient *fasthttp.Client
 	// joining is the number of instances that join through this one now, hasJoined
@@ -63,11 +65,22 @@
 	hasJoined atomic.Bool
 }
 
+// Option configures a Daemon.
+type Option func(*Daemon)
+
+// WithTargetDial replaces the function that opens connections to targets.
+func WithTargetDial(dial upstream.DialFunc) Option {
+	return func(d *Daemon) { d.targetDial = dial }
+}
+
 // New returns an instance that has not been started.
-func New(s *settings.Settings, logger log.Interface) *Daemon {
+func New(s *settings.Settings, logger log.Interface, opts ...Option) *Daemon {
 	clock := timeline.NewClock(time.Now)
 	store := platform.NewStore(s.Store.Address)
 	d := &Daemon{settings: s, logger: logger, startedAt: time.Now(), recorder: timeline.NewRecorder(s.Instance.ID, clock), changeLog: newChangeLog(logger)}
+	for _, opt := range opts {
+		opt(d)
+	}
 	d.peerClient = &fasthttp.Client{MaxResponseBodySize: maxPeerResponse, NoDefaultUserAgentHeader: true}
 	d.members = membership.NewDirectory(membership.Instance{
 		ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: time.Now().UnixMilli(),
@@ -75,7 +88,7 @@
 	}, membership.WithOnChange(d.onMembersChanged))
 	d.selector = entry.NewSelector(d.members)
 	d.targets = targets.NewDirectory(targets.WithOnChange(d.onTargetsChanged))
-	d.table = routing.NewTable(d.routingSettings(s), d.targets, routing.WithLogger(logger),
+	d.table = routing.NewTable(d.routingSettings(s), d.targets, routing.WithLogger(logger), routing.WithPoolFactory(d.newTargetPool),
 		routing.WithLimitSharing(entry.NewLimitSharing(d.members, time.Now)),
 		routing.WithOnStatement(func(s targets.Statement) { d.mesh.BroadcastStatement(s) }))
 	d.crashes = crashes.NewLedger(crashes.WithOnChange(d.onCrashRecord))
@@ -96,6 +109,13 @@
 	return d
 }
 
+func (d *Daemon) newTargetPool(destination upstream.Destination, limit int) *upstream.Pool {
+	if d.targetDial == nil {
+		return upstream.NewPool(destination, limit)
+	}
+	return upstream.NewPool(destination, limit, upstream.WithDial(d.targetDial))
+}
+
 func (d *Daemon) routingSettings(s *settings.Settings) routing.Settings {
 	return routing.Settings{
 		Zone: s.Instance.Zone,
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -59,6 +59,8 @@
 	Limited         int    `json:"limited"`
 	Leaving         int    `json:"leaving"`
 	Quiet           int    `json:"quiet"`
+	Unreached       int    `json:"unreached"`
+	Reach           string `json:"reach"`
 }
 
 // peerMetrics counts datagrams exchanged with other instances.
--- /dev/null
+++ b/daemon/reach.go
@@ -0,0 +1,58 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"rhubarbrelay/reachability"
+	"rhubarbrelay/routing"
+)
+
+// reachInterval is the time between two checks whether targets can be reached. The
+// services take turns, so that the checks of an instance do not grow with their number.
+const reachInterval = 250 * time.Millisecond
+
+// watchReach checks until the context ends whether this instance reaches the targets, and
+// logs the changes.
+func (d *Daemon) watchReach(ctx context.Context) error {
+	ticker := time.NewTicker(reachInterval)
+	defer ticker.Stop()
+	states := map[string]reachability.State{}
+	for turn := 0; ; turn++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		dispatchers := d.table.Dispatchers()
+		checkReach(dispatchers, turn)
+		d.logReach(dispatchers, states)
+	}
+}
+
+func checkReach(dispatchers []*routing.Dispatcher, turn int) {
+	var checks sync.WaitGroup
+	for i, dispatcher := range dispatchers {
+		checks.Go(func() { dispatcher.CheckReach(i == turn%len(dispatchers)) })
+	}
+	checks.Wait()
+}
+
+// logReach logs the states that differ from the given ones, and updates these.
+func (d *Daemon) logReach(dispatchers []*routing.Dispatcher, states map[string]reachability.State) {
+	for _, dispatcher := range dispatchers {
+		service, state := dispatcher.Service().Name, dispatcher.Reach()
+		if states[service] == state {
+			continue
+		}
+		states[service] = state
+		fields := log.Fields{"service": service, "reach": state.String(), "unreached": dispatcher.Stats().Unreached}
+		if err := dispatcher.LastDialError(); err != nil {
+			fields["last_error"] = err.Error()
+		}
+		d.logger.WithFields(fields).Warn("reachability of the targets changed")
+	}
+}
--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -11,6 +11,7 @@
 	"rhubarbrelay/config"
 	"rhubarbrelay/limits"
 	"rhubarbrelay/platform"
+	"rhubarbrelay/reachability"
 	"rhubarbrelay/targets"
 	"rhubarbrelay/upstream"
 )
@@ -49,7 +50,9 @@
 	instances       InstanceCounts
 	targets         map[targets.Incarnation]*target
 	former          formerStatements
-	remoteDependent bool // whether the local zone depends on targets of other zones
+	reach           *reachability.Tracker
+	lastDialError   error // the last one of any target
+	remoteDependent bool  // whether the local zone depends on targets of other zones
 	recent          recentTargets
 	// averageFailureRate is the moving average, over all targets, of the fraction
 	// of tries with the outcome Failed or Shed among those with the outcome
@@ -98,7 +101,7 @@
 		settings: settings, clock: time.Now, service: service, instances: instances,
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		newPool: func(to upstream.Destination, limit int) *upstream.Pool { return upstream.NewPool(to, limit) },
-		targets: map[targets.Incarnation]*target{}, former: formerStatements{}, logger: log.Log, sharing: soleInstance{},
+		targets: map[targets.Incarnation]*target{}, former: formerStatements{}, reach: reachability.NewTracker(), logger: log.Log, sharing: soleInstance{},
 		onStatement:      func(targets.Statement) {},
 		sharedStatements: rate.NewLimiter(sharedStatementsPerSecond, sharedStatementsPerSecond),
 		statementLogs:    rate.NewLimiter(statementLogsPerSecond, statementLogsPerSecond),
@@ -159,10 +162,14 @@
 			d.targets[info.Incarnation()] = t
 		}
 		t.info = info
+		if !t.inService() {
+			d.reach.Forget(info.Incarnation())
+		}
 	}
 	for incarnation, t := range d.targets {
 		if !listed[incarnation] {
 			t.pool.Close()
+			d.reach.Forget(incarnation)
 			d.former.add(incarnation, t.statements, now)
 			delete(d.targets, incarnation)
 		}
@@ -203,6 +210,7 @@
 	s := d.stats
 	s.Waiting = d.queue.len()
 	s.Targets = len(d.targets)
+	s.Unreached, s.Reach = d.reach.Unreached(), d.reach.State().String()
 	for _, t := range d.targets {
 		s.InFlight += len(t.inFlight)
 		t.statements.count(&s, d.clock())
@@ -240,6 +248,7 @@
 		d.recordStatements(t, info, l.start, now)
 	}
 	d.recordOutcome(l, outcome, now)
+	d.recordTryReach(t, outcome, info, now)
 	d.queue.wakeScanners()
 }
 
--- a/routing/lease.go
+++ b/routing/lease.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"errors"
 	"time"
 
 	"rhubarbrelay/platform"
@@ -62,7 +63,11 @@
 		l.conn = nil
 		return c, nil
 	}
-	return l.target.pool.Acquire(deadline)
+	c, err := l.target.pool.Acquire(deadline)
+	if errors.Is(err, upstream.ErrUnreachable) {
+		l.dispatcher.recordUnreached(l.target, err)
+	}
+	return c, err
 }
 
 // Admitted reports whether the target has not stated, since it was chosen, that it wants
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -83,9 +83,11 @@
 
 // probe probes one target. The result has no connection if the target cannot be
 // used.
-func (d *Dispatcher) probe(t *target) probeResult {
+func (d *Dispatcher) probe(t *target) probeResult { return d.probeWithin(t, probeTimeout) }
+
+func (d *Dispatcher) probeWithin(t *target, timeout time.Duration) probeResult {
 	began := d.clock()
-	deadline := time.Now().Add(probeTimeout)
+	deadline := time.Now().Add(timeout)
 	conn, err := t.pool.Acquire(deadline)
 	if err != nil {
 		d.recordProbe(t, platform.ResponseInfo{}, false, began, err)
@@ -112,6 +114,7 @@
 	case err != nil:
 		d.stats.ProbeFailures++
 		t.startBackoff(now)
+		d.recordFailedContact(t, err, now)
 		return false
 	case info.Target != "" && info.Target != t.info.ID:
 		t.replaced = true
@@ -119,6 +122,7 @@
 	case !healthy:
 		t.recordFailure(shedWeight, now)
 	}
+	d.recordReached(t, now)
 	d.recordStatements(t, info, began, now)
 	if info.HasLoad {
 		d.recordReport(t, info.Load, now)
--- a/routing/table.go
+++ b/routing/table.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"rhubarbrelay/config"
@@ -36,6 +38,17 @@
 	return t.dispatchers[service]
 }
 
+// Dispatchers returns the dispatchers of all services, by name.
+func (t *Table) Dispatchers() []*Dispatcher {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	all := make([]*Dispatcher, 0, len(t.dispatchers))
+	for _, name := range slices.Sorted(maps.Keys(t.dispatchers)) {
+		all = append(all, t.dispatchers[name])
+	}
+	return all
+}
+
 // Update applies the services of a new configuration.
 func (t *Table) Update(services map[string]*config.Service) {
 	t.mu.Lock()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -83,7 +83,7 @@
 func (p *Pool) Dials() uint64 { return p.dials.Load() }
 
 // Acquire returns an idle connection, or opens one before the deadline. The
-// error wraps ErrNotSent.
+// error wraps ErrNotSent and, if the target could not be reached, ErrUnreachable.
 func (p *Pool) Acquire(deadline time.Time) (*Conn, error) {
 	for {
 		c, err := p.reserve()
@@ -137,11 +137,20 @@
 		p.mu.Lock()
 		p.openConns--
 		p.mu.Unlock()
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		return nil, fmt.Errorf("%w: %w: %w", ErrNotSent, ErrUnreachable, err)
 	}
 	return newConn(netConn, p), nil
 }
 
+// TestPath opens a connection and closes it. The error wraps ErrUnreachable.
+func (p *Pool) TestPath(deadline time.Time) error {
+	netConn, err := p.dialOnce(deadline)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	return netConn.Close()
+}
+
 // Ended reports whether the process of the target has ended: it refuses a new
 // connection. Open connections do not tell, as the end of each may arrive at another
 // time. A process that is ending may accept a connection and reset it, and refuses only
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -13,6 +13,9 @@
 	ErrNotSent = errors.New("request was not sent")
 	// ErrOutcomeUnknown means that the request may have run.
 	ErrOutcomeUnknown = errors.New("outcome of the request is unknown")
+	// ErrUnreachable means that no connection could be opened. It is wrapped together with
+	// ErrNotSent.
+	ErrUnreachable = errors.New("target cannot be reached")
 	// ErrPoolClosed means that the pool was closed: its target is no longer in use,
 	// or a new pool has replaced it because the health path of the service changed.
 	ErrPoolClosed = errors.New("connection pool is closed")
