relay, daemon, entry: pass requests on whose targets an instance cannot reach

Callers of an instance that had lost its links to all targets got 503 after up to 0.6 s for as long as that lasted, although the other instances reached every target.

Cause: a request could be run only by a target that this very instance reaches, and nothing concluded from the failed connections that the instance is the cause.

An instance that has lost its links to the targets of a service tells the others in its heartbeats, and passes requests of the service on, over TCP, to an instance that has not. One that reaches a few targets tries these first. Nothing is passed on of which a byte was sent to a target, nor a second time: the port tells that a request comes from an instance. The request ID, the deadline and the caller's close reach the target through both; retries and requests count at the instance that runs them.

--- a/daemon/cut_test.go
+++ b/daemon/cut_test.go
@@ -81,6 +81,7 @@
 const (
 	cutInstances = 3
 	cutTargets   = 10
+	cutRequests  = 30
 )
 
 func newCutSystem(t *testing.T, shape cutShape) *cutSystem {
@@ -166,11 +167,11 @@
 	return resp.StatusCode()
 }
 
-// served returns how many of the requests that are sent to an instance one after the
+// served returns how many of cutRequests requests that are sent to an instance one after the
 // other are answered with success.
-func (s *cutSystem) served(instance, requests int) int {
+func (s *cutSystem) served(instance int) int {
 	n := 0
-	for range requests {
+	for range cutRequests {
 		if s.call(instance) == fasthttp.StatusOK {
 			n++
 		}
@@ -189,16 +190,15 @@
 func TestCallersOfInstanceCutOffFromTargets(t *testing.T) {
 	for _, shape := range cutShapes {
 		t.Run(shape.name, func(t *testing.T) {
-			const requests = 30
 			s := newCutSystem(t, shape)
-			assert.Equal(t, s.served(0, requests), requests) // control
+			assert.Equal(t, s.served(0), cutRequests) // control
 			s.dialer.cut.Store(true)
 			eventually(t, "the instance serves a request", func() bool { return s.call(0) == fasthttp.StatusOK })
-			assert.Equal(t, s.served(0, requests), requests)
-			assert.Equal(t, s.served(1, requests), requests)
+			assert.Equal(t, s.served(0), cutRequests)
+			assert.Equal(t, s.served(1), cutRequests)
 			s.dialer.cut.Store(false)
 			eventually(t, "the instance reaches the targets again", func() bool { return s.instances[0].table.Dispatcher("s").Reach() == 0 })
-			assert.Equal(t, s.served(0, requests), requests)
+			assert.Equal(t, s.served(0), cutRequests)
 		})
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -102,7 +102,7 @@
 	d.registrar = registry.NewRegistrar(store, d.members, logger, registry.WithStoreEra(d.targetFollower.Era))
 	d.freshness = newFreshness(d.targetFollower, d.configFollower, s.Budgets.DrainDelay, d.recordSuspension)
 	d.relay = relay.NewServer(d.configFollower, d.table, relay.WithRecorder(d.recorder), relay.WithLogger(logger),
-		relay.WithFreshness(d.freshness), relay.WithMaxConnections(s.Callers.MaxConnections), relay.WithCrashLedger(d.crashes),
+		relay.WithFreshness(d.freshness), relay.WithMaxConnections(s.Callers.MaxConnections), relay.WithCrashLedger(d.crashes), relay.WithPeers(d.selector),
 		relay.WithMemory(newMemory(s, requestMemoryFraction), newMemory(s, responseMemoryFraction)))
 	d.entryServer = relay.NewEntryServer(d.selector, s.Callers.EntryTTL, d.ready, logger)
 	d.admin = admin.NewServer(d, d.recorder, s.Admin.Token, logger)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -37,6 +37,8 @@
 	Hedges         uint64            `json:"hedges"`
 	Panics         uint64            `json:"panics"`
 	Blocked        uint64            `json:"blocked"`
+	PassedOn       uint64            `json:"passed_on"`
+	TakenOver      uint64            `json:"taken_over"`
 	Refused        map[string]uint64 `json:"refused"`
 	LatencyUS      map[string]int64  `json:"latency_us"`
 }
@@ -98,6 +100,7 @@
 func newCallerMetrics(s relay.Stats, inProgress int64) callerMetrics {
 	m := callerMetrics{
 		InProgress: inProgress, Forwarded: s.Forwarded, UnknownOutcome: s.UnknownOutcome, Retries: s.Retries, Hedges: s.Hedges, Panics: s.Panics, Blocked: s.Blocked,
+		PassedOn: s.PassedOn, TakenOver: s.TakenOver,
 		Refused: s.Refused, LatencyUS: map[string]int64{},
 	}
 	for name, latency := range s.Latencies {
--- a/daemon/reach.go
+++ b/daemon/reach.go
@@ -15,8 +15,8 @@
 // services take turns, so that the checks of an instance do not grow with their number.
 const reachInterval = 250 * time.Millisecond
 
-// watchReach checks until the context ends whether this instance reaches the targets, and
-// logs the changes.
+// watchReach checks until the context ends whether this instance reaches the targets, logs
+// the changes and tells the other instances of them.
 func (d *Daemon) watchReach(ctx context.Context) error {
 	ticker := time.NewTicker(reachInterval)
 	defer ticker.Stop()
@@ -30,6 +30,22 @@
 		dispatchers := d.table.Dispatchers()
 		checkReach(dispatchers, turn)
 		d.logReach(dispatchers, states)
+		d.announceReach(dispatchers)
+	}
+}
+
+// announceReach tells the other instances to the targets of which services this one has
+// lost its links, if that has changed.
+func (d *Daemon) announceReach(dispatchers []*routing.Dispatcher) {
+	var unreachable []string
+	for _, dispatcher := range dispatchers {
+		if dispatcher.Reach() != reachability.Reachable {
+			unreachable = append(unreachable, dispatcher.Service().Name)
+		}
+	}
+	wasActive := d.selector.IsActive()
+	if d.members.SetUnreachable(unreachable) {
+		d.mesh.AnnounceReach(wasActive)
 	}
 }
 
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -4,6 +4,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"rhubarbrelay/membership"
@@ -74,6 +75,36 @@
 	return selected[:min(len(selected), MaxAddresses)]
 }
 
+// SelectPeer returns the address at which another instance takes over requests for the
+// service, as this one cannot reach its targets: a random active instance that has not lost
+// its own links, of the local zone if there is one. ok is false if there is none but the
+// excluded ones.
+func (s *Selector) SelectPeer(service string, exclude []netip.AddrPort) (address netip.AddrPort, ok bool) {
+	self := s.directory.Self()
+	var local, remote []netip.AddrPort
+	inZone := map[string]int{}
+	for _, in := range s.directory.Ready() {
+		if in.ID == self.ID || !in.PeerAddress.IsValid() || !in.Reaches(service) {
+			continue
+		}
+		inZone[in.Zone]++
+		switch {
+		case slices.Contains(exclude, in.PeerAddress), inZone[in.Zone] > minActive:
+		case in.Zone == self.Zone:
+			local = append(local, in.PeerAddress)
+		default:
+			remote = append(remote, in.PeerAddress)
+		}
+	}
+	if len(local) == 0 {
+		local = remote
+	}
+	if len(local) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return local[rand.IntN(len(local))], true
+}
+
 // ActiveCount returns the number of active instances in all zones, at least 1.
 func (s *Selector) ActiveCount() int {
 	zones := map[string]int{}
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -31,8 +31,15 @@
 	AdminAddress  netip.AddrPort
 	State         State
 	ConfigVersion int64
+	// Unreachable are the services to whose targets the instance has lost its network
+	// links, sorted. They change like the state.
+	Unreachable []string
 }
 
+// Reaches reports whether the instance has not lost its links to the targets of the
+// service.
+func (in Instance) Reaches(service string) bool { return !slices.Contains(in.Unreachable, service) }
+
 const (
 	// missedHeartbeats is the number of heartbeat intervals after the last packet
 	// of an instance during which it counts as alive. After them it is considered
@@ -76,8 +83,8 @@
 func WithClock(clock func() time.Time) Option { return func(d *Directory) { d.clock = clock } }
 
 // WithOnChange sets a function that is called, without a lock held, after an
-// instance was added, restarted or removed, changed its state, sent its first
-// packet, or sent a packet while it was considered dead. No call is made when an
+// instance was added, restarted or removed, changed its state or the services that it
+// reaches, sent its first packet, or sent a packet while it was considered dead. No call is made when an
 // instance becomes dead: whether it is alive is computed from the time of its last
 // packet whenever the directory is queried.
 func WithOnChange(fn func()) Option { return func(d *Directory) { d.onChange = fn } }
@@ -115,6 +122,26 @@
 	d.onChange()
 }
 
+// differs reports whether what changes within an incarnation, except for the configuration
+// version, differs between two states of an instance.
+func (in Instance) differs(other Instance) bool {
+	return in.State != other.State || !slices.Equal(in.Unreachable, other.Unreachable)
+}
+
+// SetUnreachable sets the services to whose targets this instance has lost its network
+// links, sorted, and reports whether they have changed. If so, it calls the function set by
+// WithOnChange.
+func (d *Directory) SetUnreachable(services []string) bool {
+	d.mu.Lock()
+	changed := !slices.Equal(services, d.self.Unreachable)
+	d.self.Unreachable = services
+	d.mu.Unlock()
+	if changed {
+		d.onChange()
+	}
+	return changed
+}
+
 // SetConfigVersion sets the version of the active configuration of this instance.
 func (d *Directory) SetConfigVersion(version int64) {
 	d.mu.Lock()
@@ -161,14 +188,14 @@
 	}
 	sameIncarnation := m != nil && in.Incarnation == m.instance.Incarnation
 	if !complete {
-		state, version := in.State, in.ConfigVersion
+		state, version, unreachable := in.State, in.ConfigVersion, in.Unreachable
 		in = m.instance
-		in.State, in.ConfigVersion = state, version
+		in.State, in.ConfigVersion, in.Unreachable = state, version, unreachable
 	}
 	if sameIncarnation && m.instance.State == Leaving {
 		in.State = Leaving // a leaving instance never becomes ready again; the packet is an earlier one that arrived late
 	}
-	changed := !sameIncarnation || m.instance.State != in.State || !d.alive(m)
+	changed := !sameIncarnation || m.instance.differs(in) || !d.alive(m)
 	now := d.clock()
 	d.members[in.ID] = &member{instance: in, lastPacket: now, lastSeen: now, interval: interval}
 	d.mu.Unlock()
--- a/membership/sighting.go
+++ b/membership/sighting.go
@@ -67,7 +67,7 @@
 	if m.instance.State == Leaving {
 		in.State = Leaving
 	}
-	changed := m.instance.State != in.State || !d.alive(m)
+	changed := m.instance.differs(in) || !d.alive(m)
 	interval := m.interval
 	if interval == 0 { // only its registration was known
 		interval = sightingInterval
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -122,6 +122,15 @@
 	}
 }
 
+// AnnounceReach sends the changed reachability of this instance at once to the local zone
+// and, if it was active or is, to the forwarders of remote zones.
+func (m *Mesh) AnnounceReach(wasActive bool) {
+	m.announce(false)
+	if wasActive || m.active() {
+		m.sendToForwarders(&peerpb.Packet{PassOn: true})
+	}
+}
+
 // AnnounceLeaving announces several times that this instance leaves: to all zones
 // if it was active, else to the local zone.
 func (m *Mesh) AnnounceLeaving(ctx context.Context, wasActive bool) {
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -9,6 +9,7 @@
 	"rhubarbrelay/bodies"
 	"rhubarbrelay/crashes"
 	"rhubarbrelay/platform"
+	"rhubarbrelay/reachability"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/timeline"
 )
@@ -54,7 +55,19 @@
 			t.abandon()
 		}
 	}()
-	if err := r.startTry(false); err != nil {
+	c.elsewhere = s.mayPassOn(c)
+	if c.dispatcher.Reach() == reachability.Lost && s.passOn(caller, req, resp, c) {
+		return
+	}
+	err := r.startTry(false)
+	if errors.Is(err, routing.ErrUnreachable) {
+		if s.passOn(caller, req, resp, c) {
+			return
+		}
+		c.elsewhere = false
+		err = r.startTry(false)
+	}
+	if err != nil {
 		s.refuseUndispatched(resp, c, err, caller.closed())
 		return
 	}
@@ -62,6 +75,7 @@
 	switch {
 	case final != nil:
 		s.forwardResponse(resp, c, final)
+	case reason == nil && c.unreached() && s.passOn(caller, req, resp, c):
 	case reason == nil:
 		s.respondWithLastTry(resp, c)
 	case errors.Is(reason, errCallerClosed):
@@ -146,6 +160,7 @@
 	lease, err := c.dispatcher.Acquire(r.caller, &routing.Request{
 		Route: c.route.Key(), Arrival: c.arrival, PriorElapsed: c.priorElapsed, Deadline: c.deadline, Objective: c.route.Objective,
 		Priority: c.route.Priority, Exclude: c.triedTargets, Retry: isRetry, Suspect: ended > 0,
+		Elsewhere: c.elsewhere && !isRetry,
 	})
 	if err != nil {
 		return nil, err
--- a/relay/heldbody.go
+++ b/relay/heldbody.go
@@ -13,6 +13,10 @@
 	reservation *bodies.Reservation
 }
 
+func newHeldBody(body []byte, reservation *bodies.Reservation) *heldBody {
+	return &heldBody{Reader: bytes.NewReader(body), reservation: reservation}
+}
+
 // Close implements io.Closer.
 func (b *heldBody) Close() error {
 	b.reservation.Release()
@@ -24,7 +28,7 @@
 func (t *try) takeBody(body []byte) *heldBody {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	held := &heldBody{Reader: bytes.NewReader(body), reservation: t.reservation}
+	held := newHeldBody(body, t.reservation)
 	t.reservation = nil
 	return held
 }
--- a/relay/input.go
+++ b/relay/input.go
@@ -42,6 +42,9 @@
 	return input{conn: counted, number: number}
 }
 
+// fromPeer reports whether another instance has sent the request.
+func (in *input) fromPeer() bool { return in.conn != nil && in.conn.fromPeer }
+
 func (in *input) endIn(stage string, err error) { in.endedIn, in.err = stage, err }
 
 // stageOf returns the part of the request in which fasthttp met an error. It reads the
--- a/relay/listener.go
+++ b/relay/listener.go
@@ -31,6 +31,7 @@
 type limitedListener struct {
 	net.Listener
 	limit           int64
+	fromPeers       bool // whether other instances connect, not callers
 	open            atomic.Int64
 	refuse          func(conn net.Conn, readRequest bool)
 	pendingRefusals atomic.Int64
@@ -45,7 +46,7 @@
 			return nil, err
 		}
 		if l.open.Add(1) <= l.limit {
-			return &countedConn{Conn: conn, open: &l.open}, nil
+			return &countedConn{Conn: conn, open: &l.open, fromPeer: l.fromPeers}, nil
 		}
 		l.open.Add(-1)
 		l.refuseExcess(conn)
@@ -74,6 +75,7 @@
 type countedConn struct {
 	net.Conn
 	open     *atomic.Int64
+	fromPeer bool
 	closed   atomic.Bool
 	received int64 // bytes
 	readErr  error // the last error of Read
--- a/relay/request.go
+++ b/relay/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -49,6 +50,10 @@
 	body         []byte
 	reservation  *bodies.Reservation // for body
 	lastTry      *try
+	// elsewhere is set while another instance may run the request.
+	elsewhere bool
+	fromPeer  bool           // whether another instance has passed the request on
+	peer      netip.AddrPort // the instance that the request was passed on to last
 }
 
 // reset clears the call for reuse. It keeps the body buffer unless it is large.
@@ -68,6 +73,9 @@
 	c.reservation = bodies.NewReservation(s.requestMemory, requestCopies)
 	c.arrival = time.Now()
 	c.input = newInput(ctx.Conn(), ctx.ConnRequestNum())
+	if c.fromPeer = c.input.fromPeer(); c.fromPeer {
+		s.counters.takenOver.Add(1)
+	}
 	s.relayRequest(ctx, c)
 	c.reservation.Release()
 	ctx.Request.ResetBody() // the body refers to the call's buffer
@@ -83,6 +91,7 @@
 // admission.
 func (s *Server) handleExpect(ctx *fasthttp.RequestCtx) (status int) {
 	c := call{arrival: time.Now(), input: newInput(ctx.Conn(), ctx.ConnRequestNum()+1)}
+	c.fromPeer = c.input.fromPeer()
 	status = fasthttp.StatusInternalServerError // after a panic
 	defer s.recoverPanic(&ctx.Response, &c)
 	f := s.admit(&ctx.Request, &c)
@@ -187,7 +196,11 @@
 		if d := c.arrival.Add(timeout); d.Before(c.deadline) {
 			c.deadline = d
 		}
-		c.priorElapsed = s.timeouts.recordTimeout(c.route.Key(), timeout)
+		if c.fromPeer {
+			c.priorElapsed = s.timeouts.elapsed(c.route.Key(), timeout)
+		} else {
+			c.priorElapsed = s.timeouts.recordTimeout(c.route.Key(), timeout)
+		}
 	}
 	if f := s.limitToDrainEnd(c); f != nil {
 		return f
--- a/relay/response.go
+++ b/relay/response.go
@@ -104,12 +104,21 @@
 
 // forwardResponse forwards a target's response to the caller.
 func (s *Server) forwardResponse(resp *fasthttp.Response, c *call, t *try) {
+	s.copyResponse(resp, c, t.resp, t.takeBody)
+	if s.forwardLogs.Allow() {
+		s.logger.WithFields(s.logFields(c, t)).WithField("status", resp.StatusCode()).Info("request answered")
+	}
+}
+
+// copyResponse copies a target's response for the caller. hold takes over the memory of a
+// large body.
+func (s *Server) copyResponse(resp *fasthttp.Response, c *call, from *fasthttp.Response, hold func(body []byte) *heldBody) {
 	skipBody := resp.SkipBody
-	if body := t.resp.Body(); len(body) > bodies.SmallBody {
-		t.resp.Header.CopyTo(&resp.Header)
-		resp.SetBodyStream(t.takeBody(body), len(body))
+	if body := from.Body(); len(body) > bodies.SmallBody {
+		from.Header.CopyTo(&resp.Header)
+		resp.SetBodyStream(hold(body), len(body))
 	} else {
-		t.resp.CopyTo(resp)
+		from.CopyTo(resp)
 	}
 	resp.SkipBody = skipBody
 	c.header.stripResponse(&resp.Header)
@@ -119,9 +128,6 @@
 	resp.Header.SetNoDefaultContentType(true)
 	s.counters.forwarded.Add(1)
 	s.counters.observeLatency(time.Since(c.arrival))
-	if s.forwardLogs.Allow() {
-		s.logger.WithFields(s.logFields(c, t)).WithField("status", resp.StatusCode()).Info("request answered")
-	}
 }
 
 // respondWithLastTry responds after all tries have failed. It forwards the
@@ -225,6 +231,12 @@
 	if c.route != nil {
 		f["route"], f["service"], f["tries"] = c.route.Name, c.service, c.sentTries
 	}
+	if c.fromPeer {
+		f["from_peer"] = true
+	}
+	if c.peer.IsValid() {
+		f["peer"] = c.peer.String()
+	}
 	if c.priorElapsed > 0 {
 		f["spent"] = c.priorElapsed.Round(time.Millisecond).String()
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -97,8 +97,11 @@
 	inProgress atomic.Int64
 	calls      sync.Pool // of *call
 	http       *fasthttp.Server
-	// maxConnections limits the number of connections from callers.
+	// maxConnections limits the number of connections from callers, and that of connections
+	// from other instances.
 	maxConnections int
+	peers          PeerSelector // nil for none
+	peerPools      *peerPools
 	// requestMemory and responseMemory limit the large bodies of all requests and all
 	// responses; nil means no limit. They are separate, so that requests that wait for
 	// their responses do not hold the memory that those need.
@@ -128,6 +131,10 @@
 	return func(s *Server) { s.requestMemory, s.responseMemory = requests, responses }
 }
 
+// WithPeers sets the other instances to which requests are passed on whose targets this one
+// cannot reach. By default there are none.
+func WithPeers(peers PeerSelector) Option { return func(s *Server) { s.peers = peers } }
+
 // WithMaxRequestBody limits the size of a request body in bytes.
 func WithMaxRequestBody(size int) Option { return func(s *Server) { s.http.MaxRequestBodySize = size } }
 
@@ -146,6 +153,7 @@
 		calls:         sync.Pool{New: func() any { return &call{} }},
 		counters:      newCounters(),
 		crashes:       crashes.NewLedger(),
+		peerPools:     newPeerPools(),
 	}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
@@ -170,10 +178,10 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	// The listener enforces the limit. A fasthttp worker becomes free only shortly
+	// The listeners enforce the limit, one for callers and one for other instances. A fasthttp worker becomes free only shortly
 	// after its connection is closed, so there must be more workers than
 	// connections.
-	s.http.Concurrency = 2 * s.maxConnections
+	s.http.Concurrency = 2 * 2 * s.maxConnections
 	return s
 }
 
@@ -188,7 +196,16 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
-	limited := &limitedListener{Listener: l, limit: int64(s.maxConnections), refuse: s.refuseConnection}
+	return s.serve(&limitedListener{Listener: l, limit: int64(s.maxConnections), refuse: s.refuseConnection})
+}
+
+// ServePeers accepts connections on which other instances pass requests on, until the
+// listener is closed.
+func (s *Server) ServePeers(l net.Listener) error {
+	return s.serve(&limitedListener{Listener: l, limit: int64(s.maxConnections), refuse: s.refuseConnection, fromPeers: true})
+}
+
+func (s *Server) serve(limited *limitedListener) error {
 	defer limited.refusals.Wait()
 	return s.http.Serve(limited)
 }
@@ -215,6 +232,7 @@
 // progress until the context is done. It does not wait for connections on which
 // no request was sent.
 func (s *Server) Shutdown(ctx context.Context) error {
+	defer s.peerPools.close()
 	closed := make(chan error, 1)
 	go func() { closed <- s.http.ShutdownWithContext(ctx) }()
 	ticker := time.NewTicker(shutdownPollInterval)
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -29,6 +29,7 @@
 	refusedDeadline                          // the caller's deadline had passed when the request arrived
 	refusedCallerClosed                      // the caller closed its connection; a try in flight may still run the request
 	refusedDraining                          // the instance shuts down before the deadline of the request
+	refusedByPeer                            // the instance that the request was passed on to did not run it
 	refusedInternal
 	refusalCauses // the number of causes
 )
@@ -36,7 +37,7 @@
 // refusalCauseNames are the metric names of the causes.
 var refusalCauseNames = [refusalCauses]string{
 	"malformed", "incomplete", "too_large", "instance_limit", "no_route", "unsupported", "too_late", "no_target", "memory", "stale", "connections",
-	"unreachable", "shed", "deadline", "caller_closed", "draining", "internal",
+	"unreachable", "shed", "deadline", "caller_closed", "draining", "peer", "internal",
 }
 
 // The range in microseconds and the precision of the latency histogram.
@@ -56,6 +57,9 @@
 	Retries        uint64
 	Hedges         uint64
 	Panics         uint64
+	// PassedOn counts the requests that other instances have got from this one, TakenOver
+	// those that this one has got from others.
+	PassedOn, TakenOver uint64
 	// Blocked counts the requests that were sent to no target, since copies of them have
 	// ended targets. UnknownOutcome includes them.
 	Blocked uint64
@@ -71,8 +75,9 @@
 
 // counters are the counters of Stats.
 type counters struct {
-	forwarded, unknownOutcome, retries, hedges, panics, blocked atomic.Uint64
-	refused                                                     [refusalCauses]atomic.Uint64
+	forwarded, unknownOutcome, retries, hedges, panics, blocked, passedOn, takenOver atomic.Uint64
+
+	refused [refusalCauses]atomic.Uint64
 
 	mu        *sync.Mutex
 	latencies *hdrhistogram.Histogram
@@ -103,7 +108,8 @@
 	c := &s.counters
 	stats := Stats{
 		Forwarded: c.forwarded.Load(), UnknownOutcome: c.unknownOutcome.Load(), Retries: c.retries.Load(), Hedges: c.hedges.Load(),
-		Panics: c.panics.Load(), Blocked: c.blocked.Load(), Refused: make(map[string]uint64, refusalCauses), Latencies: map[string]time.Duration{},
+		Panics: c.panics.Load(), Blocked: c.blocked.Load(),
+		PassedOn: c.passedOn.Load(), TakenOver: c.takenOver.Load(), Refused: make(map[string]uint64, refusalCauses), Latencies: map[string]time.Duration{},
 	}
 	for cause := range refusalCauses {
 		stats.Refused[refusalCauseNames[cause]] = c.refused[cause].Load()
--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
+
+	"rhubarbrelay/reachability"
 )
 
 const (
@@ -50,17 +53,27 @@
 )
 
 // Acquire waits until a target has capacity for the request and returns a lease
-// for it. The error is a *RefusalError or the error of the context; in both
-// cases the request was not run. The lease must be released exactly once.
+// for it. The error is a *RefusalError, ErrUnreachable or the error of the context; in
+// each case the request was not run. The lease must be released exactly once.
 //
 // A late request that may not scan is refused at once: it is not expected to finish
 // within its objective, and would wait behind all requests that are not late.
 // A retry that may not scan is refused at once whether it is late or not, because
 // a retry does not wait.
 func (d *Dispatcher) Acquire(ctx context.Context, r *Request) (*Lease, error) {
-	if !r.Retry {
+	lease, err := d.acquire(ctx, r)
+	var refusal *RefusalError
+	if r.Elsewhere && errors.As(err, &refusal) && d.Reach() != reachability.Reachable {
+		err = ErrUnreachable
+	}
+	// A request that another instance runs counts there.
+	if !r.Retry && !errors.Is(err, ErrUnreachable) {
 		d.retryBudget.Deposit()
 	}
+	return lease, err
+}
+
+func (d *Dispatcher) acquire(ctx context.Context, r *Request) (*Lease, error) {
 	limit := waitLimit(r)
 	w, err := d.enqueue(r, limit)
 	if err != nil {
@@ -81,6 +94,9 @@
 				return l, err
 			}
 		}
+		if r.Elsewhere && d.Reach() != reachability.Reachable {
+			return nil, ErrUnreachable
+		}
 		if final {
 			return nil, d.refuse(d.timeoutCause())
 		}
--- a/routing/request.go
+++ b/routing/request.go
@@ -23,6 +23,9 @@
 	// ErrNoTarget means that the service has no target, or none on which a retry
 	// may run. A retry does not wait for one.
 	ErrNoTarget = errors.New("no target is available")
+	// ErrUnreachable means that the targets cannot be reached from this instance, while
+	// another one can run the request. It is not wrapped in a RefusalError.
+	ErrUnreachable = errors.New("targets cannot be reached from this instance")
 )
 
 // Request describes a request that needs a target.
@@ -42,6 +45,9 @@
 	Exclude []targets.Incarnation
 	// Retry marks a retry or a hedge, which does not wait.
 	Retry bool
+	// Elsewhere marks a request that another instance may run: it does not wait for targets
+	// that this instance cannot reach.
+	Elsewhere bool
 	// Suspect marks a request that may end the target that runs it. No two such
 	// requests of this instance run on a target at a time, so that the end of the
 	// target tells which of them is the cause.
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -24,7 +24,10 @@
 	// RequestRetried means that a try failed, whether or not another one follows, or
 	// that the request was hedged.
 	RequestRetried Kind = "request_retried"
-	RequestUnknown Kind = "request_unknown" // the request failed and may have run
+	// RequestPassedOn means that another instance has got the request, as this one cannot
+	// reach the targets.
+	RequestPassedOn Kind = "request_passed_on"
+	RequestUnknown  Kind = "request_unknown" // the request failed and may have run
 )
 
 // Event is a decision or an observation of a process.
@@ -35,8 +38,8 @@
 	Service  string
 	Target   string
 	Request  string
-	// Peer is the other instance that the event is about. No event sets it at
-	// present; the administration API and the formatted output include it if set.
+	// Peer is the address of the other instance that the event is about. Only
+	// RequestPassedOn events set it.
 	Peer string
 	// Version is the configuration version that the event is about. Only
 	// ConfigInForce events set it.
