routing: use targets at once that are reached again

Cause: each failed contact doubles the backoff of a target up to two seconds, and only its end makes the target usable; a contact that succeeds did not. During a long cut all targets are in the longest backoff.

A check that reaches a target ends its backoff.

--- a/routing/reach.go
+++ b/routing/reach.go
@@ -102,19 +102,31 @@
 	if result.conn != nil {
 		result.conn.Release()
 	}
+	if result.ok {
+		d.endBackoff(t)
+	}
 	return result.ok
 }
 
-// testPath opens a connection to a target that cannot be probed.
-func (d *Dispatcher) testPath(t *target) bool {
-	err := t.pool.TestPath(time.Now().Add(reachCheckTimeout))
+// endBackoff makes a target usable that was reached again, so that requests need not wait
+// for the rest of the backoff.
+func (d *Dispatcher) endBackoff(t *target) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if err != nil {
-		d.recordFailedContact(t, err, d.clock())
+	t.backoffUntil, t.backoff = time.Time{}, 0
+	d.queue.wakeScanners()
+}
+
+// testPath opens a connection to a target that cannot be probed.
+func (d *Dispatcher) testPath(t *target) bool {
+	if err := t.pool.TestPath(time.Now().Add(reachCheckTimeout)); err != nil {
+		d.recordUnreached(t, err)
 		return false
 	}
+	d.mu.Lock()
 	d.recordReached(t, d.clock())
+	d.mu.Unlock()
+	d.endBackoff(t)
 	return true
 }
 
