entry, daemon: do not send callers to instances that reach no target

While most instances of a zone were cut off from all targets, entry responses went on naming them: callers connected to instances that had to pass every request on.

Cause: an entry response names ready instances, and an instance is ready once it has its configuration and targets, whether it reaches them or not.

An instance that has lost its links to the targets of all services says so in its heartbeats. Entry responses name the others, as long as there are any, and these share the limits of targets. With one service lost, an instance stays.

--- a/daemon/cut_test.go
+++ b/daemon/cut_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -202,3 +203,18 @@
 		})
 	}
 }
+
+// Guards against entry responses that go on naming an instance that is cut off, or that do
+// not name it again.
+func TestInstanceCutOffFromTargetsIsNotNamed(t *testing.T) {
+	s := newCutSystem(t, cutShapes[0])
+	names := func(instance int) bool {
+		cut := s.instances[0].settings.Callers.Listen
+		return slices.Contains(s.instances[instance].selector.Select("z-0"), cut)
+	}
+	eventually(t, "the instance is named", func() bool { return names(0) && names(1) && names(2) })
+	s.dialer.cut.Store(true)
+	eventually(t, "the instance is not named", func() bool { return !names(0) && !names(1) && !names(2) })
+	s.dialer.cut.Store(false)
+	eventually(t, "the instance is named again", func() bool { return names(0) && names(1) && names(2) })
+}
--- a/daemon/reach.go
+++ b/daemon/reach.go
@@ -38,13 +38,17 @@
 // lost its links, if that has changed.
 func (d *Daemon) announceReach(dispatchers []*routing.Dispatcher) {
 	var unreachable []string
+	isolated := true
 	for _, dispatcher := range dispatchers {
-		if dispatcher.Reach() != reachability.Reachable {
+		switch {
+		case dispatcher.Reach() != reachability.Reachable:
 			unreachable = append(unreachable, dispatcher.Service().Name)
+		case dispatcher.Stats().Targets > 0:
+			isolated = false
 		}
 	}
 	wasActive := d.selector.IsActive()
-	if d.members.SetUnreachable(unreachable) {
+	if d.members.SetUnreachable(unreachable, isolated && len(unreachable) > 0) {
 		d.mesh.AnnounceReach(wasActive)
 	}
 }
--- a/entry/limit_sharing.go
+++ b/entry/limit_sharing.go
@@ -81,7 +81,7 @@
 		return
 	}
 	s.updatedAt = now
-	s.active = activeByZone(s.directory.Ready())
+	s.active = activeByZone(eligible(s.directory))
 }
 
 // activeByZone returns the IDs of the active instances of each zone.
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -34,6 +34,17 @@
 	return max(minActive, (instances+instancesPerActive-1)/instancesPerActive)
 }
 
+// eligible returns the ready instances that callers may be sent to: those that have not
+// lost their links to all targets or, if all have, every ready instance.
+func eligible(directory Directory) []membership.Instance {
+	ready := directory.Ready()
+	isolated := func(in membership.Instance) bool { return in.Isolated }
+	if reaching := slices.DeleteFunc(slices.Clone(ready), isolated); len(reaching) > 0 {
+		return reaching
+	}
+	return ready
+}
+
 // Directory provides this instance and the instances that accept callers. Ready
 // returns them in the same order on every instance: the first ones of each zone
 // are its active instances.
@@ -50,13 +61,13 @@
 func NewSelector(directory Directory) *Selector { return &Selector{directory} }
 
 // Select returns the addresses for a caller in the zone: those of the active
-// instances of its zone, and those of all ready instances of other zones when
+// instances of its zone, and those of all eligible instances of other zones when
 // there are too few. If the directory has no ready instance, the result is the
 // address of this instance. While this instance is starting, the result is then
 // empty, and the caller queries another instance.
 func (s *Selector) Select(zone string) []netip.AddrPort {
 	var local, remote []netip.AddrPort
-	for _, in := range s.directory.Ready() {
+	for _, in := range eligible(s.directory) {
 		if in.Zone == zone {
 			local = append(local, in.CallerAddress)
 		} else {
@@ -83,7 +94,7 @@
 	self := s.directory.Self()
 	var local, remote []netip.AddrPort
 	inZone := map[string]int{}
-	for _, in := range s.directory.Ready() {
+	for _, in := range eligible(s.directory) {
 		if in.ID == self.ID || !in.PeerAddress.IsValid() || !in.Reaches(service) {
 			continue
 		}
@@ -108,7 +119,7 @@
 // ActiveCount returns the number of active instances in all zones, at least 1.
 func (s *Selector) ActiveCount() int {
 	zones := map[string]int{}
-	for _, in := range s.directory.Ready() {
+	for _, in := range eligible(s.directory) {
 		zones[in.Zone]++
 	}
 	active := 0
@@ -123,7 +134,7 @@
 func (s *Selector) IsActive() bool {
 	self := s.directory.Self()
 	preceding, inZone, ready := 0, 0, false
-	for _, in := range s.directory.Ready() {
+	for _, in := range eligible(s.directory) {
 		if in.Zone != self.Zone {
 			continue
 		}
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -34,6 +34,8 @@
 	// Unreachable are the services to whose targets the instance has lost its network
 	// links, sorted. They change like the state.
 	Unreachable []string
+	// Isolated is set while the instance has lost its links to the targets of all services.
+	Isolated bool
 }
 
 // Reaches reports whether the instance has not lost its links to the targets of the
@@ -125,16 +127,17 @@
 // differs reports whether what changes within an incarnation, except for the configuration
 // version, differs between two states of an instance.
 func (in Instance) differs(other Instance) bool {
-	return in.State != other.State || !slices.Equal(in.Unreachable, other.Unreachable)
+	return in.State != other.State || in.Isolated != other.Isolated || !slices.Equal(in.Unreachable, other.Unreachable)
 }
 
 // SetUnreachable sets the services to whose targets this instance has lost its network
-// links, sorted, and reports whether they have changed. If so, it calls the function set by
-// WithOnChange.
-func (d *Directory) SetUnreachable(services []string) bool {
+// links, sorted, and whether these are all services. It reports whether that has changed;
+// if so, it calls the function set by WithOnChange.
+func (d *Directory) SetUnreachable(services []string, isolated bool) bool {
 	d.mu.Lock()
-	changed := !slices.Equal(services, d.self.Unreachable)
-	d.self.Unreachable = services
+	before := d.self
+	d.self.Unreachable, d.self.Isolated = services, isolated
+	changed := before.differs(d.self)
 	d.mu.Unlock()
 	if changed {
 		d.onChange()
@@ -188,9 +191,10 @@
 	}
 	sameIncarnation := m != nil && in.Incarnation == m.instance.Incarnation
 	if !complete {
-		state, version, unreachable := in.State, in.ConfigVersion, in.Unreachable
+		heartbeat := in
 		in = m.instance
-		in.State, in.ConfigVersion, in.Unreachable = state, version, unreachable
+		in.State, in.ConfigVersion = heartbeat.State, heartbeat.ConfigVersion
+		in.Unreachable, in.Isolated = heartbeat.Unreachable, heartbeat.Isolated
 	}
 	if sameIncarnation && m.instance.State == Leaving {
 		in.State = Leaving // a leaving instance never becomes ready again; the packet is an earlier one that arrived late
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -49,7 +49,7 @@
 	return &peerpb.Instance{
 		Id: in.ID, Zone: in.Zone, Incarnation: in.Incarnation,
 		CallerAddress: in.CallerAddress.String(), PeerAddress: in.PeerAddress.String(), AdminAddress: in.AdminAddress.String(),
-		State: peerpb.State(in.State + 1), ConfigVersion: in.ConfigVersion, Unreachable: in.Unreachable,
+		State: peerpb.State(in.State + 1), ConfigVersion: in.ConfigVersion, Unreachable: in.Unreachable, Isolated: in.Isolated,
 	}
 }
 
@@ -57,14 +57,14 @@
 // which do not change within an incarnation.
 func heartbeatToWire(in membership.Instance) *peerpb.Instance {
 	return &peerpb.Instance{
-		Id: in.ID, Incarnation: in.Incarnation, State: peerpb.State(in.State + 1), ConfigVersion: in.ConfigVersion, Unreachable: in.Unreachable,
+		Id: in.ID, Incarnation: in.Incarnation, State: peerpb.State(in.State + 1), ConfigVersion: in.ConfigVersion, Unreachable: in.Unreachable, Isolated: in.Isolated,
 	}
 }
 
 func instanceFromWire(m *peerpb.Instance) (membership.Instance, error) {
 	in := membership.Instance{
 		ID: m.GetId(), Zone: m.GetZone(), Incarnation: m.GetIncarnation(), ConfigVersion: m.GetConfigVersion(),
-		Unreachable: m.GetUnreachable(),
+		Unreachable: m.GetUnreachable(), Isolated: m.GetIsolated(),
 	}
 	switch m.GetState() {
 	case peerpb.State_STATE_STARTING:
