--- /dev/null
+++ b/relay/passon_test.go
@@ -0,0 +1,224 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/bodies"
+	"rhubarbrelay/reachability"
+	"rhubarbrelay/targets"
+)
+
+// peerList is a PeerSelector of instances that are tried in the order of the list.
+type peerList struct{ addresses []netip.AddrPort }
+
+// SelectPeer implements PeerSelector.
+func (p *peerList) SelectPeer(_ string, exclude []netip.AddrPort) (netip.AddrPort, bool) {
+	for _, a := range p.addresses {
+		if !slices.Contains(exclude, a) {
+			return a, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// newCutHarness starts a relay that has lost its links to its targets.
+func newCutHarness(t *testing.T, peers PeerSelector, opts ...Option) *harness {
+	t.Helper()
+	const count = 3
+	all := make([]*targets.Target, 0, count)
+	for i := range count {
+		all = append(all, &targets.Target{ID: fmt.Sprintf("cut-%d", i), Service: "spoolkeep", Zone: "a", Slots: 8, Address: unusedAddress(t)})
+	}
+	h := newHarness(t, all, append(opts, WithPeers(peers))...)
+	d := h.table.Dispatcher("spoolkeep")
+	waitFor(t, "the links are lost", func() bool {
+		d.CheckReach(true)
+		return d.Reach() == reachability.Lost
+	})
+	return h
+}
+
+// servePeers makes a relay take over requests of other instances and returns the address.
+func (h *harness) servePeers(t testing.TB) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- h.relay.ServePeers(l) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		defer cancel()
+		assert.Check(t, h.relay.Shutdown(ctx))
+		assert.Check(t, <-served)
+	})
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// Guards against a response of another instance that reaches the caller with another
+// meaning: a refusal after the request may have run, an outcome that is unknown although
+// it has not, or a false success.
+func TestResponsesOfOtherInstances(t *testing.T) {
+	tests := []struct {
+		name       string
+		response   string // without the status line and the ID
+		status     int
+		closes     bool
+		want       int
+		seal       bool
+		retryAfter string
+	}{
+		{name: "success", status: 200, response: "Rhubarbrelay-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok", want: 200, seal: true},
+		{name: "error of a target", status: 500, response: "Rhubarbrelay-Response-Seal: s\r\nContent-Length: 0\r\n\r\n", want: 500, seal: true},
+		{name: "success without a seal", status: 200, response: "Content-Length: 2\r\n\r\nok", want: 502},
+		{name: "refusal", status: 503, response: "Retry-After: 0.70\r\nContent-Length: 0\r\n\r\n", want: 503, retryAfter: "0.70"},
+		{name: "refusal with a malformed delay", status: 503, response: "Retry-After: x\r\nContent-Length: 0\r\n\r\n", want: 503, retryAfter: "0.20"},
+		{name: "refusal with a long delay", status: 503, response: "Retry-After: 1e9\r\nContent-Length: 0\r\n\r\n", want: 503, retryAfter: "5.00"},
+		{name: "no such route there", status: 404, response: "Content-Length: 0\r\n\r\n", want: 503, retryAfter: "0.20"},
+		{name: "unknown outcome", status: 502, response: "Content-Length: 0\r\n\r\n", want: 502},
+		{name: "no answer in time", status: 504, response: "Content-Length: 0\r\n\r\n", want: 504},
+		{name: "broken exchange", status: 200, response: "Rhubarbrelay-Response-Seal: s\r\nContent-Length: 9\r\n\r\nok", closes: true, want: 502},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			peer := newScriptedTarget(t, "peer", "a", func(req *fasthttp.Request) (string, bool) {
+				return fmt.Sprintf("HTTP/1.1 %d X\r\nRhubarbrelay-Attempt-Id: %s\r\n%s", tt.status, req.Header.Peek("Rhubarbrelay-Attempt-Id"), tt.response), tt.closes
+			})
+			h := newCutHarness(t, &peerList{[]netip.AddrPort{peer.info.Address}})
+			got := h.call(t, "POST", "/once/x", "body")
+			assert.Equal(t, got.status, tt.want)
+			assert.Equal(t, got.seal() != "", tt.seal)
+			assert.Equal(t, got.headers["Retry-After"], tt.retryAfter)
+			assert.Equal(t, got.headers["Rhubarbrelay-Attempt-Id"], "id-1")
+			assert.DeepEqual(t, peer.receivedIDs(), []string{"id-1"})
+		})
+	}
+}
+
+// Guards against a request that arrives at the other instance with another ID, body or
+// method, with more time than is left, or with the name of a target.
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	var got fasthttp.Request
+	peer := newScriptedTarget(t, "peer", "a", func(req *fasthttp.Request) (string, bool) {
+		req.CopyTo(&got)
+		return echo(req)
+	})
+	h := newCutHarness(t, &peerList{[]netip.AddrPort{peer.info.Address}})
+	assert.Equal(t, h.call(t, "PUT", "/once/x?y=1", "body", "Rhubarbrelay-Deadline-Ms: 3000", "X-Other: 7").body, "body")
+	assert.Equal(t, string(got.Header.Method()), "PUT")
+	assert.Equal(t, string(got.Header.RequestURI()), "/once/x?y=1")
+	assert.Equal(t, string(got.Header.Host()), "spoolkeep.example")
+	assert.Equal(t, string(got.Header.Peek("X-Other")), "7")
+	assert.Equal(t, len(got.Header.Peek("Rhubarbrelay-Expect-Instance")), 0)
+	left, err := strconv.Atoi(string(got.Header.Peek("Rhubarbrelay-Deadline-Ms")))
+	assert.NilError(t, err)
+	assert.Assert(t, left > 0 && left <= 3000, "%d ms left", left)
+}
+
+// Guards against a request that goes from instance to instance, and against one that is
+// refused by an instance that reaches the targets.
+func TestRequestIsPassedOnOnce(t *testing.T) {
+	target := newScriptedTarget(t, "t-1", "a", echo)
+	tests := []struct {
+		name   string
+		second func(PeerSelector) *harness
+		want   int
+	}{
+		{"the other instance reaches the targets", func(peers PeerSelector) *harness {
+			return newHarness(t, targetInfos(target), WithPeers(peers))
+		}, 200},
+		{"neither does", func(peers PeerSelector) *harness { return newCutHarness(t, peers) }, 503},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			toFirst, toSecond := &peerList{}, &peerList{}
+			first, second := newCutHarness(t, toSecond), tt.second(toFirst)
+			toFirst.addresses = []netip.AddrPort{first.servePeers(t)}
+			toSecond.addresses = []netip.AddrPort{second.servePeers(t)}
+			assert.Equal(t, first.call(t, "POST", "/once/x", "body", "Rhubarbrelay-Deadline-Ms: 500").status, tt.want)
+			assert.Equal(t, first.relay.Stats().PassedOn, uint64(1))
+			assert.Equal(t, first.relay.Stats().TakenOver, uint64(0))
+			assert.Equal(t, second.relay.Stats().TakenOver, uint64(1))
+			assert.Equal(t, second.relay.Stats().PassedOn, uint64(0))
+		})
+	}
+}
+
+// Guards against a request that is refused because the first of the other instances has
+// failed, and against one that waits although there is none.
+func TestPeerCannotBeReached(t *testing.T) {
+	peer := newScriptedTarget(t, "peer", "a", echo)
+	h := newCutHarness(t, &peerList{[]netip.AddrPort{unusedAddress(t), peer.info.Address}})
+	assert.Equal(t, h.call(t, "POST", "/once/x", "body").status, 200)
+	h = newCutHarness(t, &peerList{[]netip.AddrPort{unusedAddress(t), unusedAddress(t), peer.info.Address}})
+	assert.Equal(t, h.call(t, "POST", "/once/x", "body", "Rhubarbrelay-Deadline-Ms: 300").status, 503)
+}
+
+// Guards against a request that runs twice because it is passed on after a byte of it was
+// sent to a target.
+func TestSentRequestIsNotPassedOn(t *testing.T) {
+	target := newScriptedTarget(t, "t-1", "a", func(*fasthttp.Request) (string, bool) { return "", true })
+	peer := newScriptedTarget(t, "peer", "a", echo)
+	h := newHarness(t, targetInfos(target), WithPeers(&peerList{[]netip.AddrPort{peer.info.Address}}))
+	assert.Equal(t, h.call(t, "POST", "/once/x", "body").status, 502)
+	assert.Equal(t, len(target.receivedIDs()), 1) // control
+	assert.Equal(t, len(peer.receivedIDs()), 0)
+}
+
+// Guards against a request that is refused while the instance does not know yet that it
+// has lost its links.
+func TestUnsentRequestIsPassedOn(t *testing.T) {
+	peer := newScriptedTarget(t, "peer", "a", echo)
+	all := []*targets.Target{{ID: "cut", Service: "spoolkeep", Zone: "a", Slots: 8, Address: unusedAddress(t)}}
+	h := newHarness(t, all, WithPeers(&peerList{[]netip.AddrPort{peer.info.Address}}))
+	document := harnessDocument()
+	document.Services["spoolkeep"].HealthPath = "" // so that the request is the first contact
+	h.table.Update(document.Services)
+	assert.Equal(t, h.call(t, "POST", "/once/x", "body").status, 200)
+}
+
+// Guards against an exchange with another instance that goes on after the caller has
+// closed its connection.
+func TestCallerOfPassedOnRequestCloses(t *testing.T) {
+	received, release := make(chan struct{}), make(chan struct{})
+	peer := newScriptedTarget(t, "peer", "a", func(req *fasthttp.Request) (string, bool) {
+		close(received)
+		<-release
+		return echo(req)
+	})
+	h := newCutHarness(t, &peerList{[]netip.AddrPort{peer.info.Address}})
+	c := h.connect(t)
+	c.send(rawRequest("GET", "/safe/x", ""))
+	<-received
+	assert.NilError(t, c.conn.Close())
+	waitFor(t, "the request has ended", func() bool { return h.relay.InProgress() == 0 })
+	assert.Equal(t, h.relay.Stats().UnknownOutcome, uint64(1))
+	close(release)
+}
+
+// Guards against the memory of a large response of another instance that is not released,
+// or of one that does not fit and is answered falsely.
+func TestLargeResponseOfOtherInstance(t *testing.T) {
+	memory := bodies.NewMemory(4 << 20)
+	peer := newScriptedTarget(t, "peer", "a", func(req *fasthttp.Request) (string, bool) {
+		size, err := strconv.Atoi(string(req.Body()))
+		assert.Check(t, err)
+		return sealedLarge(req, strings.Repeat("x", size)), false
+	})
+	h := newCutHarness(t, &peerList{[]netip.AddrPort{peer.info.Address}}, WithMemory(memory, memory))
+	for _, tt := range []struct{ size, want int }{{1 << 20, 200}, {8 << 20, 502}, {1 << 20, 200}} {
+		got := h.call(t, "POST", "/once/x", strconv.Itoa(tt.size))
+		assert.Equal(t, got.status, tt.want)
+		assert.Equal(t, len(got.body) == tt.size, tt.want == 200)
+		waitFor(t, "the memory is released", func() bool { return memory.Used() == 0 })
+	}
+}
