relay: tell the instance that passes a request on that its target leaves

Found by reading, after requests are passed on: the caller of an instance that is cut off gets a response in which the target states that it leaves, but that header is only for instances and is removed by the one that received it. The datagram with the statement may be lost; once the links work again, a request would go to that target.

A response to another instance names the target that leaves in it, and that instance takes the statement over. TestLeavingTargetOfPassedOnRequest failed before and passes.

--- a/relay/passon.go
+++ b/relay/passon.go
@@ -4,12 +4,14 @@
 	"errors"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"rhubarbrelay/bodies"
 	"rhubarbrelay/platform"
+	"rhubarbrelay/targets"
 	"rhubarbrelay/timeline"
 	"rhubarbrelay/upstream"
 )
@@ -20,6 +22,9 @@
 	maxPeers = 2
 	// maxPeerRetryAfter limits the retry delay that another instance may state.
 	maxPeerRetryAfter = 5 * time.Second
+	// leavingTargetHeader names, in a response to another instance, the target that has
+	// stated in it that it leaves: the time of its start in milliseconds, a space, and its ID.
+	leavingTargetHeader = "Relay-Target-Leaving"
 )
 
 // PeerSelector selects the other instance that runs a request in place of this one.
@@ -98,6 +103,9 @@
 // the exchange with it has failed.
 func (s *Server) answerFromPeer(resp *fasthttp.Response, c *call, answer *fasthttp.Response, reservation *bodies.Reservation, err error) {
 	if err == nil && platform.ReadResponseInfo(&answer.Header).Sealed {
+		if target, ok := leavingTarget(answer); ok {
+			c.dispatcher.RecordLeaving(target)
+		}
 		held := false
 		s.copyResponse(resp, c, answer, func(body []byte) *heldBody {
 			held = true
@@ -151,3 +159,15 @@
 		s.recorder.Record(timeline.Event{Kind: timeline.RequestPassedOn, Request: c.id, Service: c.service, Peer: c.peer.String()})
 	}
 }
+
+func setLeavingTarget(resp *fasthttp.Response, target targets.Incarnation) {
+	resp.Header.Set(leavingTargetHeader, strconv.FormatInt(target.StartedMS, 10)+" "+target.ID)
+}
+
+// leavingTarget returns the target that has stated in the response of another instance that
+// it leaves. ok is false if there is none.
+func leavingTarget(answer *fasthttp.Response) (target targets.Incarnation, ok bool) {
+	started, id, ok := strings.Cut(string(answer.Header.Peek(leavingTargetHeader)), " ")
+	startedMS, err := strconv.ParseInt(started, 10, 64)
+	return targets.Incarnation{ID: id, StartedMS: startedMS}, ok && err == nil
+}
--- a/relay/passon_test.go
+++ b/relay/passon_test.go
@@ -222,3 +222,29 @@
 		waitFor(t, "the memory is released", func() bool { return memory.Used() == 0 })
 	}
 }
+
+// Guards against an instance that sends requests to a target that leaves, as it has passed
+// on the response that states so but was not told by it.
+func TestLeavingTargetOfPassedOnRequest(t *testing.T) {
+	tests := []struct {
+		name, line string
+		want       int
+	}{
+		{"it leaves", "Server-Leaving: 1\r\n", 1},
+		{"it does not", "", 0},
+		{"it names another one", "Relay-Target-Leaving: 0 cut-0\r\n", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			target := newScriptedTarget(t, "cut-1", "a", func(req *fasthttp.Request) (string, bool) {
+				return sealed(req, 200, "ok", tt.line), false
+			})
+			peers := &peerList{[]netip.AddrPort{newHarness(t, targetInfos(target)).servePeers(t)}}
+			h := newCutHarness(t, peers)
+			got := h.call(t, "POST", "/once/x", "body")
+			assert.Equal(t, got.status, 200)
+			assert.Equal(t, got.headers[leavingTargetHeader], "")
+			assert.Equal(t, h.table.Dispatcher("spoolkeep").Stats().Leaving, tt.want)
+		})
+	}
+}
--- a/relay/response.go
+++ b/relay/response.go
@@ -105,6 +105,9 @@
 // forwardResponse forwards a target's response to the caller.
 func (s *Server) forwardResponse(resp *fasthttp.Response, c *call, t *try) {
 	s.copyResponse(resp, c, t.resp, t.takeBody)
+	if c.fromPeer && t.info.Leaving {
+		setLeavingTarget(resp, t.lease.Target().Incarnation())
+	}
 	if s.forwardLogs.Allow() {
 		s.logger.WithFields(s.logFields(c, t)).WithField("status", resp.StatusCode()).Info("request answered")
 	}
@@ -123,6 +126,7 @@
 	resp.SkipBody = skipBody
 	c.header.stripResponse(&resp.Header)
 	platform.RemoveInternalHeaders(&resp.Header)
+	resp.Header.Del(leavingTargetHeader)
 	resp.Header.ResetConnectionClose()
 	resp.Header.SetProtocol([]byte("HTTP/1.1"))
 	resp.Header.SetNoDefaultContentType(true)
--- a/routing/statements.go
+++ b/routing/statements.go
@@ -153,6 +153,16 @@
 	}
 }
 
+// RecordLeaving records that a target has stated that it leaves, in a response that another
+// instance has received.
+func (d *Dispatcher) RecordLeaving(incarnation targets.Incarnation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if t := d.targets[incarnation]; t != nil {
+		t.statements.leaving = true
+	}
+}
+
 func (d *Dispatcher) logStatements(t *target, changes statementChanges, malformed bool, now time.Time) {
 	s := &t.statements
 	logger := d.logger.WithField("target", t.info.ID).WithField("service", d.service.Name)
