platform, peer, targets: reject registrations whose figures overflow

An odd entry with 2^31 slots or more was accepted, and other instances got it with 0 or a negative number of slots: instances disagree about it, and the occupancy is divided by it. A remaining warm-up beyond the range of durations became a small or a negative one.

Cause: what the decoder of the store accepts is converted to narrower types later. Now a target is validated where it enters, from the store and from other instances, with bounds that every conversion holds. An unusable target of another instance counts as removed, so that the others in the datagram are taken over.

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -189,6 +189,8 @@
 	return update, nil
 }
 
+// changeFromWire converts a change. A target that cannot be used counts as removed, as in
+// the registry: an instance of an older release may pass it on.
 func changeFromWire(m *peerpb.Target) (targets.Change, error) {
 	c := targets.Change{ID: m.GetId()}
 	if m.GetState() == peerpb.TargetState_TARGET_STATE_UNSPECIFIED {
@@ -201,10 +203,13 @@
 	c.Target = &targets.Target{
 		ID: c.ID, StartedMS: m.GetBorn(), Service: m.GetService(), Address: address, Zone: m.GetZone(),
 		Version: m.GetVersion(), Slots: int(m.GetSlots()), Sequence: m.GetSequence(),
-		WarmupLeft: time.Duration(m.GetColdMs()) * time.Millisecond,
+		WarmupLeft: targets.Warmup(m.GetColdMs()),
 	}
 	if m.GetState() == peerpb.TargetState_TARGET_STATE_DRAINING {
 		c.Target.State = targets.Draining
 	}
+	if c.Target.Validate() != nil {
+		c.Target = nil
+	}
 	return c, nil
 }
--- a/peer/snapshot.go
+++ b/peer/snapshot.go
@@ -77,9 +77,12 @@
 		if err != nil {
 			return Snapshot{}, err
 		}
-		if c.Target == nil {
+		if w.GetState() == peerpb.TargetState_TARGET_STATE_UNSPECIFIED {
 			return Snapshot{}, fmt.Errorf("%w: target %q has no state", ErrMalformed, c.ID)
 		}
+		if c.Target == nil {
+			continue
+		}
 		s.Targets.Targets = append(s.Targets.Targets, *c.Target)
 	}
 	if s.Targets.Removed, err = removalsFromWire(m.GetRemoved()); err != nil {
