registry, targets: ignore records whose keys cannot be passed on

Cause: keys are bytes, while messages to other instances hold only valid UTF-8; the encoder's error was logged and the datagram dropped.

Such a record is left out where the registry is read. TestOddRecords and FuzzRecordIsPassedOn, which decodes records, passes them on and decodes them again, failed before and pass.

--- a/registry/changes.go
+++ b/registry/changes.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"strconv"
+
 	"rhubarbrelay/platform"
 	"rhubarbrelay/targets"
 )
@@ -16,10 +18,14 @@
 }
 
 // decodeChanges decodes records. A malformed registration counts as a removed
-// target.
+// target. A record whose key can be no ID is left out: no target has registered with it.
 func (f *TargetFollower) decodeChanges(records []platform.Record) []targets.Change {
 	decoded := make([]targets.Change, 0, len(records))
 	for _, r := range records {
+		if !targets.IsID(r.Key) {
+			f.logger.WithField("offset", r.Offset).WithField("key", strconv.QuoteToASCII(r.Key)).Warn("record of the registry has a key that is no ID and is ignored")
+			continue
+		}
 		c := targets.Change{ID: r.Key}
 		if r.Value != nil {
 			t, err := platform.DecodeTarget(r.Key, r.Value)
--- a/targets/validate.go
+++ b/targets/validate.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"time"
+	"unicode/utf8"
 )
 
 // ErrUnusable means that a registration does not describe a target that can be used, or
@@ -16,11 +17,22 @@
 	// those of a faulty writer, and could overflow in calculations.
 	maxSlots  = 1 << 20
 	maxWarmup = 24 * time.Hour
+	// maxIDLength is the maximum length of an ID in bytes. It is that of a key in the
+	// registry.
+	maxIDLength = 255
 )
 
+// IsID reports whether the text can be the ID of a target. Messages to other instances hold
+// only valid UTF-8.
+func IsID(text string) bool {
+	return text != "" && len(text) <= maxIDLength && utf8.ValidString(text)
+}
+
 // Validate returns an error, which wraps ErrUnusable, if the target cannot be used.
 func (t *Target) Validate() error {
 	switch {
+	case !IsID(t.ID):
+		return fmt.Errorf("%w: ID %q", ErrUnusable, t.ID)
 	case t.Slots < 1 || t.Slots > maxSlots:
 		return fmt.Errorf("%w: %d slots", ErrUnusable, t.Slots)
 	case t.WarmupLeft < 0 || t.WarmupLeft > maxWarmup:
