--- a/registry/odd_records_test.go
+++ b/registry/odd_records_test.go
@@ -47,6 +47,7 @@
 // the other instances, or that names a target which cannot be used.
 func TestOddRecords(t *testing.T) {
 	good := registration("ready", 1)
+	long := strings.Repeat("x", 100_000)
 	tests := []struct {
 		name, key, value string
 		usable           bool
@@ -55,8 +56,16 @@
 		{"ID that is not UTF-8", "t-\xff\xfe", good, false},
 		{"removal with an ID that is not UTF-8", "t-\xff\xfe", "", false},
 		{"no ID", "", good, false},
+		{"long service", "t-1", strings.Replace(good, `"service":"s"`, `"service":"`+long+`"`, 1), false},
+		{"long zone", "t-1", strings.Replace(good, `"zone":"a"`, `"zone":"`+long+`"`, 1), false},
+		{"long version", "t-1", strings.Replace(good, `"version":"v1"`, `"version":"`+long+`"`, 1), false},
 		{"service that is not UTF-8", "t-1", strings.Replace(good, `"service":"s"`, "\"service\":\"s\xff\"", 1), true},
 		{"port out of range", "t-1", strings.Replace(good, "10.0.0.1:80", "10.0.0.1:65536", 1), false},
+		{"port 0", "t-1", strings.Replace(good, "10.0.0.1:80", "10.0.0.1:0", 1), false},
+		{"unspecified address", "t-1", strings.Replace(good, "10.0.0.1:80", "0.0.0.0:80", 1), false},
+		{"multicast address", "t-1", strings.Replace(good, "10.0.0.1:80", "224.0.0.1:80", 1), false},
+		{"long state", "t-1", strings.Replace(good, `"ready"`, `"`+long+`"`, 1), false},
+		{"address with a zone", "t-1", strings.Replace(good, "10.0.0.1:80", "[fe80::1%"+long+"]:80", 1), false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -76,9 +85,9 @@
 	f.Add("t-\xff", []byte(registration("draining", 1)))
 	f.Add("t-1", []byte(strings.Replace(registration("ready", 1), `"slots":4`, `"slots":4294967296`, 1)))
 	f.Add("t-1", []byte(strings.Replace(registration("ready", 1), `"cold-left-ms":0`, `"cold-left-ms":18446744073710`, 1)))
+	f.Add("t-1", []byte(strings.Replace(registration("ready", 1), `10.0.0.1:80`, `[::ffff:10.0.0.1%z]:80`, 1)))
 	f.Add("", []byte(strings.Repeat("[", 20_000)))
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
 		checkPassedOn(t, platform.Record{Key: key, Value: value})
 	})
 }
-
