registry: log odd records of other writers rarely

An entry that another program writes at each beat caused a line at each instance that reads the registry, at each beat, with the error in full. TestOddRecordIsLoggedRarely failed before (100 lines for 100 records) and passes.

--- a/registry/odd_records_test.go
+++ b/registry/odd_records_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"unicode/utf8"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
 
@@ -91,3 +93,18 @@
 		checkPassedOn(t, platform.Record{Key: key, Value: value})
 	})
 }
+
+// Guards against a log that an entry of another writer fills, which is written again and
+// again.
+func TestOddRecordIsLoggedRarely(t *testing.T) {
+	for _, odd := range []platform.Record{{Key: "t-\xff"}, {Key: "t-1", Value: []byte("[")}} {
+		lines := memory.New()
+		f := NewTargetFollower(newFakeStore(), targets.NewDirectory(), fakeBroadcaster{}, func() int { return 0 }, func() int { return 0 }, ignoreChange, func() {},
+			&log.Logger{Handler: lines, Level: log.InfoLevel})
+		for range 100 {
+			f.decodeChanges([]platform.Record{odd})
+		}
+		assert.Assert(t, len(lines.Entries) > 0)
+		assert.Assert(t, len(lines.Entries) <= 10, "%d lines", len(lines.Entries))
+	}
+}
--- a/registry/target_follower.go
+++ b/registry/target_follower.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"golang.org/x/time/rate"
 
 	"rhubarbrelay/peer"
 	"rhubarbrelay/platform"
@@ -54,6 +55,7 @@
 	onRecovery  func()
 	onRestored  func()
 	logger      log.Interface
+	oddRecords  rate.Sometimes // limits the log lines about records that are no registrations
 	clock       func() time.Time
 
 	mu sync.Mutex
@@ -108,7 +110,8 @@
 ) *TargetFollower {
 	f := &TargetFollower{
 		store: store, directory: directory, broadcaster: broadcaster, rank: rank, readOrder: readOrder, onChange: onChange, onRecovery: onRecovery, onRestored: func() {}, logger: logger, clock: time.Now,
-		next: unknownPosition, expired: unknownPosition, wakeup: make(chan struct{}, 1), readRequested: make(chan struct{}, 1),
+		oddRecords: rate.Sometimes{First: firstOddRecords, Interval: oddRecordInterval},
+		next:       unknownPosition, expired: unknownPosition, wakeup: make(chan struct{}, 1), readRequested: make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(f)
