--- a/daemon/cut_test.go
+++ b/daemon/cut_test.go
@@ -75,6 +75,7 @@
 // cutSystem is a deployment, the first instance of which can be cut off from all targets.
 type cutSystem struct {
 	instances []*Daemon
+	store     *standin.Store
 	dialer    *cutDialer
 	nextID    atomic.Int64
 }
@@ -99,7 +100,7 @@
 	for i := range cutTargets {
 		startCutTarget(t, store, i)
 	}
-	s := &cutSystem{dialer: &cutDialer{shape: shape}}
+	s := &cutSystem{store: store, dialer: &cutDialer{shape: shape}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	t.Cleanup(func() { cancel(); running.Wait() })
