membership, peer, daemon, relay: state of instances in a file of its own, tests of reach

Instance moves out of directory.go, which had grown. An isolated instance names no services beside, so that heartbeats stay small. The relay's test harness serves callers and other instances by the same code. Tests: reach in packets, heartbeats and sightings, and its announcement to all zones.

--- a/daemon/reach.go
+++ b/daemon/reach.go
@@ -37,20 +37,29 @@
 // announceReach tells the other instances to the targets of which services this one has
 // lost its links, if that has changed.
 func (d *Daemon) announceReach(dispatchers []*routing.Dispatcher) {
-	var unreachable []string
-	isolated := true
+	isolated, unreachable := summarizeReach(dispatchers)
+	wasActive := d.selector.IsActive()
+	if d.members.SetReach(isolated, unreachable) {
+		d.mesh.AnnounceReach(wasActive)
+	}
+}
+
+// summarizeReach returns whether the links to the targets of all services are lost, and
+// otherwise the services to whose targets they are.
+func summarizeReach(dispatchers []*routing.Dispatcher) (isolated bool, unreachable []string) {
+	reached := false
 	for _, dispatcher := range dispatchers {
 		switch {
 		case dispatcher.Reach() != reachability.Reachable:
 			unreachable = append(unreachable, dispatcher.Service().Name)
 		case dispatcher.Stats().Targets > 0:
-			isolated = false
+			reached = true
 		}
 	}
-	wasActive := d.selector.IsActive()
-	if d.members.SetUnreachable(unreachable, isolated && len(unreachable) > 0) {
-		d.mesh.AnnounceReach(wasActive)
+	if len(unreachable) > 0 && !reached {
+		return true, nil
 	}
+	return false, unreachable
 }
 
 func checkReach(dispatchers []*routing.Dispatcher, turn int) {
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -3,45 +3,11 @@
 package membership
 
 import (
-	"cmp"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
 )
 
-// State is the state that an instance reports of itself.
-type State int
-
-// The states of an instance.
-const (
-	Starting State = iota
-	Ready
-	Leaving
-)
-
-// Instance describes one instance.
-type Instance struct {
-	ID   string
-	Zone string
-	// Incarnation is the Unix time in milliseconds at which the process started.
-	Incarnation   int64
-	CallerAddress netip.AddrPort
-	PeerAddress   netip.AddrPort
-	AdminAddress  netip.AddrPort
-	State         State
-	ConfigVersion int64
-	// Unreachable are the services to whose targets the instance has lost its network
-	// links, sorted. They change like the state.
-	Unreachable []string
-	// Isolated is set while the instance has lost its links to the targets of all services.
-	Isolated bool
-}
-
-// Reaches reports whether the instance has not lost its links to the targets of the
-// service.
-func (in Instance) Reaches(service string) bool { return !slices.Contains(in.Unreachable, service) }
-
 const (
 	// missedHeartbeats is the number of heartbeat intervals after the last packet
 	// of an instance during which it counts as alive. After them it is considered
@@ -124,19 +90,12 @@
 	d.onChange()
 }
 
-// differs reports whether what changes within an incarnation, except for the configuration
-// version, differs between two states of an instance.
-func (in Instance) differs(other Instance) bool {
-	return in.State != other.State || in.Isolated != other.Isolated || !slices.Equal(in.Unreachable, other.Unreachable)
-}
-
-// SetUnreachable sets the services to whose targets this instance has lost its network
-// links, sorted, and whether these are all services. It reports whether that has changed;
-// if so, it calls the function set by WithOnChange.
-func (d *Directory) SetUnreachable(services []string, isolated bool) bool {
+// SetReach sets the fields Isolated and Unreachable of this instance. It reports whether
+// that has changed them; if so, it calls the function set by WithOnChange.
+func (d *Directory) SetReach(isolated bool, unreachable []string) bool {
 	d.mu.Lock()
 	before := d.self
-	d.self.Unreachable, d.self.Isolated = services, isolated
+	d.self.Isolated, d.self.Unreachable = isolated, unreachable
 	changed := before.differs(d.self)
 	d.mu.Unlock()
 	if changed {
@@ -320,5 +279,3 @@
 		d.onChange()
 	}
 }
-
-func compareID(a, b Instance) int { return cmp.Compare(a.ID, b.ID) }
--- /dev/null
+++ b/peer/reach_test.go
@@ -0,0 +1,49 @@
+package peer
+
+import (
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/membership"
+)
+
+// Guards against instances that do not learn, by a complete packet or by a heartbeat, that
+// another one has lost its links to targets.
+func TestReachIsAnnounced(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	in := membership.Instance{
+		ID: "a", Zone: "z", Incarnation: 1, State: membership.Ready, CallerAddress: address, PeerAddress: address, AdminAddress: address,
+	}
+	for _, isolated := range []bool{false, true} {
+		in.Isolated, in.Unreachable = isolated, []string{"s", "t"}
+		complete, err := instanceFromWire(instanceToWire(in))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, complete.Unreachable, in.Unreachable)
+		assert.Equal(t, complete.Isolated, isolated)
+		heartbeat, err := instanceFromWire(heartbeatToWire(in))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, heartbeat.Unreachable, in.Unreachable)
+		assert.Equal(t, heartbeat.Isolated, isolated)
+	}
+}
+
+// Guards against a change of reach that only the local zone, or only remote zones, learn of.
+func TestReachIsAnnouncedToAllZones(t *testing.T) {
+	first := startInstanceInZone(t, "a", "a-1")
+	all := []*testInstance{first, startInstanceInZone(t, "a", "a-2"), startInstanceInZone(t, "b", "b-1"), startInstanceInZone(t, "b", "b-2"), startInstanceInZone(t, "b", "b-3")}
+	addToDirectories(all...)
+	first.directory.SetReach(true, nil)
+	first.mesh.AnnounceReach(true)
+	for _, other := range all[1:] {
+		waitFor(t, "the others know that the instance is isolated", func() bool {
+			for _, in := range other.directory.Ready() {
+				if in.ID == "a-1" {
+					return in.Isolated
+				}
+			}
+			return false
+		})
+	}
+}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -96,19 +96,25 @@
 	h.table.Update(h.Current().Services)
 	quiet := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	h.relay = NewServer(h, h.table, append([]Option{WithLogger(quiet)}, opts...)...)
+	t.Cleanup(func() { h.table.Dispatcher("spoolkeep").Close() })
+	h.address = h.start(t, h.relay.Serve)
+	return h
+}
+
+// start serves connections on a new address until the test ends, and returns the address.
+func (h *harness) start(t testing.TB, serve func(net.Listener) error) string {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	h.address = l.Addr().String()
 	served := make(chan error, 1)
-	go func() { served <- h.relay.Serve(l) }()
+	go func() { served <- serve(l) }()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 		defer cancel()
 		assert.Check(t, h.relay.Shutdown(ctx))
 		assert.Check(t, <-served)
-		h.table.Dispatcher("spoolkeep").Close()
 	})
-	return h
+	return l.Addr().String()
 }
 
 // targetScript defines how a target handles a request: the bytes that it sends and
--- a/relay/passon_test.go
+++ b/relay/passon_test.go
@@ -1,9 +1,7 @@
 package relay
 
 import (
-	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -51,17 +49,7 @@
 // servePeers makes a relay take over requests of other instances and returns the address.
 func (h *harness) servePeers(t testing.TB) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	served := make(chan error, 1)
-	go func() { served <- h.relay.ServePeers(l) }()
-	t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
-		defer cancel()
-		assert.Check(t, h.relay.Shutdown(ctx))
-		assert.Check(t, <-served)
-	})
-	return netip.MustParseAddrPort(l.Addr().String())
+	return netip.MustParseAddrPort(h.start(t, h.relay.ServePeers))
 }
 
 // Guards against a response of another instance that reaches the caller with another
