daemon: bound the checks of targets by instance, not by service

One service is checked each half second although nothing indicates a lost link, and all services as soon as one is lost.

--- a/daemon/reach.go
+++ b/daemon/reach.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,9 +12,15 @@
 	"rhubarbrelay/routing"
 )
 
-// reachInterval is the time between two checks whether targets can be reached. The
-// services take turns, so that the checks of an instance do not grow with their number.
-const reachInterval = 250 * time.Millisecond
+const (
+	// reachInterval is the time between two checks of services whose targets may have
+	// become unreachable, or reachable again.
+	reachInterval = 250 * time.Millisecond
+	// regularInterval is the number of these times after which one service is checked in
+	// any case. The services take turns, so that an instance does not send more checks the
+	// more services there are.
+	regularInterval = 2
+)
 
 // watchReach checks until the context ends whether this instance reaches the targets, logs
 // the changes and tells the other instances of them.
@@ -62,10 +69,13 @@
 	return false, unreachable
 }
 
+// checkReach checks the services that may have changed. turn counts the calls.
 func checkReach(dispatchers []*routing.Dispatcher, turn int) {
+	lost := slices.ContainsFunc(dispatchers, func(d *routing.Dispatcher) bool { return d.Reach() != reachability.Reachable })
 	var checks sync.WaitGroup
 	for i, dispatcher := range dispatchers {
-		checks.Go(func() { dispatcher.CheckReach(i == turn%len(dispatchers)) })
+		itsTurn := turn%regularInterval == 0 && i == turn/regularInterval%len(dispatchers)
+		checks.Go(func() { dispatcher.CheckReach(lost || itsTurn) })
 	}
 	checks.Wait()
 }
--- a/reachability/tracker.go
+++ b/reachability/tracker.go
@@ -136,8 +136,7 @@
 func (t *Tracker) Reached(target targets.Incarnation) bool { return t.outcomes[target].reached }
 
 // ChecksDue returns the number of targets that should be contacted now. regular is set if
-// it is the turn of the service to be checked although nothing indicates that its targets
-// cannot be reached.
+// one is due although nothing indicates that the targets cannot be reached.
 func (t *Tracker) ChecksDue(regular bool, now time.Time) int {
 	switch {
 	case t.state != Reachable, t.doubtAt.After(t.reachedAt) && now.Sub(t.doubtAt) <= lifetime:
--- a/routing/reach.go
+++ b/routing/reach.go
@@ -36,7 +36,7 @@
 }
 
 // CheckReach contacts targets if requests do not show whether they can be reached.
-// regular is set if it is the turn of this service to be checked. It returns after
+// regular is set if one is due although nothing indicates that they cannot. It returns after
 // reachCheckTimeout at the latest, unless it finds targets that can be reached again.
 func (d *Dispatcher) CheckReach(regular bool) {
 	for range maxReachRounds {
