--- a/routing/statements_test.go
+++ b/routing/statements_test.go
@@ -186,6 +186,8 @@
 	assert.Assert(t, b.takes(b.all[0]))
 	a.responds(a.all[0], leavingResponse)
 	assert.Assert(t, !b.takes(b.all[0]))
+	b.d.ApplyStatement(targets.Statement{Incarnation: b.all[0].Incarnation()}) // an earlier one that arrives late
+	assert.Assert(t, !b.takes(b.all[0]))
 	b.d.ApplyStatement(targets.Statement{Incarnation: targets.Incarnation{ID: "unknown"}, Leaving: true})
 	assert.Assert(t, b.takes(b.all[1]))
 }
