reachability: check two targets at a time while all are lost

An instance that is cut off tried eight connections of each service every quarter of a second for as long as that lasted.

--- a/reachability/tracker.go
+++ b/reachability/tracker.go
@@ -37,9 +37,10 @@
 	recovered = 1.0 / 3
 	// freshness is the time for which an outcome makes a check unnecessary.
 	freshness = time.Second
-	// recheckSize is the number of targets that are checked at once while the links are not
-	// known to work.
-	recheckSize = 8
+	// recheckSize is the number of targets that are checked at once while the links are in
+	// doubt, lostRecheckSize while all are lost: one that is reached is enough to find out.
+	recheckSize     = 8
+	lostRecheckSize = 2
 )
 
 // outcome is the outcome of the last contact with a target.
@@ -139,6 +140,8 @@
 // one is due although nothing indicates that the targets cannot be reached.
 func (t *Tracker) ChecksDue(regular bool, now time.Time) int {
 	switch {
+	case t.state == Lost:
+		return lostRecheckSize
 	case t.state != Reachable, t.doubtAt.After(t.reachedAt) && now.Sub(t.doubtAt) <= lifetime:
 		return recheckSize
 	case regular && now.Sub(t.reachedAt) > freshness:
--- a/reachability/tracker_test.go
+++ b/reachability/tracker_test.go
@@ -119,7 +119,8 @@
 			tr.RecordDoubt(now)
 			tr.RecordReached(target(0), later)
 		}, false, 0},
-		{"lost", func(tr *Tracker) { record(tr, 0, minEvidence, now) }, false, recheckSize},
+		{"lost", func(tr *Tracker) { record(tr, 0, minEvidence, now) }, false, lostRecheckSize},
+		{"impaired", func(tr *Tracker) { record(tr, 1, minEvidence, later) }, false, recheckSize},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
