relay, routing, peer: tests of reach that see broken code

A second attempt to pass on a request that no other instance could get is gone, as is a line without effect.

--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -28,6 +28,7 @@
 // testInstance is an instance on a loopback socket that stores the updates it
 // receives.
 type testInstance struct {
+	inactive  atomic.Bool
 	directory *membership.Directory
 	mesh      *Mesh
 	address   netip.AddrPort
@@ -68,7 +69,7 @@
 	in.directory = membership.NewDirectory(membership.Instance{
 		ID: id, Zone: zone, Incarnation: 1, State: membership.Ready, PeerAddress: in.address, CallerAddress: in.address, AdminAddress: in.address,
 	}, membership.WithClock(clock))
-	in.mesh = NewMesh(in.directory, timeline.NewClock(time.Now), WithSeeds(seeds), WithCrashLedger(in.crashes), WithOnStatements(in.addStatements), WithOnTargetUpdate(func(update TargetUpdate) {
+	in.mesh = NewMesh(in.directory, timeline.NewClock(time.Now), WithSeeds(seeds), WithActive(func() bool { return !in.inactive.Load() }), WithCrashLedger(in.crashes), WithOnStatements(in.addStatements), WithOnTargetUpdate(func(update TargetUpdate) {
 		in.mu.Lock()
 		defer in.mu.Unlock()
 		in.updates = append(in.updates, update)
--- a/peer/reach_test.go
+++ b/peer/reach_test.go
@@ -34,6 +34,7 @@
 	first := startInstanceInZone(t, "a", "a-1")
 	all := []*testInstance{first, startInstanceInZone(t, "a", "a-2"), startInstanceInZone(t, "b", "b-1"), startInstanceInZone(t, "b", "b-2"), startInstanceInZone(t, "b", "b-3")}
 	addToDirectories(all...)
+	first.inactive.Store(true) // it sends no heartbeats to remote zones
 	first.directory.SetReach(true, nil)
 	first.mesh.AnnounceReach(true)
 	for _, other := range all[1:] {
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -56,8 +56,11 @@
 		}
 	}()
 	c.elsewhere = s.mayPassOn(c)
-	if c.dispatcher.Reach() == reachability.Lost && s.passOn(caller, req, resp, c) {
-		return
+	if c.dispatcher.Reach() == reachability.Lost {
+		if s.passOn(caller, req, resp, c) {
+			return
+		}
+		c.elsewhere = false
 	}
 	err := r.startTry(false)
 	if errors.Is(err, routing.ErrUnreachable) {
--- a/relay/passon.go
+++ b/relay/passon.go
@@ -120,9 +120,7 @@
 		return
 	}
 	reservation.Release()
-	f := peerFailure(answer, err, c.deadline)
-	c.mayHaveRun = c.mayHaveRun || !f.notRun
-	s.fail(resp, c, f)
+	s.fail(resp, c, peerFailure(answer, err, c.deadline))
 }
 
 // peerFailure returns the failure of a request that was passed on. Another instance
--- a/relay/passon_test.go
+++ b/relay/passon_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
@@ -70,6 +71,8 @@
 		{name: "success without a seal", status: 200, response: "Content-Length: 2\r\n\r\nok", want: 502},
 		{name: "refusal", status: 503, response: "Retry-After: 0.70\r\nContent-Length: 0\r\n\r\n", want: 503, retryAfter: "0.70"},
 		{name: "refusal with a malformed delay", status: 503, response: "Retry-After: x\r\nContent-Length: 0\r\n\r\n", want: 503, retryAfter: "0.20"},
+		{name: "refusal with a negative delay", status: 503, response: "Retry-After: -1\r\nContent-Length: 0\r\n\r\n", want: 503, retryAfter: "0.20"},
+		{name: "refusal with a delay that is no number", status: 503, response: "Retry-After: NaN\r\nContent-Length: 0\r\n\r\n", want: 503, retryAfter: "0.20"},
 		{name: "refusal with a long delay", status: 503, response: "Retry-After: 1e9\r\nContent-Length: 0\r\n\r\n", want: 503, retryAfter: "5.00"},
 		{name: "no such route there", status: 404, response: "Content-Length: 0\r\n\r\n", want: 503, retryAfter: "0.20"},
 		{name: "unknown outcome", status: 502, response: "Content-Length: 0\r\n\r\n", want: 502},
@@ -137,6 +140,9 @@
 			assert.Equal(t, first.relay.Stats().TakenOver, uint64(0))
 			assert.Equal(t, second.relay.Stats().TakenOver, uint64(1))
 			assert.Equal(t, second.relay.Stats().PassedOn, uint64(0))
+			// The rest of a timeout is not one that callers state.
+			assert.Equal(t, len(first.relay.timeouts.histograms), 1)
+			assert.Equal(t, len(second.relay.timeouts.histograms), 0)
 		})
 	}
 }
@@ -148,7 +154,37 @@
 	h := newCutHarness(t, &peerList{[]netip.AddrPort{unusedAddress(t), peer.info.Address}})
 	assert.Equal(t, h.call(t, "POST", "/once/x", "body").status, 200)
 	h = newCutHarness(t, &peerList{[]netip.AddrPort{unusedAddress(t), unusedAddress(t), peer.info.Address}})
-	assert.Equal(t, h.call(t, "POST", "/once/x", "body", "Rhubarbrelay-Deadline-Ms: 300").status, 503)
+	got := h.call(t, "POST", "/once/x", "body", "Rhubarbrelay-Deadline-Ms: 300")
+	assert.Equal(t, got.status, 503)
+	assert.Equal(t, got.body, "no target becomes free in time\n")
+}
+
+// Guards against a request that another instance has not got, and that fails as if it had.
+func TestPeerDoesNotGetRequest(t *testing.T) {
+	refusing := newScriptedTarget(t, "peer-1", "a", func(req *fasthttp.Request) (string, bool) { return notRunResponse(req, 503), false })
+	serving := newScriptedTarget(t, "peer-2", "a", echo)
+	h := newCutHarness(t, &peerList{[]netip.AddrPort{refusing.info.Address, serving.info.Address}})
+	assert.Equal(t, h.call(t, "POST", "/once/x", "body").status, 503)
+	// The connection carries no second request with an ID that was refused on it.
+	assert.Equal(t, h.call(t, "POST", "/once/x", "body").status, 200)
+	assert.Equal(t, len(refusing.receivedIDs()), 1)
+}
+
+// Guards against a request that gets more tries than its route allows, since it is passed
+// on after a target has refused it.
+func TestRefusedRequestIsNotPassedOn(t *testing.T) {
+	refusing := newScriptedTarget(t, "t-1", "a", func(req *fasthttp.Request) (string, bool) { return notRunResponse(req, 503), false })
+	peer := newScriptedTarget(t, "peer", "a", echo)
+	cut := &targets.Target{ID: "cut", Service: "spoolkeep", Zone: "a", Slots: 8, Address: unusedAddress(t)}
+	for range 10 { // the target of the first try is random
+		h := newHarness(t, append(targetInfos(refusing), cut), WithPeers(&peerList{[]netip.AddrPort{peer.info.Address}}))
+		document := harnessDocument()
+		document.Services["spoolkeep"].HealthPath = ""
+		h.table.Update(document.Services)
+		assert.Equal(t, h.call(t, "POST", "/once/x", "body").status, 503)
+	}
+	assert.Equal(t, len(refusing.receivedIDs()), 10) // control
+	assert.Equal(t, len(peer.receivedIDs()), 0)
 }
 
 // Guards against a request that runs twice because it is passed on after a byte of it was
@@ -188,7 +224,10 @@
 	c.send(rawRequest("GET", "/safe/x", ""))
 	<-received
 	assert.NilError(t, c.conn.Close())
+	closed := time.Now()
 	waitFor(t, "the request has ended", func() bool { return h.relay.InProgress() == 0 })
+	timeout := h.Current().Match("spoolkeep.example", "/safe/x").Timeout
+	assert.Assert(t, time.Since(closed) < timeout/2, "the request has ended after %s", time.Since(closed))
 	assert.Equal(t, h.relay.Stats().UnknownOutcome, uint64(1))
 	close(release)
 }
--- a/routing/reach_test.go
+++ b/routing/reach_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbrelay/config"
+	"rhubarbrelay/limits"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/reachability"
 	"rhubarbrelay/targets"
@@ -90,6 +91,11 @@
 			r.dispatcher.CheckReach(true)
 			assert.Equal(t, r.dispatcher.Reach(), reachability.Reachable) // control
 			assert.Equal(t, r.dials.Load(), int64(1))
+			if path != "" {
+				r.now = r.now.Add(2 * time.Second)
+				r.dispatcher.CheckReach(true)
+				assert.Equal(t, r.dials.Load(), int64(1)) // on the same connection
+			}
 			r.lose(t)
 			r.cut.Store(false)
 			r.dispatcher.CheckReach(false)
@@ -129,3 +135,100 @@
 	_, err = r.dispatcher.Acquire(ctx, r.request())
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 }
+
+// Guards against targets that are contacted although they want nothing, or beyond the limit
+// of probes.
+func TestReachChecksKeepLimits(t *testing.T) {
+	r := newReachTest(t, service, 4)
+	for _, target := range r.dispatcher.targets {
+		r.dispatcher.RecordLeaving(target.info.Incarnation())
+	}
+	r.dispatcher.CheckReach(true)
+	assert.Equal(t, r.dials.Load(), int64(0))
+	r = newReachTest(t, service, 4)
+	settings := testSettings()
+	settings.ProbesPerSecond = 0
+	r.dispatcher.SetSettings(settings)
+	r.cut.Store(true)
+	for range 500 {
+		r.dispatcher.CheckReach(true)
+	}
+	probes := r.dispatcher.Stats().Probes
+	assert.Assert(t, probes > 0 && probes <= 4*40, "%d probes", probes) // what has accumulated
+}
+
+// Guards against evidence of requests that is ignored, or counted for targets that are gone.
+func TestReachOfRequests(t *testing.T) {
+	r := newReachTest(t, service, 4)
+	leases := make([]*Lease, 0, 4)
+	exclude := make([]targets.Incarnation, 0, 4)
+	for range 4 {
+		request := r.request()
+		request.Exclude = exclude
+		leases = append(leases, acquire(t, r.dispatcher, request))
+		exclude = append(exclude, leases[len(leases)-1].Target().Incarnation())
+	}
+	r.lose(t)
+	for _, l := range leases {
+		l.Release(Succeeded, platform.ResponseInfo{Received: true})
+	}
+	assert.Equal(t, r.dispatcher.Reach(), reachability.Reachable)
+	r.lose(t)
+	r.dispatcher.SetTargets(nil)
+	assert.Equal(t, r.dispatcher.Stats().Unreached, 0)
+}
+
+// Guards against a link that is not checked after an exchange broke off or timed out.
+func TestReachIsCheckedAfterFailure(t *testing.T) {
+	for _, outcome := range []Outcome{Failed, TimedOut, Succeeded} {
+		r := newReachTest(t, service, 4)
+		r.dispatcher.CheckReach(true)
+		l := acquire(t, r.dispatcher, r.request())
+		r.now = r.now.Add(100 * time.Millisecond)
+		l.Release(outcome, platform.ResponseInfo{})
+		before := r.dispatcher.Stats().Probes
+		r.dispatcher.CheckReach(false)
+		assert.Equal(t, r.dispatcher.Stats().Probes > before, outcome != Succeeded, "outcome %d", outcome)
+	}
+}
+
+// Guards against retries for requests that other instances run and count.
+func TestRequestElsewhereAllowsNoRetry(t *testing.T) {
+	r := newReachTest(t, service, 4)
+	r.dispatcher.SetSettings(Settings{Zone: "a", Retries: limits.RetryLimits{Ratio: 10, Window: time.Second}, ProbesPerSecond: 10_000})
+	r.lose(t)
+	request := r.request()
+	request.Elsewhere = true
+	_, err := r.dispatcher.Acquire(context.Background(), request)
+	assert.ErrorIs(t, err, ErrUnreachable)
+	assert.Assert(t, !r.dispatcher.AllowRetry())
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = r.dispatcher.Acquire(ctx, r.request())
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.Assert(t, r.dispatcher.AllowRetry()) // control
+}
+
+// Guards against a request that is refused by the length of the queue although another
+// instance can run it.
+func TestRequestForUnreachableTargetsBehindOthers(t *testing.T) {
+	r := newReachTest(t, service, 4)
+	r.lose(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var waiting sync.WaitGroup
+	for range 10 {
+		waiting.Go(func() {
+			_, err := r.dispatcher.Acquire(ctx, r.request())
+			assert.Check(t, err != nil)
+		})
+	}
+	for r.dispatcher.Stats().Waiting < maxScanners {
+		time.Sleep(time.Millisecond)
+	}
+	request := r.request()
+	request.Elsewhere = true
+	_, err := r.dispatcher.Acquire(context.Background(), request)
+	assert.ErrorIs(t, err, ErrUnreachable)
+	cancel()
+	waiting.Wait()
+}
