registry: the reader long-polls the configuration for a second at a time

Callers got an answer of the old service.

The reader of the registry, which is the first instance that the store serves, waits for a second at a time too.

--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -20,7 +20,7 @@
 	// connection.
 	longPollTimeout = 4 * time.Second
 	// firstLongPollTimeout replaces longPollTimeout on the first instance in the
-	// read order. A read that reaches the store while a version is being appended
+	// read order and on readers: the store may refuse the first one. A read that reaches the store while a version is being appended
 	// may return only at the end of its wait, which delays the new version.
 	firstLongPollTimeout = time.Second
 	// peerVersionTimeout is how long an instance waits for a reader to report a
--- a/registry/config_follower_test.go
+++ b/registry/config_follower_test.go
@@ -42,10 +42,15 @@
 // startConfigFollower runs a follower until the test ends. The returned function
 // lists the versions that were activated.
 func startConfigFollower(t *testing.T, store Store, rank int, fetch FetchFunc) (*ConfigFollower, func() []int64) {
+	t.Helper()
+	return startConfigFollowerInRole(t, store, roleOf(rank, false), fetch)
+}
+
+func startConfigFollowerInRole(t *testing.T, store Store, role ReadRole, fetch FetchFunc) (*ConfigFollower, func() []int64) {
 	t.Helper()
 	var mu sync.Mutex
 	var versions []int64
-	f := NewConfigFollower(store, roleOf(rank, false), fetch, discardLogger, func(d *config.Document) {
+	f := NewConfigFollower(store, role, fetch, discardLogger, func(d *config.Document) {
 		mu.Lock()
 		defer mu.Unlock()
 		versions = append(versions, d.Version)
@@ -248,16 +253,30 @@
 // Guards against a version that is activated late because the long poll reached the
 // store while the version was being appended.
 func TestReadDuringAnAppend(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		store := newFakeStore()
-		store.put(platform.ConfigTopic, "config", documentJSON(5))
-		store.setDelayed(true)
-		_, versions := startConfigFollower(t, store, reader, noPeer)
-		time.Sleep(10 * time.Millisecond)
-		store.put(platform.ConfigTopic, "config", documentJSON(6))
-		time.Sleep(firstLongPollTimeout)
-		assert.DeepEqual(t, versions(), []int64{5, 6})
-	})
+	first := func() int { return reader }
+	second := func() int { return watcher }
+	yes, no := func() bool { return true }, func() bool { return false }
+	tests := []struct {
+		name string
+		role ReadRole
+	}{
+		{"first instance", ReadRole{IsReader: no, StoreFailing: no, Rank: first, ReadOrder: first}},
+		{"reader, as the store refuses the first instance", ReadRole{IsReader: yes, StoreFailing: no, Rank: second, ReadOrder: second}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				store.put(platform.ConfigTopic, "config", documentJSON(5))
+				store.setDelayed(true)
+				_, versions := startConfigFollowerInRole(t, store, tt.role, noPeer)
+				time.Sleep(10 * time.Millisecond)
+				store.put(platform.ConfigTopic, "config", documentJSON(6))
+				time.Sleep(firstLongPollTimeout)
+				assert.DeepEqual(t, versions(), []int64{5, 6})
+			})
+		})
+	}
 }
 
 // Guards against all instances relying on one that waits for a lost response. It
--- a/registry/config_read.go
+++ b/registry/config_read.go
@@ -23,7 +23,7 @@
 		return batch.Next, nil
 	}
 	wait := longPollTimeout
-	if f.role.ReadOrder() == 0 {
+	if f.role.ReadOrder() == 0 || f.role.IsReader() {
 		wait = firstLongPollTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
