relay: state how long the caller of a request that is passed on has waited

Cause: an instance estimates the time that a caller has waited from its timeout. A request that is passed on stated what the route leaves of it, a second less than callers of that route state, so that it looked like a retry that is late already. Evidence: the log of the other instance has spent=980ms for requests that have no spent at the one that passed them on.

The request now states the time that its caller has waited. TestElapsedTimeOfPassedOnRequest failed before and passes.

--- a/relay/passon.go
+++ b/relay/passon.go
@@ -25,6 +25,9 @@
 	// leavingTargetHeader names, in a response to another instance, the target that has
 	// stated in it that it leaves: the time of its start in milliseconds, a space, and its ID.
 	leavingTargetHeader = "Relay-Target-Leaving"
+	// elapsedHeader states, in a request to another instance, how many milliseconds its
+	// caller has waited. The timeout is what the route leaves, and does not tell that.
+	elapsedHeader = "Relay-Elapsed-Ms"
 )
 
 // PeerSelector selects the other instance that runs a request in place of this one.
@@ -77,6 +80,7 @@
 func (s *Server) exchangeWithPeer(caller *callerWatch, conn *upstream.Conn, req *fasthttp.Request, resp *fasthttp.Response, c *call) error {
 	defer conn.Release()
 	platform.SetCallerTimeout(&req.Header, time.Until(c.deadline))
+	setElapsed(&req.Header, c.priorElapsed+time.Since(c.arrival))
 	answer := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(answer)
 	reservation := bodies.NewReservation(s.responseMemory, 1)
@@ -90,6 +94,7 @@
 		err = errors.Join(errCallerClosed, <-exchanged)
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
+		req.Header.Del(elapsedHeader)
 		reservation.Release()
 		return err
 	}
@@ -169,3 +174,17 @@
 	startedMS, err := strconv.ParseInt(started, 10, 64)
 	return targets.Incarnation{ID: id, StartedMS: startedMS}, ok && err == nil
 }
+
+func setElapsed(h *fasthttp.RequestHeader, elapsed time.Duration) {
+	h.Set(elapsedHeader, strconv.FormatInt(elapsed.Milliseconds(), 10))
+}
+
+// statedElapsed returns how long the caller of a request has waited, as the instance that
+// has passed the request on states, 0 if it does not.
+func statedElapsed(h *fasthttp.RequestHeader) time.Duration {
+	ms, err := strconv.ParseInt(string(h.Peek(elapsedHeader)), 10, 32)
+	if err != nil || ms < 0 {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
--- a/relay/passon_test.go
+++ b/relay/passon_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
@@ -104,12 +106,13 @@
 		return echo(req)
 	})
 	h := newCutHarness(t, &peerList{[]netip.AddrPort{peer.info.Address}})
-	assert.Equal(t, h.call(t, "PUT", "/once/x?y=1", "body", "Rhubarbrelay-Deadline-Ms: 3000", "X-Other: 7").body, "body")
+	assert.Equal(t, h.call(t, "PUT", "/once/x?y=1", "body", "Rhubarbrelay-Deadline-Ms: 3000", "X-Other: 7", "Relay-Elapsed-Ms: 99999").body, "body")
 	assert.Equal(t, string(got.Header.Method()), "PUT")
 	assert.Equal(t, string(got.Header.RequestURI()), "/once/x?y=1")
 	assert.Equal(t, string(got.Header.Host()), "spoolkeep.example")
 	assert.Equal(t, string(got.Header.Peek("X-Other")), "7")
 	assert.Equal(t, len(got.Header.Peek("Rhubarbrelay-Expect-Instance")), 0)
+	assert.Equal(t, statedElapsed(&got.Header) < time.Second, true)
 	left, err := strconv.Atoi(string(got.Header.Peek("Rhubarbrelay-Deadline-Ms")))
 	assert.NilError(t, err)
 	assert.Assert(t, left > 0 && left <= 3000, "%d ms left", left)
@@ -275,3 +278,48 @@
 		})
 	}
 }
+
+// Guards against a first attempt that is refused as late, since the other instance takes
+// the time that a route allows for what is left of the caller's.
+func TestElapsedTimeOfPassedOnRequest(t *testing.T) {
+	const objective, allowed = 2500 * time.Millisecond, 10 * time.Second // of the route
+	tests := []struct {
+		name   string
+		before []time.Duration // timeouts of requests at the instance that passes on
+		now    time.Duration
+		want   bool // whether time counts as spent
+	}{
+		{"first attempt", nil, 3 * allowed, false},
+		{"attempt after a refusal", []time.Duration{3 * allowed, 3 * allowed, 3 * allowed}, 2 * allowed, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			lines := memory.New()
+			target := newScriptedTarget(t, "t-1", "a", func(req *fasthttp.Request) (string, bool) {
+				assert.Check(t, len(req.Header.Peek(elapsedHeader)) == 0, "the target gets a header that is only for instances")
+				return echo(req)
+			})
+			other := newHarness(t, targetInfos(target), WithLogger(&log.Logger{Handler: lines, Level: log.InfoLevel}))
+			call := func(h *harness, timeout time.Duration) response {
+				return h.call(t, "POST", "/once/x", "body", fmt.Sprintf("Rhubarbrelay-Deadline-Ms: %d", timeout.Milliseconds()))
+			}
+			for range 10 {
+				assert.Equal(t, call(other, 3*allowed).status, 200)
+			}
+			h := newCutHarness(t, &peerList{[]netip.AddrPort{other.servePeers(t)}})
+			for _, timeout := range tt.before {
+				assert.Equal(t, call(h, timeout).status, 200)
+			}
+			assert.Equal(t, call(h, tt.now).status, 200)
+			last := lines.Entries[len(lines.Entries)-1]
+			assert.Equal(t, last.Fields["from_peer"], true)
+			spent, ok := last.Fields["spent"].(string)
+			assert.Equal(t, ok, tt.want, spent)
+			if ok {
+				d, err := time.ParseDuration(spent)
+				assert.NilError(t, err)
+				assert.Assert(t, d > allowed-objective && d < allowed+objective, "%s spent", d)
+			}
+		})
+	}
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -197,7 +197,7 @@
 			c.deadline = d
 		}
 		if c.fromPeer {
-			c.priorElapsed = s.timeouts.elapsed(c.route.Key(), timeout)
+			c.priorElapsed = statedElapsed(&req.Header)
 		} else {
 			c.priorElapsed = s.timeouts.recordTimeout(c.route.Key(), timeout)
 		}
@@ -249,6 +249,7 @@
 func prepareRequest(req *fasthttp.Request, c *call) {
 	h := &req.Header
 	c.header.stripRequest(h)
+	h.Del(elapsedHeader)
 	h.SetProtocol("HTTP/1.1")
 	h.SetNoDefaultContentType(true)
 	h.SetRequestURIBytes(originForm(h.RequestURI()))
--- a/relay/timeouthistogram.go
+++ b/relay/timeouthistogram.go
@@ -55,23 +55,7 @@
 		histogram[i] -= histogram[i] / decayRequests
 	}
 	histogram[bucket] += 1.0 / decayRequests
-	return elapsedBefore(histogram, timeout)
-}
-
-// elapsed is like recordTimeout for a timeout that does not count: the rest of one that
-// another instance states.
-func (h *timeoutHistograms) elapsed(route string, timeout time.Duration) time.Duration {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	histogram := h.histograms[route]
-	if histogram == nil {
-		return 0
-	}
-	return elapsedBefore(histogram, timeout)
-}
-
-func elapsedBefore(histogram *[timeoutBuckets]float64, timeout time.Duration) time.Duration {
-	for i := bucketOf(timeout); i < timeoutBuckets; i++ {
+	for i := bucket; i < timeoutBuckets; i++ {
 		if holdsFirstAttempts(histogram, i) {
 			return max(0, bucketLowerBound(i)-timeout)
 		}
