--- a/routing/reach_test.go
+++ b/routing/reach_test.go
@@ -139,13 +139,15 @@
 // Guards against targets that are contacted although they want nothing, or beyond the limit
 // of probes.
 func TestReachChecksKeepLimits(t *testing.T) {
-	r := newReachTest(t, service, 4)
-	for _, target := range r.dispatcher.targets {
-		r.dispatcher.RecordLeaving(target.info.Incarnation())
+	for _, path := range []string{"/healthz", ""} {
+		r := newReachTest(t, &config.Service{Name: "s", HealthPath: path, MaxConnections: 200}, 4)
+		for _, target := range r.dispatcher.targets {
+			r.dispatcher.RecordLeaving(target.info.Incarnation())
+		}
+		r.dispatcher.CheckReach(true)
+		assert.Equal(t, r.dials.Load(), int64(0))
 	}
-	r.dispatcher.CheckReach(true)
-	assert.Equal(t, r.dials.Load(), int64(0))
-	r = newReachTest(t, service, 4)
+	r := newReachTest(t, service, 4)
 	settings := testSettings()
 	settings.ProbesPerSecond = 0
 	r.dispatcher.SetSettings(settings)
@@ -173,6 +175,19 @@
 		l.Release(Succeeded, platform.ResponseInfo{Received: true})
 	}
 	assert.Equal(t, r.dispatcher.Reach(), reachability.Reachable)
+	lost := leases[0].target
+	r.dispatcher.recordUnreached(lost, upstream.ErrUnreachable)
+	assert.Equal(t, r.dispatcher.Stats().Unreached, 1) // control
+	draining := *lost.info
+	draining.State = targets.Draining
+	r.dispatcher.SetTargets([]*targets.Target{&draining})
+	r.dispatcher.recordUnreached(lost, upstream.ErrUnreachable)
+	assert.Equal(t, r.dispatcher.Stats().Unreached, 0)
+}
+
+// Guards against targets that are gone and still count as unreachable.
+func TestReachOfRemovedTargets(t *testing.T) {
+	r := newReachTest(t, service, 4)
 	r.lose(t)
 	r.dispatcher.SetTargets(nil)
 	assert.Equal(t, r.dispatcher.Stats().Unreached, 0)
