entry: pass requests on to all active instances of a large zone

Found while the diff was read: an instance selected among two instances of a zone, although a zone has one more active instance for each 16 beyond 32. In a deployment of hundreds, the callers of a zone that is cut off would have been served by two instances of each other zone. The selection now uses the rule that entry responses and shared limits use, which stood three times. The added case of TestSelectPeer failed before; nothing changes in zones of up to 32 instances.

--- a/entry/isolated_test.go
+++ b/entry/isolated_test.go
@@ -76,22 +76,24 @@
 // Guards against requests that are passed on to the instance itself, to one that does not
 // reach the targets either, to another zone without need, or to one that has failed.
 func TestSelectPeer(t *testing.T) {
-	zones := []string{"a", "a", "a", "a", "b", "b", "b"}
+	small := []string{"a", "a", "a", "a", "b", "b", "b"}
 	tests := []struct {
 		name    string
+		zones   []string
 		lost    []int // that reach no targets of the service
 		exclude []int
 		want    []int
 	}{
-		{"active instances of the zone", []int{0}, nil, []int{1, 2}},
-		{"others have lost the service", []int{0, 1}, nil, []int{2, 3}},
-		{"one was tried", []int{0}, []int{1}, []int{2}},
-		{"the whole zone has lost the service", []int{0, 1, 2, 3}, nil, []int{4, 5}},
-		{"all have lost the service", []int{0, 1, 2, 3, 4, 5, 6}, nil, []int{}},
+		{"active instances of the zone", small, []int{0}, nil, []int{1, 2}},
+		{"others have lost the service", small, []int{0, 1}, nil, []int{2, 3}},
+		{"one was tried", small, []int{0}, []int{1}, []int{2}},
+		{"the whole zone has lost the service", small, []int{0, 1, 2, 3}, nil, []int{4, 5}},
+		{"the whole zone has lost the service, a large one has not", slices.Concat(small, slices.Repeat([]string{"c"}, 33)), []int{0, 1, 2, 3, 4, 5, 6}, nil, []int{7, 8, 9}},
+		{"all have lost the service", small, []int{0, 1, 2, 3, 4, 5, 6}, nil, []int{}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			all := testInstances(zones...)
+			all := testInstances(tt.zones...)
 			for i := range all {
 				all[i].PeerAddress = all[i].CallerAddress
 			}
@@ -104,7 +106,7 @@
 			}
 			selector := NewSelector(staticDirectory{all[0], all})
 			selected := map[netip.AddrPort]bool{}
-			for range 100 {
+			for range 200 {
 				if address, ok := selector.SelectPeer("s", exclude); ok {
 					selected[address] = true
 				}
--- a/entry/limit_sharing.go
+++ b/entry/limit_sharing.go
@@ -8,7 +8,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"rhubarbrelay/membership"
 	"rhubarbrelay/targets"
 )
 
@@ -81,17 +80,10 @@
 		return
 	}
 	s.updatedAt = now
-	s.active = activeByZone(eligible(s.directory))
-}
-
-// activeByZone returns the IDs of the active instances of each zone.
-func activeByZone(ready []membership.Instance) map[string][]string {
-	active := map[string][]string{}
-	for _, in := range ready {
-		active[in.Zone] = append(active[in.Zone], in.ID)
-	}
-	for zone, ids := range active {
-		active[zone] = ids[:min(len(ids), maxActiveInZone(len(ids)))]
+	s.active = map[string][]string{}
+	for zone, instances := range activeByZone(eligible(s.directory)) {
+		for _, in := range instances {
+			s.active[zone] = append(s.active[zone], in.ID)
+		}
 	}
-	return active
 }
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -37,12 +37,23 @@
 // eligible returns the ready instances that callers may be sent to: those that have not
 // lost their links to all targets or, if all have, every ready instance.
 func eligible(directory Directory) []membership.Instance {
-	ready := directory.Ready()
-	isolated := func(in membership.Instance) bool { return in.Isolated }
-	if reaching := slices.DeleteFunc(slices.Clone(ready), isolated); len(reaching) > 0 {
-		return reaching
+	ready := slices.Clone(directory.Ready())
+	if !slices.ContainsFunc(ready, func(in membership.Instance) bool { return !in.Isolated }) {
+		return ready
 	}
-	return ready
+	return slices.DeleteFunc(ready, func(in membership.Instance) bool { return in.Isolated })
+}
+
+// activeByZone returns the active instances of each zone among the given ones.
+func activeByZone(instances []membership.Instance) map[string][]membership.Instance {
+	active := map[string][]membership.Instance{}
+	for _, in := range instances {
+		active[in.Zone] = append(active[in.Zone], in)
+	}
+	for zone, all := range active {
+		active[zone] = all[:min(len(all), maxActiveInZone(len(all)))]
+	}
+	return active
 }
 
 // Directory provides this instance and the instances that accept callers. Ready
@@ -92,19 +103,19 @@
 // excluded ones.
 func (s *Selector) SelectPeer(service string, exclude []netip.AddrPort) (address netip.AddrPort, ok bool) {
 	self := s.directory.Self()
+	candidates := slices.DeleteFunc(eligible(s.directory), func(in membership.Instance) bool {
+		return in.ID == self.ID || !in.PeerAddress.IsValid() || !in.Reaches(service)
+	})
 	var local, remote []netip.AddrPort
-	inZone := map[string]int{}
-	for _, in := range eligible(s.directory) {
-		if in.ID == self.ID || !in.PeerAddress.IsValid() || !in.Reaches(service) {
-			continue
-		}
-		inZone[in.Zone]++
-		switch {
-		case slices.Contains(exclude, in.PeerAddress), inZone[in.Zone] > minActive:
-		case in.Zone == self.Zone:
-			local = append(local, in.PeerAddress)
-		default:
-			remote = append(remote, in.PeerAddress)
+	for zone, instances := range activeByZone(candidates) {
+		for _, in := range instances {
+			switch {
+			case slices.Contains(exclude, in.PeerAddress):
+			case zone == self.Zone:
+				local = append(local, in.PeerAddress)
+			default:
+				remote = append(remote, in.PeerAddress)
+			}
 		}
 	}
 	if len(local) == 0 {
@@ -118,13 +129,9 @@
 
 // ActiveCount returns the number of active instances in all zones, at least 1.
 func (s *Selector) ActiveCount() int {
-	zones := map[string]int{}
-	for _, in := range eligible(s.directory) {
-		zones[in.Zone]++
-	}
 	active := 0
-	for _, n := range zones {
-		active += min(n, maxActiveInZone(n))
+	for _, instances := range activeByZone(eligible(s.directory)) {
+		active += len(instances)
 	}
 	return max(1, active)
 }
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -52,9 +52,9 @@
 
 // WithOnChange sets a function that is called, without a lock held, after an
 // instance was added, restarted or removed, changed its state or the services that it
-// reaches, sent its first packet, or sent a packet while it was considered dead. No call is made when an
-// instance becomes dead: whether it is alive is computed from the time of its last
-// packet whenever the directory is queried.
+// reaches, sent its first packet, or sent a packet while it was considered dead. No
+// call is made when an instance becomes dead: whether it is alive is computed from the
+// time of its last packet whenever the directory is queried.
 func WithOnChange(fn func()) Option { return func(d *Directory) { d.onChange = fn } }
 
 // NewDirectory returns a directory that contains only this instance.
--- a/relay/server.go
+++ b/relay/server.go
@@ -178,10 +178,10 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	// The listeners enforce the limit, one for callers and one for other instances. A fasthttp worker becomes free only shortly
-	// after its connection is closed, so there must be more workers than
-	// connections.
-	s.http.Concurrency = 2 * 2 * s.maxConnections
+	// The two listeners, for callers and for other instances, enforce the limit. A
+	// fasthttp worker becomes free only shortly after its connection is closed, so there
+	// must be more workers than connections.
+	s.http.Concurrency = 2 * (2 * s.maxConnections)
 	return s
 }
 
