--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -26,7 +27,6 @@
 	command      *exec.Cmd
 	exited       chan struct{}
 	exitedAt     time.Time
-	signals      []string
 }
 
 // settingsText is deploy/settings.ini.tmpl with the figures of the small sites.
@@ -44,6 +44,17 @@
 	return b.String()
 }
 
+// started holds the processes that were started and have not ended.
+var started sync.Map
+
+// endAll kills these processes.
+func endAll() {
+	started.Range(func(process, _ any) bool {
+		_ = process.(*os.Process).Kill()
+		return true
+	})
+}
+
 // start starts the process as the deploy file says: target/rhubarbrelayd, in the root of
 // the repository, with the path of its settings in RHUBARBRELAY_BOOT.
 func (in *instance) start(root, folder string) error {
@@ -60,10 +71,12 @@
 	if err := in.command.Start(); err != nil {
 		return err
 	}
+	started.Store(in.command.Process, true)
 	in.exited = make(chan struct{})
 	command, exited := in.command, in.exited
 	go func() {
 		_ = command.Wait()
+		started.Delete(command.Process)
 		in.exitedAt = time.Now()
 		close(exited)
 	}()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,11 +5,16 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
+// maxCaseTime limits a case. After it all processes are ended.
+const maxCaseTime = 115 * time.Second
+
 // Exit codes of a case.
 const (
 	held   = 0
@@ -50,6 +55,16 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(failed)
 	}
+	go func() {
+		interrupts := make(chan os.Signal, 1)
+		signal.Notify(interrupts, syscall.SIGTERM, syscall.SIGINT)
+		select {
+		case <-interrupts:
+		case <-time.After(maxCaseTime):
+		}
+		endAll()
+		os.Exit(failed)
+	}()
 	rec := &recorder{file: file, start: time.Now()}
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.printf("case %s, disruption %t, started %s", os.Args[1], trouble, time.Now().UTC().Format(time.RFC3339))
