--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -47,6 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
+	folders.Store(folder, true)
 	d := &deployment{root: root, folder: folder, runs: &runs{byID: map[string][]*run{}}, record: rec}
 	base := fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, 1+os.Getpid()/128%250)
 	var ips []string
@@ -74,8 +75,10 @@
 			if err != nil {
 				return d, err
 			}
-			s := &server{id: fmt.Sprintf("i-%04d", n), service: service, zone: l.zones[n%len(l.zones)], address: fmt.Sprintf("%s:%d", ip, port),
-				slots: l.slots, work: l.work, answer: l.answer, runs: d.runs, store: d.store}
+			s := &server{
+				id: fmt.Sprintf("i-%04d", n), service: service, zone: l.zones[n%len(l.zones)], address: fmt.Sprintf("%s:%d", ip, port),
+				slots: l.slots, work: l.work, answer: l.answer, runs: d.runs, store: d.store,
+			}
 			if err := s.start(1500 * time.Millisecond); err != nil {
 				return d, err
 			}
--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -47,12 +47,28 @@
 // started holds the processes that were started and have not ended.
 var started sync.Map
 
-// endAll kills these processes.
+// folders holds the folders of the deployments.
+var folders sync.Map
+
+// ending is set by endAll, after which no process is started. startLock orders the two.
+var (
+	startLock sync.Mutex
+	ending    bool
+)
+
+// endAll kills these processes for good and removes the folders of all deployments.
 func endAll() {
+	startLock.Lock()
+	defer startLock.Unlock()
+	ending = true
 	started.Range(func(process, _ any) bool {
 		_ = process.(*os.Process).Kill()
 		return true
 	})
+	folders.Range(func(folder, _ any) bool {
+		_ = os.RemoveAll(folder.(string))
+		return true
+	})
 }
 
 // start starts the process as the deploy file says: target/rhubarbrelayd, in the root of
@@ -68,6 +84,11 @@
 	in.command.Dir = root
 	in.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "RHUBARBRELAY_BOOT=" + in.settings}
 	in.command.Stdout, in.command.Stderr = log, log
+	startLock.Lock()
+	defer startLock.Unlock()
+	if ending {
+		return errors.New("the case has ended")
+	}
 	if err := in.command.Start(); err != nil {
 		return err
 	}
