--- a/review/standin/case_slow_answer.go
+++ b/review/standin/case_slow_answer.go
@@ -55,7 +55,7 @@
 	// The clients hold an entry response that names the machine, and may for seconds.
 	var wait sync.WaitGroup
 	var mu sync.Mutex
-	cut := 0
+	cut, complete, otherwise := 0, 0, 0
 	for i := range clients {
 		at := stop.Add(2300*time.Millisecond + time.Duration(i)*150*time.Millisecond)
 		wait.Go(func() {
@@ -70,10 +70,15 @@
 			ran := d.runs.of(a.ID)
 			rec.printf("client %d id %s sent %s done %s status %d seal %q body %d of %d error %v; runs %d, run at %s, answered at %s", i, a.ID,
 				rec.at(a.Sent), rec.at(a.Done), a.Status, a.Seal, a.BodyBytes, a.Expected, a.Err, len(ran), rec.at(firstRun(ran).At), rec.at(firstRun(ran).Answered))
-			if lostToStop(a, ran, stop) {
-				mu.Lock()
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case a.Err == nil && a.Status == http.StatusOK && a.Digest == firstRun(ran).Answer:
+				complete++
+			case trouble && lostToStop(a, ran, stop):
 				cut++
-				mu.Unlock()
+			default:
+				otherwise++
 			}
 		})
 	}
@@ -86,9 +91,12 @@
 			rec.printf("%s still runs at the end of its grace", machine.id)
 		}
 	}
-	rec.printf("answers that were cut off: %d of %d", cut, clients)
-	if cut > 0 {
+	rec.printf("answers: %d complete, %d cut off by the stop, %d otherwise, of %d", complete, cut, otherwise, clients)
+	switch {
+	case cut > 0:
 		return broken
+	case complete == 0 || otherwise > 0:
+		return failed
 	}
 	return held
 }
