config, platform, settings: decode tenants, limits of cold targets, quota settings

Cause: a published configuration may hold tenants with API keys and quotas, public routes, and limits of cold targets; all were dropped when it was decoded. Change: domain types for them, decoded at the edge. Keys are kept as digests only. Nothing uses them yet.

--- a/config/document.go
+++ b/config/document.go
@@ -16,9 +16,12 @@
 	Limits   Limits
 	Routes   []*Route
 	Services map[string]*Service
+	// Tenants are the groups of callers. If there are none, requests need no API key.
+	Tenants []*Tenant
 
-	routes map[routeKey]*Route
-	hosts  map[string]bool
+	tenants map[KeyDigest]*Tenant
+	routes  map[routeKey]*Route
+	hosts   map[string]bool
 }
 
 // routeKey identifies a route by its host and path prefix.
@@ -46,6 +49,11 @@
 	// together open to one target; 0 selects the default. An instance whose share
 	// is very small may still open a few.
 	MaxConnections int
+	// ColdDuration is how long a target stays cold after its start. While it is cold, it
+	// tolerates ColdPerSecond requests per second from all instances together; 0 means that
+	// there is no limit.
+	ColdDuration  time.Duration
+	ColdPerSecond float64
 }
 
 // Route forwards the requests for a host whose path begins with a prefix to
@@ -56,6 +64,8 @@
 	PathPrefix string
 	// Idempotent is set if a request may be run more than once.
 	Idempotent bool
+	// Public is set if a request needs no API key.
+	Public bool
 	// Objective is the latency objective of the route: the time within which its
 	// callers should get a response.
 	Objective time.Duration
@@ -79,7 +89,7 @@
 // Key identifies the route across versions of the configuration.
 func (r *Route) Key() string { return r.Host + r.PathPrefix }
 
-// Index builds the lookup tables for Match. It must be called once, before the
+// Index builds the lookup tables for Match and TenantOf. It must be called once, before the
 // document is shared between goroutines.
 func (d *Document) Index() {
 	d.routes = make(map[routeKey]*Route, len(d.Routes))
@@ -89,6 +99,12 @@
 		d.routes[routeKey{host, r.PathPrefix}] = r
 		d.hosts[host] = true
 	}
+	d.tenants = map[KeyDigest]*Tenant{}
+	for _, t := range d.Tenants {
+		for _, key := range t.Keys {
+			d.tenants[key] = t
+		}
+	}
 }
 
 // Match returns the route of the host with the longest matching path prefix, or
--- a/settings/reader.go
+++ b/settings/reader.go
@@ -207,15 +207,15 @@
 	return a
 }
 
-// number reads a non-negative number that may have a fraction.
-func (r *reader) number(section, key string, fallback, highest float64) float64 {
-	text, ok := r.optional(section, key)
+// budget reads a non-negative number of the section budgets that may have a fraction.
+func (r *reader) budget(key string, fallback, highest float64) float64 {
+	text, ok := r.optional("budgets", key)
 	if !ok {
 		return fallback
 	}
 	n, err := strconv.ParseFloat(text, 64)
 	if err != nil || !(n >= 0 && n <= highest) {
-		r.addProblem(setting{section, key}, text, fmt.Sprintf("not a number from 0 to %g", highest))
+		r.addProblem(setting{"budgets", key}, text, fmt.Sprintf("not a number from 0 to %g", highest))
 		return fallback
 	}
 	return n
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,6 +25,12 @@
 	DefaultRetrySlack      = 20.0
 	DefaultRetryWindow     = 10 * time.Second
 	DefaultProbesPerSecond = 60.0
+	DefaultQuotaWindow     = 5 * time.Second
+	DefaultQuotaOverage    = 0.1
+	DefaultQuotaSlack      = 20.0
+	DefaultColdOverage     = 1.5
+	DefaultColdSlack       = 8.0
+	DefaultEvacuationDelay = 5 * time.Second
 	DefaultMemory          = 256 * mebibyte
 	DefaultLogLevel        = "info"
 	DefaultLogFormat       = FormatText
@@ -40,6 +46,8 @@
 	maxDrainDelay     = 10 * time.Minute
 	minRetryWindow    = time.Second
 	maxRetryWindow    = time.Hour
+	minQuotaWindow    = time.Second
+	maxQuotaWindow    = time.Hour
 	minMemory         = 32 * mebibyte
 	maxMemory         = 1024 * gibibyte
 	maxMaxConnections = 1_000_000
@@ -127,6 +135,19 @@
 	RetryWindow time.Duration
 	// ProbesPerSecond is the maximum rate of probes of one target.
 	ProbesPerSecond float64
+	// QuotaOverage is the fraction of a tenant's quota, and QuotaSlack the number of
+	// requests, by which all instances together may exceed the quota within any
+	// QuotaWindow.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
+	// ColdOverage is the multiple of the requests per second that a cold target tolerates
+	// which it may get within any second, and ColdSlack the number in addition.
+	ColdOverage float64
+	ColdSlack   float64
+	// EvacuationDelay is the time within which instances must stop sending requests to
+	// the targets of an evacuated zone.
+	EvacuationDelay time.Duration
 }
 
 // Stop configures the graceful shutdown.
@@ -186,10 +207,16 @@
 		Store: Store{Address: r.address("store", "address")},
 		Budgets: Budgets{
 			DrainDelay:      r.duration("budgets", "drain_delay", DefaultDrainDelay, minDrainDelay, maxDrainDelay),
-			RetryRatio:      r.number("budgets", "retry_ratio", DefaultRetryRatio, maxRatio),
-			RetrySlack:      r.number("budgets", "retry_slack", DefaultRetrySlack, maxRate),
+			RetryRatio:      r.budget("retry_ratio", DefaultRetryRatio, maxRatio),
+			RetrySlack:      r.budget("retry_slack", DefaultRetrySlack, maxRate),
 			RetryWindow:     r.duration("budgets", "retry_window", DefaultRetryWindow, minRetryWindow, maxRetryWindow),
-			ProbesPerSecond: r.number("budgets", "probes_per_second", DefaultProbesPerSecond, maxRate),
+			ProbesPerSecond: r.budget("probes_per_second", DefaultProbesPerSecond, maxRate),
+			QuotaWindow:     r.duration("budgets", "quota_window", DefaultQuotaWindow, minQuotaWindow, maxQuotaWindow),
+			QuotaOverage:    r.budget("quota_overage", DefaultQuotaOverage, maxRatio),
+			QuotaSlack:      r.budget("quota_slack", DefaultQuotaSlack, maxRate),
+			ColdOverage:     r.budget("cold_overage", DefaultColdOverage, maxRatio),
+			ColdSlack:       r.budget("cold_slack", DefaultColdSlack, maxRate),
+			EvacuationDelay: r.duration("budgets", "evacuation_delay", DefaultEvacuationDelay, minDrainDelay, maxDrainDelay),
 		},
 		Stop: Stop{Grace: r.duration("stop", "grace", DefaultGrace, minGrace, maxGrace)},
 		Log: Log{
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -43,6 +43,7 @@
 	assert.Equal(t, s.Stop.Grace, 6*time.Second)
 	assert.Equal(t, s.Budgets, Budgets{
 		DrainDelay: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 20, RetryWindow: 10 * time.Second, ProbesPerSecond: 60,
+		QuotaWindow: 5 * time.Second, QuotaOverage: 0.1, QuotaSlack: 20, ColdOverage: 1.5, ColdSlack: 8, EvacuationDelay: 5 * time.Second,
 	})
 	assert.Equal(t, s.Log, Log{Level: "info", Format: "text"})
 	assert.Equal(t, s.Admin.Token, "")
