callers, relay: run pipelined idempotent requests concurrently

Cause: fasthttp handles the requests of a connection one after the other, and holds a response back while a further request is buffered. A caller that sent requests without waiting got the first response only after the second one, and the second request reached a target only after the first one was answered. Change: the connection gives fasthttp one head at a time and keeps what follows. While a request is in progress, the complete idempotent requests without a body behind it are handled in goroutines of their own, eight at most, and their responses are taken in order. A close by the caller or of the connection cancels them. Measurement: the tests of relay/pipeline_test.go fail before (the second request does not reach its target, the first response waits for the second) and pass now, also with the race detector, three times.

--- a/relay/callerwatch.go
+++ b/relay/callerwatch.go
@@ -23,13 +23,16 @@
 	conn    net.Conn
 	cancel  context.CancelCauseFunc
 	watcher sync.WaitGroup
+	// receive takes what the caller sends meanwhile. It returns false if it takes no more
+	// bytes; nil means that it never takes any.
+	receive func(fd int) bool
 }
 
 // watchCaller starts to watch the connection. The watch must be stopped before
-// the connection is read again.
-func watchCaller(conn net.Conn) *callerWatch {
-	ctx, cancel := context.WithCancelCause(context.Background())
-	w := &callerWatch{Context: ctx, conn: conn, cancel: cancel}
+// the connection is read again. receive may be nil, see callerWatch.
+func watchCaller(conn net.Conn, receive func(fd int) bool) *callerWatch {
+	w := unwatchedCaller()
+	w.conn, w.receive = conn, receive
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
 		return w
@@ -40,16 +43,22 @@
 	}
 	// The read deadline of the request would end the watch.
 	if err := conn.SetReadDeadline(time.Time{}); err != nil {
-		cancel(errCallerClosed)
+		w.cancel(errCallerClosed)
 		return w
 	}
 	w.watcher.Go(func() { w.watch(raw) })
 	return w
 }
 
+// unwatchedCaller returns a watch without a connection, which only cancel ends.
+func unwatchedCaller() *callerWatch {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	return &callerWatch{Context: ctx, cancel: cancel}
+}
+
 // watch returns when the connection is closed or stop is called. It also returns
-// when bytes of a further request arrive, because a close cannot be detected
-// while they are unread.
+// when bytes of a further request arrive that receive does not take, because a close
+// cannot be detected while they are unread.
 func (w *callerWatch) watch(raw syscall.RawConn) {
 	closed := false
 	err := raw.Read(func(fd uintptr) bool {
@@ -59,7 +68,7 @@
 			return false
 		}
 		closed = err != nil || n == 0
-		return true
+		return closed || w.receive == nil || !w.receive(int(fd))
 	})
 	if closed || err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		w.cancel(errCallerClosed)
@@ -68,6 +77,10 @@
 
 // stop ends the watch and clears the read deadline.
 func (w *callerWatch) stop() {
+	if w.conn == nil {
+		w.cancel(nil)
+		return
+	}
 	_ = w.conn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
 	w.watcher.Wait()
 	_ = w.conn.SetReadDeadline(time.Time{})
--- a/relay/listener.go
+++ b/relay/listener.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"rhubarbrelay/callers"
 	"rhubarbrelay/platform"
 )
 
@@ -79,14 +80,20 @@
 	closed   atomic.Bool
 	received int64 // bytes
 	readErr  error // the last error of Read
+	pipeline callers.Pipeline
+	ahead    aheadRequests
 	// lingers is set if the caller may still be sending when the connection is closed.
 	lingers atomic.Bool
 }
 
 // Read implements net.Conn.
 func (c *countedConn) Read(p []byte) (int, error) {
+	if n := c.pipeline.Take(p); n > 0 {
+		return n, nil
+	}
 	n, err := c.Conn.Read(p)
 	c.received += int64(n)
+	n = c.pipeline.Receive(p[:n])
 	if err != nil {
 		c.readErr = err
 	}
@@ -106,6 +113,7 @@
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
+		c.ahead.cancel()
 		defer c.open.Add(-1)
 		if c.lingers.Load() && c.SetReadDeadline(time.Now().Add(refusalTimeout)) == nil {
 			discardRest(c.Conn)
--- /dev/null
+++ b/relay/pipeline.go
@@ -0,0 +1,216 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"rhubarbrelay/bodies"
+)
+
+const (
+	// maxAhead limits the requests of one connection that run before the ones that were
+	// sent earlier are answered.
+	maxAhead = 8
+	// receiveSize is the number of bytes that are read at a time from a caller whose request
+	// is in progress.
+	receiveSize = 4 << 10
+)
+
+// aheadRequest is a request that runs before an earlier one of its connection is answered.
+// fasthttp handles the requests of a connection one after the other: the request is handled
+// in a goroutine of its own, and its response is taken when fasthttp comes to it.
+type aheadRequest struct {
+	head  []byte
+	req   fasthttp.Request
+	resp  fasthttp.Response
+	watch *callerWatch
+	done  chan struct{}
+}
+
+// aheadRequests are the requests of one connection that run ahead, in the order in which
+// they were sent. It is safe for concurrent use.
+type aheadRequests struct {
+	mu       sync.Mutex
+	requests []*aheadRequest
+	closed   bool
+}
+
+// add adds a request, unless the connection takes no more.
+func (a *aheadRequests) add(r *aheadRequest) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed || len(a.requests) >= maxAhead {
+		return false
+	}
+	a.requests = append(a.requests, r)
+	return true
+}
+
+func (a *aheadRequests) hasRoom() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.closed && len(a.requests) < maxAhead
+}
+
+// take removes and returns the first request, or nil if there is none.
+func (a *aheadRequests) take() *aheadRequest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.requests) == 0 {
+		return nil
+	}
+	first := a.requests[0]
+	a.requests = a.requests[1:]
+	return first
+}
+
+// cancel cancels all requests, whose callers get no responses, and takes no more.
+func (a *aheadRequests) cancel() {
+	a.mu.Lock()
+	requests := a.requests
+	a.requests, a.closed = nil, true
+	a.mu.Unlock()
+	for _, r := range requests {
+		r.watch.cancel(errCallerClosed)
+		go r.discard()
+	}
+}
+
+// discard releases the memory of a response that nobody takes.
+func (r *aheadRequest) discard() {
+	<-r.done
+	_ = r.resp.CloseBodyStream() // the stream is in memory; closing it does not fail
+}
+
+func cancelAhead(ctx *fasthttp.RequestCtx) {
+	if conn, ok := ctx.Conn().(*countedConn); ok {
+		conn.ahead.cancel()
+	}
+}
+
+// watchConn watches the connection of a request that was read. If others may run beside
+// it, further requests of the connection are received and run meanwhile.
+func (s *Server) watchConn(ctx *fasthttp.RequestCtx, besideOthers bool) *callerWatch {
+	if !besideOthers {
+		return watchCaller(ctx.Conn(), nil)
+	}
+	conn := ctx.Conn().(*countedConn) //nolint:errcheck,forcetypeassert // Only beginRequest permits others.
+	s.runAhead(conn)
+	return watchCaller(conn, func(fd int) bool { return s.receiveAhead(conn, fd) })
+}
+
+// beginRequest reports whether requests may follow the given one, of which the head was
+// read, and whether it is certain where they begin.
+func beginRequest(ctx *fasthttp.RequestCtx) bool {
+	conn, ok := ctx.Conn().(*countedConn)
+	if !ok {
+		return false
+	}
+	h := &ctx.Request.Header
+	line := len(h.Method()) + len(h.RequestURI()) + len("  HTTP/1.1\r\n")
+	return conn.pipeline.BeginRequest(line+len(h.RawHeaders()), !isBodiless(h)) && !h.ConnectionClose()
+}
+
+// isBodiless reports whether a request has no body.
+func isBodiless(h *fasthttp.RequestHeader) bool {
+	var in headerInspection
+	err := in.inspect(h.RawHeaders())
+	return err == nil && in.contentLength == 0 && !in.hasTransferEncoding && !in.hasTrailer && len(h.Peek(fasthttp.HeaderExpect)) == 0
+}
+
+// receiveAhead reads bytes that have arrived on the socket and runs the requests in them.
+// It returns false if it reads no more.
+func (s *Server) receiveAhead(conn *countedConn, fd int) bool {
+	room := min(conn.pipeline.Room(), receiveSize)
+	if room == 0 || !conn.ahead.hasRoom() {
+		return false
+	}
+	buf := make([]byte, room)
+	n, _, err := syscall.Recvfrom(fd, buf, syscall.MSG_DONTWAIT)
+	if err != nil || n == 0 {
+		return false // the next read of the connection meets it again
+	}
+	conn.pipeline.Keep(buf[:n])
+	conn.received += int64(n)
+	s.runAhead(conn)
+	return true
+}
+
+// runAhead starts the complete requests that the connection keeps, up to one that has to
+// wait until those before it are answered.
+func (s *Server) runAhead(conn *countedConn) {
+	for s.drainEnd.Load() == nil && conn.ahead.hasRoom() {
+		r := &aheadRequest{done: make(chan struct{}), watch: unwatchedCaller()}
+		if r.head = conn.pipeline.NextHead(r.accept(s)); r.head == nil || !conn.ahead.add(r) {
+			return
+		}
+		s.runningAhead.Add(1)
+		go s.relayAhead(conn, r)
+	}
+}
+
+// accept returns a function that parses a head and reports whether its request may run
+// before those that were sent earlier are answered: if it is idempotent and has no body.
+func (r *aheadRequest) accept(s *Server) func(head []byte) bool {
+	return func(head []byte) bool {
+		h := &r.req.Header
+		if h.Read(bufio.NewReaderSize(bytes.NewReader(head), len(head))) != nil || !isBodiless(h) || h.ConnectionClose() {
+			return false
+		}
+		document := s.config.Current()
+		if document == nil {
+			return false
+		}
+		route := document.Match(string(r.req.Host()), requestPath(&r.req))
+		return route != nil && route.Idempotent
+	}
+}
+
+func (s *Server) relayAhead(conn *countedConn, r *aheadRequest) {
+	defer s.runningAhead.Add(-1)
+	defer close(r.done)
+	c := call{arrival: time.Now(), input: newInput(conn, 0), reservation: bodies.NewReservation(s.requestMemory, requestCopies)}
+	defer c.reservation.Release()
+	c.fromPeer = c.input.fromPeer()
+	s.relayRequest(&r.req, &r.resp, &c, func() *callerWatch { return r.watch })
+}
+
+// takeAhead responds to a request that has run ahead. It returns false if the request has
+// not.
+func (s *Server) takeAhead(ctx *fasthttp.RequestCtx, besideOthers bool) bool {
+	conn, ok := ctx.Conn().(*countedConn)
+	if !ok {
+		return false
+	}
+	r := conn.ahead.take()
+	if r == nil {
+		return false
+	}
+	watch := s.watchConn(ctx, besideOthers)
+	defer watch.stop()
+	select {
+	case <-r.done:
+	case <-watch.Done():
+		r.watch.cancel(errCallerClosed)
+		conn.ahead.cancel()
+		<-r.done
+	}
+	moveResponse(&ctx.Response, &r.resp)
+	return true
+}
+
+// moveResponse moves a response whose body may be a stream.
+func moveResponse(to, from *fasthttp.Response) {
+	from.Header.CopyTo(&to.Header)
+	to.SkipBody = from.SkipBody
+	if stream := from.BodyStream(); stream != nil {
+		to.SetBodyStream(stream, from.Header.ContentLength())
+		return
+	}
+	to.SetBodyRaw(from.Body())
+}
--- /dev/null
+++ b/relay/pipeline_test.go
@@ -0,0 +1,158 @@
+package relay
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+)
+
+func pipelined(method, path string, id int, headers ...string) string {
+	return rawRequest(method, path, "", append(headers, fmt.Sprintf("Rhubarbrelay-Attempt-Id: id-%d", id))...)
+}
+
+// awaitRequests waits until the target has received n requests.
+func (s *scriptedTarget) awaitRequests(t *testing.T, n int) {
+	t.Helper()
+	waitFor(t, fmt.Sprintf("the target has %d requests", n), func() bool { return len(s.receivedIDs()) >= n })
+}
+
+// gatedTarget responds to the request id-N when gate N is closed.
+func gatedTarget(t *testing.T, gates []chan struct{}) *scriptedTarget {
+	return newScriptedTarget(t, "t-1", "a", func(r *fasthttp.Request) (string, bool) {
+		var n int
+		_, err := fmt.Sscanf(string(r.Header.Peek("Rhubarbrelay-Attempt-Id")), "id-%d", &n)
+		assert.Check(t, err)
+		<-gates[n]
+		return echo(r)
+	})
+}
+
+func newGates(n int) []chan struct{} {
+	gates := make([]chan struct{}, n)
+	for i := range gates {
+		gates[i] = make(chan struct{})
+	}
+	return gates
+}
+
+// Guards against requests that wait for their targets until an earlier request of the same
+// connection was answered, and against responses out of order.
+func TestPipelinedRequestsRunConcurrently(t *testing.T) {
+	for _, separate := range []bool{false, true} {
+		t.Run(fmt.Sprintf("separate=%t", separate), func(t *testing.T) {
+			gates := newGates(3)
+			target := gatedTarget(t, gates)
+			h := newHarness(t, targetInfos(target))
+			c := h.connect(t)
+			requests := []string{pipelined("GET", "/safe/0", 0), pipelined("GET", "/safe/1", 1), pipelined("GET", "/safe/2", 2)}
+			if separate {
+				for i, r := range requests {
+					c.send(r)
+					target.awaitRequests(t, i+1)
+				}
+			} else {
+				c.send(strings.Join(requests, ""))
+				target.awaitRequests(t, 3)
+			}
+			for i := len(gates) - 1; i >= 0; i-- { // the last one ends first
+				close(gates[i])
+			}
+			for i := range requests {
+				assert.Equal(t, c.mustReceive().headers["Rhubarbrelay-Attempt-Id"], fmt.Sprintf("id-%d", i))
+			}
+		})
+	}
+}
+
+// Guards against a response that is held back until a later request of its connection was
+// answered.
+func TestPipelinedResponseIsNotHeldBack(t *testing.T) {
+	gates := newGates(2)
+	h := newHarness(t, targetInfos(gatedTarget(t, gates)))
+	c := h.connect(t)
+	c.send(pipelined("GET", "/safe/0", 0) + pipelined("GET", "/safe/1", 1))
+	close(gates[0])
+	assert.Equal(t, c.mustReceive().headers["Rhubarbrelay-Attempt-Id"], "id-0")
+	close(gates[1])
+	assert.Equal(t, c.mustReceive().headers["Rhubarbrelay-Attempt-Id"], "id-1")
+}
+
+// Guards against a request that must not run twice, or one with a body, running beside an
+// earlier one that is unanswered, and against requests behind it overtaking it.
+func TestPipelinedRequestsWaitBehindOthers(t *testing.T) {
+	tests := []struct{ name, second string }{
+		{"must not run twice", pipelined("GET", "/once/1", 1)},
+		{"body", rawRequest("POST", "/safe/1", "body", "Rhubarbrelay-Attempt-Id: id-1")},
+		{"body of GET", rawRequest("GET", "/safe/1", "body", "Rhubarbrelay-Attempt-Id: id-1")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			gates := newGates(3)
+			target := gatedTarget(t, gates)
+			h := newHarness(t, targetInfos(target))
+			c := h.connect(t)
+			c.send(pipelined("GET", "/safe/0", 0) + tt.second + pipelined("GET", "/safe/2", 2))
+			target.awaitRequests(t, 1)
+			close(gates[0])
+			c.mustReceive()
+			target.awaitRequests(t, 2)
+			close(gates[1])
+			c.mustReceive()
+			close(gates[2])
+			c.mustReceive()
+			assert.DeepEqual(t, target.receivedIDs(), []string{"id-0", "id-1", "id-2"})
+		})
+	}
+}
+
+// Guards against requests that run on after their caller has closed the connection.
+func TestCloseCancelsPipelinedRequests(t *testing.T) {
+	gates := newGates(2)
+	defer close(gates[0])
+	defer close(gates[1])
+	target := gatedTarget(t, gates)
+	h := newHarness(t, targetInfos(target))
+	c := h.connect(t)
+	c.send(pipelined("GET", "/safe/0", 0) + pipelined("GET", "/safe/1", 1))
+	target.awaitRequests(t, 2)
+	assert.NilError(t, c.conn.Close())
+	waitFor(t, "no request runs", func() bool { return h.relay.InProgress() == 0 && h.relay.runningAhead.Load() == 0 })
+}
+
+// Guards against requests behind a response that closes the connection being sent to a
+// target: their callers send them again.
+func TestRequestsBehindClosingResponse(t *testing.T) {
+	target := newScriptedTarget(t, "t-1", "a", echo)
+	h := newHarness(t, targetInfos(target))
+	c := h.connect(t)
+	c.send(pipelined("GET", "/safe/0", 0, "Connection: close") + pipelined("GET", "/safe/1", 1))
+	c.mustReceive()
+	_, err := c.receive()
+	assert.Assert(t, err != nil)
+	assert.DeepEqual(t, target.receivedIDs(), []string{"id-0"})
+}
+
+// Guards against more requests of one connection running at the same time than the limit,
+// and against the others getting no response.
+func TestPipelinedRequestsAreLimited(t *testing.T) {
+	const n = 40
+	gates := newGates(n)
+	target := gatedTarget(t, gates)
+	target.info.Slots = 100
+	h := newHarness(t, targetInfos(target))
+	c := h.connect(t)
+	for i := range n {
+		c.send(pipelined("GET", fmt.Sprintf("/safe/%d", i), i))
+	}
+	target.awaitRequests(t, 1+maxAhead)
+	assert.Assert(t, h.relay.runningAhead.Load() <= maxAhead)
+	for i := range n {
+		close(gates[i])
+	}
+	for i := range n {
+		assert.Equal(t, c.mustReceive().headers["Rhubarbrelay-Attempt-Id"], fmt.Sprintf("id-%d", i))
+	}
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -76,7 +76,13 @@
 	if c.fromPeer = c.input.fromPeer(); c.fromPeer {
 		s.counters.takenOver.Add(1)
 	}
-	s.relayRequest(ctx, c)
+	besideOthers := beginRequest(ctx)
+	closes := ctx.Request.Header.ConnectionClose()
+	if !s.takeAhead(ctx, besideOthers) {
+		s.relayRequest(&ctx.Request, &ctx.Response, c, func() *callerWatch {
+			return s.watchConn(ctx, besideOthers && c.route.Idempotent)
+		})
+	}
 	c.reservation.Release()
 	ctx.Request.ResetBody() // the body refers to the call's buffer
 	c.reset()
@@ -84,6 +90,14 @@
 	if s.drainEnd.Load() != nil {
 		ctx.Response.SetConnectionClose()
 	}
+	if closes || ctx.Response.ConnectionClose() {
+		cancelAhead(ctx)
+	}
+	if !besideOthers {
+		// A deadline that the handler sets makes fasthttp send the response at once. Otherwise
+		// it waits for the response to a further request that it has read already.
+		_ = ctx.SetWriteDeadline(time.Now().Add(s.http.WriteTimeout)) // fails only if the connection is closed
+	}
 }
 
 // handleExpect responds to a request with an Expect header. It responds with 100
@@ -103,8 +117,8 @@
 	return f.status
 }
 
-func (s *Server) relayRequest(ctx *fasthttp.RequestCtx, c *call) {
-	req, resp := &ctx.Request, &ctx.Response
+// relayRequest handles a request. It calls watchCaller once the request was read.
+func (s *Server) relayRequest(req *fasthttp.Request, resp *fasthttp.Response, c *call, watchCaller func() *callerWatch) {
 	defer s.recoverPanic(resp, c)
 	resp.SkipBody = req.Header.IsHead()
 	f := s.readBody(req, c)
@@ -116,7 +130,7 @@
 		return
 	}
 	prepareRequest(req, c)
-	watch := watchCaller(ctx.Conn())
+	watch := watchCaller()
 	defer watch.stop()
 	s.dispatch(watch, req, resp, c)
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -95,8 +95,11 @@
 	// drains.
 	drainEnd   atomic.Pointer[time.Time]
 	inProgress atomic.Int64
-	calls      sync.Pool // of *call
-	http       *fasthttp.Server
+	// runningAhead is the number of requests that run before an earlier one of their
+	// connection is answered.
+	runningAhead atomic.Int64
+	calls        sync.Pool // of *call
+	http         *fasthttp.Server
 	// maxConnections limits the number of connections from callers, and that of connections
 	// from other instances.
 	maxConnections int
