evacuation, registry, peer: the set of evacuated zones, read with the configuration and passed on

Operators evacuate a zone with a record in the configuration topic, which no instance read. The set carries the position of the log as of which it is valid; the higher position wins, so that neither an older copy nor an expired or restored log undoes or brings back an evacuation. Instances that have read a change send it to all zones at once, and all repeat it in complete packets and heartbeats while a zone is evacuated and for a minute after a change. An instance that sends an older set with other zones is corrected.

Tested by evacuation TestHigherPositionWins, TestInstancesAgree (rapid), registry TestEvacuationsAreRead, peer TestEvacuationReachesAllInstances, TestEvacuationIsRepeated, TestOldEvacuationIsCorrected.

--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -38,11 +38,11 @@
 		localInterval, remoteInterval := m.intervals()
 		if sinceLocal >= localInterval {
 			sinceLocal = 0
-			m.sendTo(m.heartbeat(localInterval), m.isLocal)
+			m.sendTo(m.periodicHeartbeat(localInterval), m.isLocal)
 		}
 		if m.active() && sinceRemote >= remoteInterval {
 			sinceRemote = 0
-			m.sendTo(m.heartbeat(remoteInterval), func(in membership.Instance) bool { return !m.isLocal(in) })
+			m.sendTo(m.periodicHeartbeat(remoteInterval), func(in membership.Instance) bool { return !m.isLocal(in) })
 		}
 		if sinceRemoval >= removeInterval {
 			sinceRemoval = 0
@@ -71,6 +71,12 @@
 	return &peerpb.Packet{Sender: heartbeatToWire(m.directory.Self()), IntervalMs: uint32(interval.Milliseconds())}
 }
 
+func (m *Mesh) periodicHeartbeat(interval time.Duration) *peerpb.Packet {
+	packet := m.heartbeat(interval)
+	m.addEvacuations(packet)
+	return packet
+}
+
 // announcedInterval returns the time until the next heartbeat that the sender of a
 // packet announces to the local zone.
 func (m *Mesh) announcedInterval(packet *peerpb.Packet, sender membership.Instance) time.Duration {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -63,6 +63,7 @@
 	seeds        []netip.AddrPort
 	active       func() bool
 	crashes      CrashLedger // nil for none
+	evacuations  Evacuations // nil for none
 
 	mu   sync.Mutex   // guards the fields below
 	conn *net.UDPConn // nil before Run
@@ -74,6 +75,8 @@
 	// These receive a value when the corresponding one of the lists above has got an
 	// element.
 	joinedSignal, crashSignal, statementSignal chan struct{}
+	// evacuationSignal receives a value when the set of evacuated zones must be sent.
+	evacuationSignal chan struct{}
 
 	packetsIn, packetsOut, bytesIn, bytesOut, malformed, sendErrors atomic.Uint64
 }
@@ -101,7 +104,8 @@
 	m := &Mesh{
 		directory: directory, clock: clock, logger: log.Log, onUpdate: func(TargetUpdate) {}, active: func() bool { return true },
 		joinedSignal: make(chan struct{}, 1), crashSignal: make(chan struct{}, 1), statementSignal: make(chan struct{}, 1),
-		onStatements: func([]targets.Statement) {},
+		evacuationSignal: make(chan struct{}, 1),
+		onStatements:     func([]targets.Statement) {},
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -133,6 +137,10 @@
 		collect(ctx, m.crashSignal, crashRecordDelay, m.sendChangedCrashes)
 		return nil
 	})
+	group.Go(func() error {
+		collect(ctx, m.evacuationSignal, 0, m.sendEvacuations)
+		return nil
+	})
 	return group.Wait()
 }
 
@@ -163,6 +171,7 @@
 		if m.crashes != nil {
 			packet.Crashes = crashesToWire(m.crashes.Blocked(maxCrashRecords))
 		}
+		m.addEvacuations(packet)
 	}
 	packet.Clock = uint64(m.clock.Now())
 	data, err := proto.Marshal(packet)
@@ -241,6 +250,9 @@
 	if err := m.handleStatements(&packet); err != nil {
 		return err
 	}
+	if err := m.handleEvacuations(&packet, from); err != nil {
+		return err
+	}
 	if packet.GetPassOn() {
 		m.forward(&packet)
 	}
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbrelay/crashes"
+	"rhubarbrelay/evacuation"
 	"rhubarbrelay/membership"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/targets"
@@ -28,11 +29,12 @@
 // testInstance is an instance on a loopback socket that stores the updates it
 // receives.
 type testInstance struct {
-	inactive  atomic.Bool
-	directory *membership.Directory
-	mesh      *Mesh
-	address   netip.AddrPort
-	crashes   *crashes.Ledger
+	inactive    atomic.Bool
+	directory   *membership.Directory
+	mesh        *Mesh
+	address     netip.AddrPort
+	crashes     *crashes.Ledger
+	evacuations *evacuation.Set
 
 	mu         sync.Mutex
 	updates    []TargetUpdate
@@ -65,11 +67,11 @@
 	t.Helper()
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	assert.NilError(t, err)
-	in := &testInstance{address: netip.MustParseAddrPort(conn.LocalAddr().String()), crashes: crashes.NewLedger()}
+	in := &testInstance{address: netip.MustParseAddrPort(conn.LocalAddr().String()), crashes: crashes.NewLedger(), evacuations: evacuation.NewSet()}
 	in.directory = membership.NewDirectory(membership.Instance{
 		ID: id, Zone: zone, Incarnation: 1, State: membership.Ready, PeerAddress: in.address, CallerAddress: in.address, AdminAddress: in.address,
 	}, membership.WithClock(clock))
-	in.mesh = NewMesh(in.directory, timeline.NewClock(time.Now), WithSeeds(seeds), WithActive(func() bool { return !in.inactive.Load() }), WithCrashLedger(in.crashes), WithOnStatements(in.addStatements), WithOnTargetUpdate(func(update TargetUpdate) {
+	in.mesh = NewMesh(in.directory, timeline.NewClock(time.Now), WithSeeds(seeds), WithActive(func() bool { return !in.inactive.Load() }), WithCrashLedger(in.crashes), WithEvacuations(in.evacuations), WithOnStatements(in.addStatements), WithOnTargetUpdate(func(update TargetUpdate) {
 		in.mu.Lock()
 		defer in.mu.Unlock()
 		in.updates = append(in.updates, update)
--- a/peer/packet_fuzz_test.go
+++ b/peer/packet_fuzz_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"rhubarbrelay/crashes"
+	"rhubarbrelay/evacuation"
 	"rhubarbrelay/membership"
 	"rhubarbrelay/peer/peerpb"
 	"rhubarbrelay/targets"
@@ -28,6 +29,7 @@
 		{Sender: instanceToWire(in), Joined: []*peerpb.Sighting{sightingToWire(membership.Sighting{Instance: in}), {}}},
 		{Sender: instanceToWire(in), Crashes: []*peerpb.CrashRecord{{Fingerprint: make([]byte, crashes.FingerprintSize), Targets: []uint64{1, 2}}}},
 		{Sender: instanceToWire(in), Crashes: []*peerpb.CrashRecord{{Fingerprint: []byte{1}}}},
+		{Sender: heartbeatToWire(in), Evacuations: &peerpb.Evacuations{Offset: 3, Era: 1, Zones: []*peerpb.EvacuatedZone{{Name: "z", AgeMs: 5}, {}}}},
 	} {
 		data, err := proto.Marshal(packet)
 		assert.NilError(f, err)
@@ -36,7 +38,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		directory := membership.NewDirectory(membership.Instance{ID: "a", Zone: "z"})
-		m := NewMesh(directory, timeline.NewClock(time.Now), WithCrashLedger(crashes.NewLedger()))
+		m := NewMesh(directory, timeline.NewClock(time.Now), WithCrashLedger(crashes.NewLedger()), WithEvacuations(evacuation.NewSet()))
 		if err := m.handle(data, address); err != nil {
 			assert.ErrorIs(t, err, ErrMalformed)
 		}
--- a/peer/snapshot.go
+++ b/peer/snapshot.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"rhubarbrelay/crashes"
+	"rhubarbrelay/evacuation"
 	"rhubarbrelay/membership"
 	"rhubarbrelay/peer/peerpb"
 	"rhubarbrelay/platform"
@@ -22,6 +23,8 @@
 	Config []byte
 	// Blocked are the records of requests that are sent to no target any more.
 	Blocked []crashes.Record
+	// Evacuations are the evacuated zones.
+	Evacuations evacuation.State
 }
 
 // TargetState holds all registered targets.
@@ -52,6 +55,9 @@
 		m.Removed = append(m.Removed, removalToWire(r))
 	}
 	m.Blocked = crashesToWire(s.Blocked[:min(len(s.Blocked), MaxSnapshotCrashRecords)])
+	if s.Evacuations.At != (platform.Position{}) {
+		m.Evacuations = evacuationsToWire(s.Evacuations)
+	}
 	return proto.Marshal(m)
 }
 
@@ -91,5 +97,8 @@
 	if s.Blocked, err = crashesFromWire(m.GetBlocked()); err != nil {
 		return Snapshot{}, err
 	}
+	if s.Evacuations, err = evacuationsFromWire(m.GetEvacuations()); err != nil {
+		return Snapshot{}, err
+	}
 	return s, nil
 }
--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -41,6 +41,8 @@
 	fetch  FetchFunc
 	logger log.Interface
 	apply  func(*config.Document)
+	// evacuations receives the evacuations of zones.
+	evacuations Evacuations
 
 	current     atomic.Pointer[config.Document]
 	activatedAt atomic.Pointer[time.Time] // of current
@@ -72,11 +74,16 @@
 // these report.
 func NewConfigFollower(
 	store Store, role ReadRole, fetch FetchFunc, logger log.Interface, apply func(*config.Document),
+	opts ...ConfigOption,
 ) *ConfigFollower {
-	return &ConfigFollower{
+	f := &ConfigFollower{
 		store: store, role: role, fetch: fetch, logger: logger, apply: apply,
-		wakeup: make(chan struct{}, 1),
+		evacuations: noEvacuations{}, wakeup: make(chan struct{}, 1),
 	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
 }
 
 // RecordPeerVersion records the version that an instance reading the store has reported.
--- a/registry/config_read.go
+++ b/registry/config_read.go
@@ -18,7 +18,7 @@
 		if err != nil {
 			return platform.Position{}, err
 		}
-		f.applyRecords(batch.Records)
+		f.applyNewest(batch)
 		f.readAt.Store(&start)
 		return batch.Next, nil
 	}
@@ -32,7 +32,7 @@
 	if err != nil {
 		return platform.Position{}, err
 	}
-	f.applyRecords(batch.Records)
+	f.applyBatch(from, batch)
 	return batch.Next, nil
 }
 
