routing, daemon, commands: evacuation of zones

Targets of an evacuated zone got requests like all others. They are now out of service: not chosen, probed or checked, and a lease is checked for it right before the send. The expected rate of the queue, the recent throughput and the dependence on remote zones leave them out; if no other target is left, requests are refused at once, those that wait included. Idle connections to the zone are closed; after the evacuation each target is used again after a random time of up to a second.

Status, metrics, log and timeline show the evacuated zones; the commands evacuate, restore and evacuations write and list the records.

--- a/admin/codec.go
+++ b/admin/codec.go
@@ -21,6 +21,8 @@
 	StoreFailing bool
 	InProgress   int64
 	Instances    []string // IDs of the ready instances
+	// Evacuated holds since when each evacuated zone is evacuated, as far as known.
+	Evacuated map[string]time.Time
 }
 
 type statusMessage struct {
@@ -33,11 +35,18 @@
 	StoreFailing  bool     `json:"store_failing"`
 	InProgress    int64    `json:"in_progress"`
 	Instances     []string `json:"instances"`
+	// EvacuatedSinceMS holds Unix times in milliseconds by zone.
+	EvacuatedSinceMS map[string]int64 `json:"evacuated_since_ms,omitempty"`
 }
 
 func newStatusMessage(s Status) statusMessage {
+	evacuated := make(map[string]int64, len(s.Evacuated))
+	for zone, since := range s.Evacuated {
+		evacuated[zone] = since.UnixMilli()
+	}
 	return statusMessage{
-		ID: s.ID, Zone: s.Zone, Ready: s.Ready, ConfigVersion: s.ConfigVersion, Targets: s.Targets,
+		EvacuatedSinceMS: evacuated,
+		ID:               s.ID, Zone: s.Zone, Ready: s.Ready, ConfigVersion: s.ConfigVersion, Targets: s.Targets,
 		TargetAgeMS: s.TargetAge.Milliseconds(), StoreFailing: s.StoreFailing, InProgress: s.InProgress, Instances: s.Instances,
 	}
 }
@@ -48,8 +57,13 @@
 	if err := json.Unmarshal(body, &m); err != nil {
 		return Status{}, err
 	}
+	evacuated := make(map[string]time.Time, len(m.EvacuatedSinceMS))
+	for zone, since := range m.EvacuatedSinceMS {
+		evacuated[zone] = time.UnixMilli(since)
+	}
 	return Status{
-		ID: m.ID, Zone: m.Zone, Ready: m.Ready, ConfigVersion: m.ConfigVersion, Targets: m.Targets,
+		Evacuated: evacuated,
+		ID:        m.ID, Zone: m.Zone, Ready: m.Ready, ConfigVersion: m.ConfigVersion, Targets: m.Targets,
 		TargetAge: time.Duration(m.TargetAgeMS) * time.Millisecond, StoreFailing: m.StoreFailing,
 		InProgress: m.InProgress, Instances: m.Instances,
 	}, nil
--- a/cmd/rhubarbrelay/main.go
+++ b/cmd/rhubarbrelay/main.go
@@ -35,6 +35,10 @@
 	File string `arg:"positional,required" help:"configuration file"`
 }
 
+type zoneArgs struct {
+	Zone string `arg:"positional,required" help:"name of the zone"`
+}
+
 type instanceArgs struct {
 	Admin []netip.AddrPort `arg:"--admin,required,env:RHUBARBRELAY_ADMIN" help:"administration addresses of the instances"`
 	Token string           `arg:"--token,env:RHUBARBRELAY_TOKEN" help:"bearer token for the administration API"`
@@ -49,13 +53,16 @@
 }
 
 type args struct {
-	Check    *fileArgs      `arg:"subcommand:check" help:"validate a configuration file and print its routes"`
-	Diff     *fileArgs      `arg:"subcommand:diff" help:"print the difference between the published configuration and a file"`
-	Publish  *fileArgs      `arg:"subcommand:publish" help:"publish a configuration file as the next version"`
-	Show     *struct{}      `arg:"subcommand:show" help:"print the published configuration"`
-	Status   *instanceArgs  `arg:"subcommand:status" help:"print the status of instances"`
-	Timeline *timelineArgs  `arg:"subcommand:timeline" help:"print the merged events of instances in chronological order"`
-	Store    netip.AddrPort `arg:"--store,env:RHUBARBRELAY_STORE" help:"address of the store (for diff, publish and show)"`
+	Check       *fileArgs      `arg:"subcommand:check" help:"validate a configuration file and print its routes"`
+	Diff        *fileArgs      `arg:"subcommand:diff" help:"print the difference between the published configuration and a file"`
+	Publish     *fileArgs      `arg:"subcommand:publish" help:"publish a configuration file as the next version"`
+	Show        *struct{}      `arg:"subcommand:show" help:"print the published configuration"`
+	Status      *instanceArgs  `arg:"subcommand:status" help:"print the status of instances"`
+	Timeline    *timelineArgs  `arg:"subcommand:timeline" help:"print the merged events of instances in chronological order"`
+	Evacuate    *zoneArgs      `arg:"subcommand:evacuate" help:"stop sending requests to the targets of a zone"`
+	Restore     *zoneArgs      `arg:"subcommand:restore" help:"end the evacuation of a zone"`
+	Evacuations *struct{}      `arg:"subcommand:evacuations" help:"list the evacuated zones"`
+	Store       netip.AddrPort `arg:"--store,env:RHUBARBRELAY_STORE" help:"address of the store (for all commands but check, status and timeline)"`
 }
 
 // Epilogue returns the text at the end of the help.
@@ -80,7 +87,7 @@
 
 func exitCode(err error) int {
 	switch {
-	case errors.Is(err, config.ErrInvalid):
+	case errors.Is(err, config.ErrInvalid), errors.Is(err, commands.ErrInvalidZone):
 		return exitUsage
 	case errors.Is(err, platform.ErrConflict):
 		return exitConflict
@@ -120,6 +127,14 @@
 		return errNoStore
 	}
 	store := platform.NewStore(a.Store)
+	switch {
+	case a.Evacuate != nil:
+		return commands.Evacuate(ctx, store, a.Evacuate.Zone, out)
+	case a.Restore != nil:
+		return commands.EndEvacuation(ctx, store, a.Restore.Zone, out)
+	case a.Evacuations != nil:
+		return commands.ListEvacuations(ctx, store, out)
+	}
 	if a.Publish != nil {
 		d, err := loadDocument(a.Publish.File)
 		if err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"rhubarbrelay/config"
 	"rhubarbrelay/crashes"
 	"rhubarbrelay/entry"
+	"rhubarbrelay/evacuation"
 	"rhubarbrelay/limits"
 	"rhubarbrelay/membership"
 	"rhubarbrelay/peer"
@@ -53,6 +54,7 @@
 	registrar      *registry.Registrar
 	freshness      *freshness
 	crashes        *crashes.Ledger
+	evacuations    *evacuation.Set
 	relay          *relay.Server
 	entryServer    *relay.EntryServer
 	admin          *admin.Server
@@ -91,14 +93,15 @@
 	d.table = routing.NewTable(d.routingSettings(s), d.targets, routing.WithLogger(logger), routing.WithPoolFactory(d.newTargetPool),
 		routing.WithLimitSharing(entry.NewLimitSharing(d.members, time.Now)),
 		routing.WithOnStatement(func(s targets.Statement) { d.mesh.BroadcastStatement(s) }))
+	d.evacuations = evacuation.NewSet(evacuation.WithOnChange(d.onEvacuation))
 	d.crashes = crashes.NewLedger(crashes.WithOnChange(d.onCrashRecord))
-	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger), peer.WithCrashLedger(d.crashes), peer.WithOnStatements(d.table.ApplyStatements),
+	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger), peer.WithCrashLedger(d.crashes), peer.WithEvacuations(d.evacuations), peer.WithOnStatements(d.table.ApplyStatements),
 		peer.WithOnTargetUpdate(d.onTargetUpdate), peer.WithSeeds(seedAddresses(s)), peer.WithActive(d.selector.IsActive))
 	d.targetFollower = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, d.members.ReadOrder, d.recordTargetChange,
 		d.onRegistryRecovered, logger, registry.WithOnRestored(d.onStoreRestored))
 	d.configFollower = registry.NewConfigFollower(store, registry.ReadRole{
 		IsReader: d.targetFollower.IsReader, StoreFailing: d.targetFollower.Failing, Rank: d.members.Rank, ReadOrder: d.members.ReadOrder,
-	}, d.fetchConfig, logger, d.applyConfig)
+	}, d.fetchConfig, logger, d.applyConfig, registry.WithEvacuations(d.evacuations))
 	d.registrar = registry.NewRegistrar(store, d.members, logger, registry.WithStoreEra(d.targetFollower.Era))
 	d.freshness = newFreshness(d.targetFollower, d.configFollower, s.Budgets.DrainDelay, d.recordSuspension)
 	d.relay = relay.NewServer(d.configFollower, d.table, relay.WithRecorder(d.recorder), relay.WithLogger(logger),
@@ -225,6 +228,7 @@
 		ID: d.settings.Instance.ID, Zone: d.settings.Instance.Zone, Ready: d.ready(),
 		Targets: d.targets.Count(), TargetAge: d.targetFollower.Age(),
 		StoreFailing: d.targetFollower.Failing() || d.configFollower.Failing(), InProgress: d.relay.InProgress(),
+		Evacuated: d.evacuatedZones(),
 	}
 	if document := d.configFollower.Current(); document != nil {
 		status.ConfigVersion = document.Version
--- a/daemon/join.go
+++ b/daemon/join.go
@@ -113,6 +113,7 @@
 func (d *Daemon) restoreState(snapshot peer.Snapshot, source string, at time.Time) {
 	d.members.AddSightings(snapshot.Instances)
 	d.members.SetListed()
+	d.evacuations.Merge(snapshot.Evacuations)
 	d.configFollower.ApplyIfNewer(snapshot.Config, source)
 	d.targetFollower.Restore(snapshot.Targets, at)
 	d.crashes.Merge(snapshot.Blocked)
@@ -144,6 +145,6 @@
 	d.mesh.Introduce(in)
 	return peer.EncodeSnapshot(peer.Snapshot{
 		Instances: d.members.Sightings(), Targets: targets, Config: d.configFollower.Raw(),
-		Blocked: d.crashes.Blocked(peer.MaxSnapshotCrashRecords),
+		Blocked: d.crashes.Blocked(peer.MaxSnapshotCrashRecords), Evacuations: d.evacuations.State(),
 	})
 }
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -21,11 +21,13 @@
 	StoreFailing   bool  `json:"store_failing"`
 	StoreEra       int64 `json:"store_era"`
 	// BlockedRequests is the number of different requests.
-	BlockedRequests int                       `json:"blocked_requests"`
-	Callers         callerMetrics             `json:"callers"`
-	Services        map[string]serviceMetrics `json:"services"`
-	Peers           peerMetrics               `json:"peers"`
-	Log             logMetrics                `json:"log"`
+	BlockedRequests int `json:"blocked_requests"`
+	// EvacuatedZonesMS is the time for which each evacuated zone has been evacuated.
+	EvacuatedZonesMS map[string]int64          `json:"evacuated_zones_ms"`
+	Callers          callerMetrics             `json:"callers"`
+	Services         map[string]serviceMetrics `json:"services"`
+	Peers            peerMetrics               `json:"peers"`
+	Log              logMetrics                `json:"log"`
 }
 
 // callerMetrics describes the requests of callers and their outcomes.
@@ -61,6 +63,7 @@
 	Limited         int    `json:"limited"`
 	Leaving         int    `json:"leaving"`
 	Quiet           int    `json:"quiet"`
+	Evacuated       int    `json:"evacuated"`
 	Unreached       int    `json:"unreached"`
 	Reach           string `json:"reach"`
 }
@@ -88,7 +91,8 @@
 	m := instanceMetrics{
 		ConfigVersion: status.ConfigVersion, Ready: status.Ready, ReadyInstances: len(status.Instances),
 		KnownInstances: d.members.Count(), Targets: status.Targets, TargetAgeMS: status.TargetAge.Milliseconds(),
-		StoreFailing: status.StoreFailing, StoreEra: d.targetFollower.Era(), BlockedRequests: d.crashes.BlockedCount(), Callers: newCallerMetrics(d.relay.Stats(), status.InProgress),
+		StoreFailing: status.StoreFailing, StoreEra: d.targetFollower.Era(), BlockedRequests: d.crashes.BlockedCount(),
+		EvacuatedZonesMS: newEvacuationMetrics(status.Evacuated), Callers: newCallerMetrics(d.relay.Stats(), status.InProgress),
 		Services: map[string]serviceMetrics{}, Peers: newPeerMetrics(d.mesh.Stats()), Log: logMetrics(logStats),
 	}
 	for name, s := range d.table.Stats() {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -247,10 +247,7 @@
 	if err := m.handleCrashes(&packet); err != nil {
 		return err
 	}
-	if err := m.handleStatements(&packet); err != nil {
-		return err
-	}
-	if err := m.handleEvacuations(&packet, from); err != nil {
+	if err := errors.Join(m.handleStatements(&packet), m.handleEvacuations(&packet, from)); err != nil {
 		return err
 	}
 	if packet.GetPassOn() {
--- a/queries/queries.go
+++ b/queries/queries.go
@@ -7,8 +7,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -90,7 +92,7 @@
 // be queried.
 func (c Client) Status(ctx context.Context, instances []netip.AddrPort, out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "INSTANCE\tZONE\tREADY\tVERSION\tTARGETS\tTARGET AGE\tSTORE\tIN PROGRESS\tKNOWS")
+	_, _ = fmt.Fprintln(w, "INSTANCE\tZONE\tREADY\tVERSION\tTARGETS\tTARGET AGE\tSTORE\tIN PROGRESS\tKNOWS\tEVACUATED ZONES")
 	var errs []error
 	for _, address := range instances {
 		body, err := c.get(ctx, address, admin.StatusPath)
@@ -107,12 +109,24 @@
 		if s.StoreFailing {
 			store = "failing"
 		}
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\t%s\t%s\t%d\t%d\n",
-			s.ID, s.Zone, s.Ready, s.ConfigVersion, s.Targets, s.TargetAge, store, s.InProgress, len(s.Instances))
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\t%s\t%s\t%d\t%d\t%s\n",
+			s.ID, s.Zone, s.Ready, s.ConfigVersion, s.Targets, s.TargetAge, store, s.InProgress, len(s.Instances), formatEvacuated(s.Evacuated))
 	}
 	return errors.Join(w.Flush(), errors.Join(errs...))
 }
 
+// formatEvacuated lists the evacuated zones, each with the time since when it is.
+func formatEvacuated(zones map[string]time.Time) string {
+	if len(zones) == 0 {
+		return "-"
+	}
+	texts := make([]string, 0, len(zones))
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		texts = append(texts, zone+" since "+zones[zone].UTC().Format(time.RFC3339))
+	}
+	return strings.Join(texts, ", ")
+}
+
 // Timeline prints the events of the instances merged into one timeline. The error
 // names those that could not be queried.
 func (c Client) Timeline(ctx context.Context, instances []netip.AddrPort, filter timeline.Filter, out io.Writer) error {
--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -182,7 +182,7 @@
 func (d *Dispatcher) refuse(cause error) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if cause == ErrNoTarget { //nolint:errorlint // The cause is never wrapped.
+	if errors.Is(cause, ErrNoTarget) {
 		d.stats.RefusedNoTarget++
 	} else {
 		d.stats.RefusedLate++
@@ -193,6 +193,9 @@
 // scanOrRefuse scans once for a target. Lease and error are nil if the request should
 // wait.
 func (d *Dispatcher) scanOrRefuse(r *Request, late bool, limit time.Time) (*Lease, error) {
+	if d.onlyEvacuated() {
+		return nil, d.refuse(ErrEvacuated)
+	}
 	l, available := d.scan(r, late)
 	if l != nil || available {
 		return l, nil
--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -229,11 +229,14 @@
 }
 
 // dependsOnRemoteZones reports whether the local zone has far fewer targets
-// than an even distribution over the zones.
+// than an even distribution over the zones that are not evacuated.
 func (d *Dispatcher) dependsOnRemoteZones() bool {
-	targetsByZone := map[string]int{d.settings.Zone: 0}
+	targetsByZone, count := map[string]int{d.settings.Zone: 0}, 0
 	for _, t := range d.targets {
-		targetsByZone[t.info.Zone]++
+		if !t.evacuated {
+			targetsByZone[t.info.Zone]++
+			count++
+		}
 	}
-	return float64(targetsByZone[d.settings.Zone]*len(targetsByZone)) < minZoneFraction*float64(len(d.targets))
+	return float64(targetsByZone[d.settings.Zone]*len(targetsByZone)) < minZoneFraction*float64(count)
 }
--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -51,8 +51,9 @@
 	targets         map[targets.Incarnation]*target
 	former          formerStatements
 	reach           *reachability.Tracker
-	lastDialError   error // the last one of any target
-	remoteDependent bool  // whether the local zone depends on targets of other zones
+	lastDialError   error           // the last one of any target
+	evacuated       map[string]bool // zones whose targets get no requests
+	remoteDependent bool            // whether the local zone depends on targets of other zones
 	recent          recentTargets
 	// averageFailureRate is the moving average, over all targets, of the fraction
 	// of tries with the outcome Failed or Shed among those with the outcome
@@ -126,6 +127,7 @@
 		if healthPathChanged {
 			t.pool.Close()
 			t.pool = d.openPool(t.info)
+			t.pool.SetReuse(!t.evacuated)
 			continue
 		}
 		t.pool.SetLimit(d.connectionLimit())
@@ -174,7 +176,7 @@
 			delete(d.targets, incarnation)
 		}
 	}
-	d.remoteDependent = d.dependsOnRemoteZones()
+	d.applyEvacuations()
 	d.queue.wakeScanners()
 }
 
@@ -213,6 +215,9 @@
 	s.Unreached, s.Reach = d.reach.Unreached(), d.reach.State().String()
 	for _, t := range d.targets {
 		s.InFlight += len(t.inFlight)
+		if t.evacuated {
+			s.Evacuated++
+		}
 		t.statements.count(&s, d.clock())
 	}
 	return s
--- a/routing/lease.go
+++ b/routing/lease.go
@@ -70,13 +70,13 @@
 	return c, err
 }
 
-// Admitted reports whether the target has not stated, since it was chosen, that it wants
-// no requests.
+// Admitted reports whether, since the target was chosen, it has not stated that it wants
+// no requests, and its zone was not evacuated.
 func (l *Lease) Admitted() bool {
 	d := l.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !l.target.statements.silent(d.clock())
+	return !l.target.statements.silent(d.clock()) && !d.evacuated[l.target.info.Zone]
 }
 
 // TargetEnded reports whether the process of the target has ended, as far as that shows
--- a/routing/request.go
+++ b/routing/request.go
@@ -128,6 +128,7 @@
 	Limited         int // targets that limit their requests
 	Leaving         int // targets that state that they leave
 	Quiet           int // targets that want no requests for a time
+	Evacuated       int // targets in evacuated zones
 	Unreached       int // targets that could not be reached lately
 	// Reach is the name of the state of the network links to the targets.
 	Reach string
--- a/routing/table.go
+++ b/routing/table.go
@@ -22,6 +22,7 @@
 
 	mu          sync.RWMutex
 	instances   InstanceCounts
+	evacuated   []string // zones whose targets get no requests
 	dispatchers map[string]*Dispatcher
 }
 
@@ -60,6 +61,7 @@
 			continue
 		}
 		d = NewDispatcher(service, t.settings, t.instances, t.opts...)
+		d.SetEvacuated(t.evacuated)
 		d.SetTargets(t.targets.ByService(name))
 		t.dispatchers[name] = d
 	}
--- a/routing/target.go
+++ b/routing/target.go
@@ -55,7 +55,9 @@
 	// warmAt is the time at which the warm-up of the target ends.
 	warmAt time.Time
 	// replaced is set when another target has responded at the address.
-	replaced   bool
+	replaced bool
+	// evacuated is set while the zone of the target is evacuated.
+	evacuated  bool
 	statements statements
 
 	inFlight []*Lease
@@ -77,8 +79,10 @@
 }
 
 // inService reports whether the target runs requests, as far as its registration and
-// the responses at its address tell.
-func (t *target) inService() bool { return t.info.State == targets.Ready && !t.replaced }
+// the responses at its address tell, and its zone is not evacuated.
+func (t *target) inService() bool {
+	return t.info.State == targets.Ready && !t.replaced && !t.evacuated
+}
 
 func (t *target) usable(now time.Time) bool { return t.inService() && !now.Before(t.backoffUntil) }
 
--- a/standin/target.go
+++ b/standin/target.go
@@ -130,6 +130,9 @@
 	return maps.Clone(t.runs)
 }
 
+// Probes returns the number of health probes.
+func (t *Target) Probes() int64 { return t.probes.Load() }
+
 // LateRequests returns the number of requests that began to run more than the
 // drain delay after the target started to drain.
 func (t *Target) LateRequests() int {
@@ -171,7 +174,7 @@
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		}
 	case controlPrefix + "stats":
-		writeJSON(ctx, map[string]any{"runs": t.Runs(), "late": t.LateRequests(), "probes": t.probes.Load()})
+		writeJSON(ctx, map[string]any{"runs": t.Runs(), "late": t.LateRequests(), "probes": t.Probes()})
 	case controlPrefix + "faults":
 		t.handleFaults(ctx)
 	case controlPrefix + "drain":
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -20,6 +20,8 @@
 	ConfigInForce   Kind = "config_in_force"
 	TargetLeaving   Kind = "target_leaving" // the target started to drain or was removed
 	TargetReady     Kind = "target_ready"
+	ZoneEvacuated   Kind = "zone_evacuated" // the targets of the zone in Detail get no requests any more
+	ZoneRestored    Kind = "zone_restored"  // they get requests again
 	RequestRefused  Kind = "request_refused"
 	// RequestRetried means that a try failed, whether or not another one follows, or
 	// that the request was hedged.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -40,6 +40,7 @@
 	idle        []*Conn // most recently used last
 	openConns   int
 	closed      bool
+	noReuse     bool // see SetReuse
 	expiryTimer *time.Timer
 }
 
@@ -79,6 +80,17 @@
 	p.maxConns = maxConns
 }
 
+// SetReuse sets whether connections are kept for further requests. Without reuse, idle
+// connections are closed now, and those in use when they are released.
+func (p *Pool) SetReuse(reuse bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.noReuse = !reuse
+	if p.noReuse {
+		p.closeIdle()
+	}
+}
+
 // Dials returns the number of attempts to open a connection.
 func (p *Pool) Dials() uint64 { return p.dials.Load() }
 
@@ -181,7 +193,7 @@
 func (p *Pool) release(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.noReuse || p.closed || p.openConns > p.maxConns || c.idleTimeout <= 0 {
+	if c.noReuse || p.noReuse || p.closed || p.openConns > p.maxConns || c.idleTimeout <= 0 {
 		p.discard(c)
 		return
 	}
@@ -230,6 +242,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	p.closeIdle()
+}
+
+// closeIdle closes the idle connections. The caller must hold p.mu.
+func (p *Pool) closeIdle() {
 	for _, c := range p.idle {
 		p.discard(c)
 	}
