relay: keep headers that have the name of an unannounced trailer

Cause: fasthttp records the names of trailers that were not announced. A header that is set later by such a name counts as a trailer, which a request with a length does not send: a caller could suppress the ID of the expected target. Announced trailers removed the headers of the same name as well. Change: all trailers are removed before the headers are set; the caller's headers of the same names are kept. Measurement: TestTrailersNamedLikeHeaders fails before (no Rhubarbrelay-Expect-Instance at the target) and passes now; FuzzStripRequest, 10 s.

--- a/relay/header.go
+++ b/relay/header.go
@@ -180,14 +180,9 @@
 	}
 	// fasthttp may already have reordered the parsed headers while reading the body;
 	// only the raw header still has the order in which they were received.
-	repeats := repeatedFields(in.parseFields(h.RawHeaders()))
-	if in.hasTrailer {
-		names := h.PeekTrailerKeys()
-		h.Del(fasthttp.HeaderTrailer)
-		for _, name := range names {
-			h.DelBytes(name)
-		}
-	}
+	fields := in.parseFields(h.RawHeaders())
+	repeats := repeatedFields(fields)
+	in.stripTrailers(h, fields)
 	h.Del(fasthttp.HeaderTransferEncoding)
 	for _, name := range in.removed {
 		h.DelBytes(name)
@@ -200,6 +195,24 @@
 	}
 }
 
+// stripTrailers removes the trailers, whether announced or not. fasthttp would take a
+// header that is set later for a trailer if it has the name of one, and not send it.
+func (in *headerInspection) stripTrailers(h *fasthttp.RequestHeader, fields []headerField) {
+	names := h.PeekTrailerKeys()
+	if !in.hasTrailer && len(names) == 0 {
+		return
+	}
+	h.Del(fasthttp.HeaderTrailer)
+	for _, name := range names {
+		h.DelBytes(name)
+		for _, f := range fields { // the headers of the same name
+			if bytes.EqualFold(f.name, name) {
+				h.AddBytesKV(f.name, f.value)
+			}
+		}
+	}
+}
+
 // stripResponse removes hop-by-hop headers, proxy headers and trailers.
 func (in *headerInspection) stripResponse(h *fasthttp.ResponseHeader) {
 	for _, name := range h.PeekTrailerKeys() {
--- a/relay/header_test.go
+++ b/relay/header_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
 )
 
 // Guards against any spelling of a header line that crashes the relay, passes a
@@ -44,3 +45,21 @@
 		}
 	})
 }
+
+// Guards against headers for the target, and those of the caller, that are lost since a
+// trailer has the same name.
+func TestTrailersNamedLikeHeaders(t *testing.T) {
+	var got fasthttp.Request
+	target := newScriptedTarget(t, "t-1", "a", func(req *fasthttp.Request) (string, bool) {
+		req.CopyTo(&got)
+		return echo(req)
+	})
+	h := newHarness(t, targetInfos(target))
+	for _, announced := range []string{"", "Trailer: Rhubarbrelay-Expect-Instance, X-Own, Rhubarbrelay-Deadline-Ms\r\n"} {
+		assert.Equal(t, h.raw(t, "POST /once/ HTTP/1.1\r\n"+host+"Rhubarbrelay-Attempt-Id: id-1\r\nX-Own: 1\r\nRhubarbrelay-Deadline-Ms: 3000\r\nTransfer-Encoding: chunked\r\n"+announced+
+			"\r\n4\r\nbody\r\n0\r\nRhubarbrelay-Expect-Instance: x\r\nX-Own: 2\r\nRhubarbrelay-Deadline-Ms: 1\r\n\r\n").status, 200)
+		assert.Equal(t, string(got.Header.Peek("Rhubarbrelay-Expect-Instance")), "t-1")
+		assert.Equal(t, string(got.Header.Peek("X-Own")), "1")
+		assert.Assert(t, len(got.Header.Peek("Rhubarbrelay-Deadline-Ms")) > 1)
+	}
+}
