relay: log no header lines of malformed requests

Cause: fasthttp quotes a header line that it cannot parse in its error, also with SecureErrorLogMessage, and the relay logs the error: the line may hold an API key. Change: the log line has the text up to the quotation.

--- a/relay/input.go
+++ b/relay/input.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -72,7 +73,7 @@
 		fields["limit"], fields["declared"], fields["read"] = in.limit, in.declared, in.read
 	}
 	if in.err != nil {
-		fields["ended_in"], fields["read_error"] = in.endedIn, truncate(in.err.Error(), maxLoggedError)
+		fields["ended_in"], fields["read_error"] = in.endedIn, truncate(withoutQuotes(in.err), maxLoggedError)
 	}
 	if in.path != "" || in.host != "" {
 		fields["host"], fields["path"] = truncate(in.host, maxLoggedHost), truncate(in.path, maxLoggedPath)
@@ -88,6 +89,13 @@
 	}
 }
 
+// withoutQuotes returns the text of an error up to the first quotation mark. fasthttp quotes
+// the header lines that it cannot parse, which may hold an API key.
+func withoutQuotes(err error) string {
+	text, _, _ := strings.Cut(err.Error(), `"`)
+	return text
+}
+
 func truncate(text string, size int) string {
 	if len(text) <= size {
 		return text
