relay: admit requests by API keys

Cause: requests of tenants were forwarded with their keys, without a check. Change: after the route match, on the same document, a request needs exactly one Authorization header with the scheme Token and a key whose digest the document has; otherwise it gets 401 before a byte of its body is received: configureBodyRead hides the body from fasthttp, which would wait for its first byte. Targets get the name of the tenant in place of the key; a caller's own Rhubarbrelay-Tenant is removed, also in a trailer and with an underscore. Another instance gets the digest of the key, which only the port for instances accepts, and checks it against its own document. A request whose key is revoked while it waits gets no target any more. The priority of the tenant replaces that of the route. Refusals are counted as unauthorized and logged once a second at most. Without tenants, headers are forwarded as before. Ruled out: a check in the handler alone, as fasthttp calls it after the first byte of a body with a declared length.

--- a/relay/body.go
+++ b/relay/body.go
@@ -15,15 +15,21 @@
 // read one byte. By default fasthttp waits for the first 8 KB of a body, even
 // if the declared length is too large. A body whose declared length is too large
 // is hidden from fasthttp by a length of 0. admit reads the declared length from
-// the raw header and rejects the request.
+// the raw header and rejects the request. The body of a request without a valid API
+// key is hidden as well, so that the request is refused before a byte is received.
 func (s *Server) configureBodyRead(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
-	if h.ContentLength() > s.http.MaxRequestBodySize {
+	length := h.ContentLength()
+	hasBody := length > 0 || length == chunkedLength
+	if length > s.http.MaxRequestBodySize || hasBody && s.lacksKey(h) {
 		h.SetContentLength(0)
 		h.SetConnectionClose()
 	}
 	return fasthttp.RequestConfig{MaxRequestBodySize: 1}
 }
 
+// chunkedLength is the length by which fasthttp denotes a chunked body.
+const chunkedLength = -1
+
 // readBody reads the complete body of a request. The buffer grows with the
 // bytes received: fasthttp's own reader allocates the declared length at once,
 // so callers could exhaust the memory by declaring large bodies and sending
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -153,7 +153,8 @@
 }
 
 // acquire acquires a target, unless copies of the request have ended too many targets.
-// It checks that again after the wait, in which others may have ended.
+// It checks that again after the wait, in which others may have ended, and that the API
+// key of the request was not revoked meanwhile.
 func (r *dispatchState) acquire(isRetry bool) (*routing.Lease, error) {
 	c := r.call
 	ended := r.server.crashCount(r.req)
@@ -162,7 +163,7 @@
 	}
 	lease, err := c.dispatcher.Acquire(r.caller, &routing.Request{
 		Route: c.route.Key(), Arrival: c.arrival, PriorElapsed: c.priorElapsed, Deadline: c.deadline, Objective: c.route.Objective,
-		Priority: c.route.Priority, Exclude: c.triedTargets, Retry: isRetry, Suspect: ended > 0,
+		Priority: c.priority(), Exclude: c.triedTargets, Retry: isRetry, Suspect: ended > 0,
 		Elsewhere: c.elsewhere && !isRetry,
 	})
 	if err != nil {
@@ -172,6 +173,10 @@
 		lease.Release(routing.Inconclusive, platform.ResponseInfo{})
 		return nil, errEndsTargets
 	}
+	if r.server.isRevoked(c) {
+		lease.Release(routing.Inconclusive, platform.ResponseInfo{})
+		return nil, errKeyRevoked
+	}
 	return lease, nil
 }
 
--- a/relay/header.go
+++ b/relay/header.go
@@ -40,6 +40,7 @@
 	hasTransferEncoding bool
 	controlsSeen        uint // bit set, by index in platform.ControlHeaders
 	hasTrailer          bool
+	credentials         credentials
 	fieldsBuf           [inlineFields]headerField
 }
 
@@ -83,6 +84,7 @@
 	}
 	var buf [maxKnownName]byte
 	lower := appendLower(buf[:0], name)
+	in.credentials.inspect(string(lower), name, bytes.Trim(line[colon+1:], " \t"))
 	if isInternalOrHopByHop(lower) {
 		in.removed = append(in.removed, name)
 	}
@@ -107,6 +109,9 @@
 	return in.checkControl(lower)
 }
 
+// hasBody reports whether the raw header announces a body.
+func (in *headerInspection) hasBody() bool { return in.contentLength > 0 || in.hasTransferEncoding }
+
 func appendLower(dst, name []byte) []byte {
 	for _, c := range name {
 		if 'A' <= c && c <= 'Z' {
@@ -126,7 +131,7 @@
 // hop-by-hop header, Expect, or a header that only instances set.
 func isInternalOrHopByHop(lower []byte) bool {
 	switch string(lower) {
-	case "connection", "keep-alive", "te", "upgrade", "expect":
+	case "connection", "keep-alive", "te", "upgrade", "expect", keyDigestName:
 		return true
 	}
 	return platform.IsInternalRequestHeader(string(lower))
--- a/relay/input.go
+++ b/relay/input.go
@@ -106,7 +106,8 @@
 // isInputCause reports whether a request was refused because of what its caller sent.
 func isInputCause(cause refusalCause) bool {
 	switch cause { //nolint:exhaustive // All other causes are those of the instance and the targets.
-	case refusedMalformed, refusedIncomplete, refusedTooLarge, refusedInstanceLimit, refusedNoRoute, refusedUnsupported, refusedMemory:
+	case refusedMalformed, refusedIncomplete, refusedTooLarge, refusedInstanceLimit, refusedNoRoute, refusedUnsupported, refusedMemory,
+		refusedUnauthorized:
 		return true
 	}
 	return false
--- a/relay/passon.go
+++ b/relay/passon.go
@@ -81,6 +81,7 @@
 	defer conn.Release()
 	platform.SetCallerTimeout(&req.Header, time.Until(c.deadline))
 	setElapsed(&req.Header, c.priorElapsed+time.Since(c.arrival))
+	setKeyDigest(&req.Header, c)
 	answer := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(answer)
 	reservation := bodies.NewReservation(s.responseMemory, 1)
@@ -95,6 +96,7 @@
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		req.Header.Del(elapsedHeader)
+		req.Header.Del(keyDigestHeader)
 		reservation.Release()
 		return err
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -33,6 +33,8 @@
 	document   *config.Document
 	route      *config.Route
 	service    string
+	tenant     *config.Tenant // nil if the request needs no API key
+	keyDigest  config.KeyDigest
 	dispatcher *routing.Dispatcher
 	arrival    time.Time
 	// priorElapsed is the estimated duration of the caller's earlier attempts.
@@ -182,12 +184,15 @@
 		c.input.limit, c.input.declared, c.input.read = limit, req.Header.ContentLength(), len(c.body)
 		return s.bodyTooLargeFailure(len(c.body))
 	}
-	host, path := string(req.Host()), requestPath(req)
+	host, path := string(req.Host()), requestPath(req.Header.RequestURI())
 	c.route = c.document.Match(host, path)
 	if c.route == nil {
 		c.input.host, c.input.path = host, path
 		return notRunFailure(refusedNoRoute, fasthttp.StatusNotFound, "no route matches")
 	}
+	if f := c.setTenant(req); f != nil {
+		return f
+	}
 	c.deadline = c.arrival.Add(c.route.Timeout)
 	if timeout, ok := platform.CallerTimeout(&req.Header); ok {
 		if timeout == 0 {
@@ -237,8 +242,8 @@
 )
 
 // requestPath returns the path of the HTTP request-target as sent, not normalized.
-func requestPath(req *fasthttp.Request) string {
-	uri := originForm(req.Header.RequestURI())
+func requestPath(uri []byte) string {
+	uri = originForm(uri)
 	if end := bytes.IndexAny(uri, "?#"); end >= 0 {
 		uri = uri[:end]
 	}
@@ -248,8 +253,12 @@
 // prepareRequest turns the caller's request into the one that all tries send.
 func prepareRequest(req *fasthttp.Request, c *call) {
 	h := &req.Header
+	if c.document.HasTenants() {
+		c.header.removed = append(c.header.removed, c.header.credentials.names...)
+	}
 	c.header.stripRequest(h)
 	h.Del(elapsedHeader)
+	c.replaceCredentials(h)
 	h.SetProtocol("HTTP/1.1")
 	h.SetNoDefaultContentType(true)
 	h.SetRequestURIBytes(originForm(h.RequestURI()))
--- a/relay/response.go
+++ b/relay/response.go
@@ -71,6 +71,9 @@
 		}
 	}
 	writeFailure(resp, f)
+	if f.status == fasthttp.StatusUnauthorized {
+		platform.SetChallenge(&resp.Header)
+	}
 	if f.closeConnection && f.notRun && c.input.conn != nil {
 		c.input.conn.lingers.Store(true)
 	}
@@ -78,6 +81,9 @@
 		platform.SetRequestID(&resp.Header, []byte(c.id))
 	}
 	s.counters.countFailure(f)
+	if f.cause == refusedUnauthorized && !s.unauthorizedLogs.Allow() {
+		return
+	}
 	s.logFailure(c, f)
 	switch {
 	case !f.notRun:
@@ -180,6 +186,8 @@
 	case errors.Is(err, errEndsTargets):
 		s.counters.blocked.Add(1)
 		s.fail(resp, c, unknownOutcomeFailure(fasthttp.StatusBadGateway, err.Error()))
+	case errors.Is(err, errKeyRevoked):
+		s.fail(resp, c, unauthorizedFailure())
 	case errors.As(err, &refusal):
 		cause := refusedNoCapacity
 		if errors.Is(err, routing.ErrNoTarget) {
--- a/relay/server.go
+++ b/relay/server.go
@@ -90,7 +90,9 @@
 	crashes       CrashLedger
 	refusalEvents *rate.Limiter
 	forwardLogs   *rate.Limiter
-	counters      counters
+	// unauthorizedLogs limits the log lines for requests without a valid API key.
+	unauthorizedLogs *rate.Limiter
+	counters         counters
 	// drainEnd is when the requests in progress must have ended, nil unless the server
 	// drains.
 	drainEnd   atomic.Pointer[time.Time]
@@ -147,13 +149,14 @@
 func NewServer(config ConfigSource, dispatchers Dispatchers, opts ...Option) *Server {
 	s := &Server{
 		config: config, dispatchers: dispatchers, maxConnections: DefaultMaxConnections,
-		logger:        log.Log,
-		refusalEvents: rate.NewLimiter(refusalEventsPerSecond, refusalEventsPerSecond),
-		forwardLogs:   rate.NewLimiter(forwardLogsPerSecond, forwardLogsPerSecond),
-		calls:         sync.Pool{New: func() any { return &call{} }},
-		counters:      newCounters(),
-		crashes:       crashes.NewLedger(),
-		peerPools:     newPeerPools(),
+		logger:           log.Log,
+		refusalEvents:    rate.NewLimiter(refusalEventsPerSecond, refusalEventsPerSecond),
+		forwardLogs:      rate.NewLimiter(forwardLogsPerSecond, forwardLogsPerSecond),
+		unauthorizedLogs: rate.NewLimiter(unauthorizedLogsPerSecond, unauthorizedLogsPerSecond),
+		calls:            sync.Pool{New: func() any { return &call{} }},
+		counters:         newCounters(),
+		crashes:          crashes.NewLedger(),
+		peerPools:        newPeerPools(),
 	}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
