--- a/relay/pipeline.go
+++ b/relay/pipeline.go
@@ -166,7 +166,7 @@
 		if document == nil {
 			return false
 		}
-		route := document.Match(string(r.req.Host()), requestPath(&r.req))
+		route := document.Match(string(r.req.Host()), requestPath(h.RequestURI()))
 		return route != nil && route.Idempotent
 	}
 }
