config: validate tenants

Cause: a document was accepted in which two tenants share a key, a tenant has none, or a name cannot stand in a header. Change: Validate rejects these, duplicate names and figures that are negative or not finite. The errors state the tenant and the position of the key, and neither key nor digest. A key that a tenant lists twice is harmless and accepted.

--- a/config/validate.go
+++ b/config/validate.go
@@ -49,6 +49,7 @@
 		seen[key] = true
 		d.validateRoute(r, addProblem)
 	}
+	d.validateTenants(addProblem)
 	if len(problems) > 0 {
 		return fmt.Errorf("%w: %w", ErrInvalid, errors.Join(problems...))
 	}
