platform, registry: pass documents on with digests in place of API keys

Cause: an instance kept the document as it was published, with the keys of its tenants, and passed it to others by /config and with its state. Change: the keys are replaced by their digests (api-key-digests, base64) where a document is read; it is decoded from the result, so that all instances decode the same text. All other fields are kept, also unknown ones; a document without tenants stays as it is. A document of the store that has digests but no keys is invalid; one of another instance may have either, as releases without this change pass documents on with keys. A tenant with neither is invalid from any source. Ruled out: encoding the document anew from its decoded form, which drops the fields of later releases during a rolling replacement.

--- a/admin/server.go
+++ b/admin/server.go
@@ -36,7 +36,8 @@
 // Instance provides the state that the API serves.
 type Instance interface {
 	Status() Status
-	// RawConfig returns the active configuration as it was published.
+	// RawConfig returns the active configuration as it was published, with digests in
+	// place of API keys.
 	RawConfig() []byte
 	// CompressedConfig returns the active configuration compressed with gzip.
 	CompressedConfig() []byte
--- a/commands/publish.go
+++ b/commands/publish.go
@@ -63,7 +63,7 @@
 	}
 	next := *d
 	next.Version = baseVersion + 1
-	text, err := platform.EncodeDocument(&next, baseVersion)
+	text, err := platform.EncodeDocument(&next, baseVersion, nil)
 	if err != nil {
 		return err
 	}
--- a/commands/publish_test.go
+++ b/commands/publish_test.go
@@ -80,7 +80,7 @@
 
 	concurrent := *parse(t, "kessler")
 	concurrent.Version = 9
-	s.concurrent, err = platform.EncodeDocument(&concurrent, 2)
+	s.concurrent, err = platform.EncodeDocument(&concurrent, 2, nil)
 	assert.NilError(t, err)
 	changed := *parse(t, "hanbit")
 	changed.Limits.MaxBodyBytes = 7
--- a/daemon/fetch_test.go
+++ b/daemon/fetch_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"rhubarbrelay/config"
 	"rhubarbrelay/membership"
 )
 
@@ -103,6 +104,27 @@
 	assertFits(t, sent.Load(), joinTimeout)
 }
 
+// Guards against a key that an instance passes to another one, and against another one
+// that gets a configuration without the key's digest.
+func TestFetchedConfigHasNoKeys(t *testing.T) {
+	const key = "mgjqnirth5mgjy5rcpih"
+	source, _ := newTestDaemon(t, "a-1")
+	d, _ := newTestDaemon(t, "a-2")
+	startCounted(t, source)
+	published := strings.Replace(string(largeConfig(2)), `"limits"`, `"tenants":[{"name":"t","api-keys":["`+key+`"]}],"limits"`, 1)
+	source.configFollower.ApplyIfNewer([]byte(published), "test")
+	through := source.members.Self()
+	d.members.AddSightings([]membership.Sighting{{Instance: through}})
+	fetched, from := d.fetchConfig(1)
+	snapshot, err := d.fetchState(through)
+	assert.NilError(t, err)
+	for _, text := range []string{string(fetched), string(snapshot.Config)} {
+		assert.Assert(t, strings.Contains(text, "digests") && !strings.Contains(text, key))
+	}
+	d.configFollower.ApplyIfNewer(fetched, from)
+	assert.Equal(t, d.configFollower.Current().TenantOf(config.DigestKey([]byte(key))).Name, "t")
+}
+
 // assertFits checks that concurrentFetches responses pass a slow link within a timeout.
 func assertFits(t *testing.T, response int64, timeout time.Duration) {
 	t.Helper()
--- a/peer/snapshot.go
+++ b/peer/snapshot.go
@@ -18,7 +18,8 @@
 type Snapshot struct {
 	Instances []membership.Sighting
 	Targets   TargetState
-	// Config is the active configuration as it was published.
+	// Config is the active configuration as it was published, with digests in place of
+	// API keys.
 	Config []byte
 	// Blocked are the records of requests that are sent to no target any more.
 	Blocked []crashes.Record
--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -60,7 +60,7 @@
 	wakeup chan struct{}
 
 	mu            sync.Mutex    // guards the fields below and the replacement of current
-	raw           []byte        // the active document, as it was published
+	raw           []byte        // the active document, without API keys
 	compressed    func() []byte // returns raw compressed
 	peerVersion   int64         // the highest version that another instance has reported
 	peerVersionAt time.Time     // when a version was last reported or, before the first report, when the wait for it began
@@ -173,15 +173,15 @@
 	return time.Time{}
 }
 
-// Raw returns the active configuration as it was published.
+// Raw returns the active configuration as it was published, with digests in place of API
+// keys.
 func (f *ConfigFollower) Raw() []byte {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.raw
 }
 
-// Compressed returns the active configuration as it was published, compressed with
-// gzip, or nil if there is none yet. It compresses each version once, as many
+// Compressed returns the text of Raw compressed with gzip, or nil if there is none yet. It compresses each version once, as many
 // instances fetch a new version at the same time.
 func (f *ConfigFollower) Compressed() []byte {
 	f.mu.Lock()
@@ -294,23 +294,35 @@
 	f.logger.Info("configuration can be read from the store again")
 }
 
-// ApplyIfNewer activates a published document if it is valid and newer than the active
-// one.
+// ApplyIfNewer activates a document of another instance if it is valid and newer than the
+// active one.
 func (f *ConfigFollower) ApplyIfNewer(raw []byte, source string) {
-	document, err := platform.DecodeDocument(raw)
+	d, err := platform.ReadPeerDocument(raw)
+	f.activate(d, err, source)
+}
+
+// applyPublished activates a document from the store if it is valid and newer than the
+// active one.
+func (f *ConfigFollower) applyPublished(raw []byte) {
+	d, err := platform.ReadDocument(raw)
+	f.activate(d, err, "store")
+}
+
+func (f *ConfigFollower) activate(d platform.PassedDocument, err error, source string) {
 	if err != nil {
 		f.logger.WithError(err).WithField("source", source).Error("configuration rejected, the last good one stays in force")
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	document := d.Document
 	if current := f.current.Load(); current != nil && document.Version <= current.Version {
 		return
 	}
-	published := append([]byte(nil), raw...)
-	f.raw = published
+	text := append([]byte(nil), d.Text...)
+	f.raw = text
 	f.compressed = sync.OnceValue(func() []byte {
-		return fasthttp.AppendGzipBytesLevel(nil, published, fasthttp.CompressBestSpeed)
+		return fasthttp.AppendGzipBytesLevel(nil, text, fasthttp.CompressBestSpeed)
 	})
 	f.apply(document)
 	now := time.Now()
--- a/registry/config_read.go
+++ b/registry/config_read.go
@@ -39,7 +39,7 @@
 func (f *ConfigFollower) applyRecords(records []platform.Record) {
 	for _, r := range records {
 		if r.Key == platform.ConfigKey && r.Value != nil {
-			f.ApplyIfNewer(r.Value, "store")
+			f.applyPublished(r.Value)
 		}
 	}
 }
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -212,7 +212,7 @@
 			Objective: 300 * time.Millisecond, Timeout: 2 * time.Second, Split: []config.WeightedService{{Service: service, Weight: 1}},
 		})
 	}
-	text, err := platform.EncodeDocument(d, e.version-1)
+	text, err := platform.EncodeDocument(d, e.version-1, nil)
 	if err != nil {
 		return err
 	}
