platform, config: a tenant without keys is valid

Cause: revoking the last key of a tenant publishes an empty list of keys. The document was rejected, so that the revoked keys stayed in force on all instances, and so did every later version. TestTenantWithoutKeysIsPublished fails without the empty list.

--- a/config/validate_tenants.go
+++ b/config/validate_tenants.go
@@ -22,9 +22,6 @@
 			addProblem("tenant %q: another tenant has the same name", t.Name)
 		}
 		names[t.Name] = true
-		if len(t.Keys) == 0 {
-			addProblem("tenant %q: no API key", t.Name)
-		}
 		for i, key := range t.Keys {
 			if owner, ok := owners[key]; ok && owner != t.Name {
 				addProblem("tenant %q: API key %d is also one of tenant %q", t.Name, i+1, owner)
