--- a/cmd/rhubarbrelayd/main.go
+++ b/cmd/rhubarbrelayd/main.go
@@ -13,6 +13,7 @@
 	"syscall"
 
 	"github.com/alexflint/go-arg"
+	"github.com/apex/log"
 
 	"rhubarbrelay/daemon"
 	"rhubarbrelay/logwriter"
@@ -23,7 +24,7 @@
 const (
 	exitFailure = 1
 	exitUsage   = 2
-	// exitInterrupted means that a second signal ended the graceful shutdown.
+	// exitInterrupted means that SIGINT ended the graceful shutdown.
 	exitInterrupted = 3
 )
 
@@ -41,7 +42,7 @@
 // Epilogue returns the text at the end of the help.
 func (args) Epilogue() string {
 	return "Example:\n  rhubarbrelayd --check --settings /etc/rhubarbrelayd.ini\n\n" +
-		"Exit codes:\n  0  graceful shutdown, or the settings are valid\n  1  failure\n  2  usage error or invalid settings\n  3  terminated by a second signal"
+		"Exit codes:\n  0  graceful shutdown, or the settings are valid\n  1  failure\n  2  usage error or invalid settings\n  3  terminated by SIGINT during the shutdown"
 }
 
 func main() {
@@ -70,7 +71,6 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	go watchSignals(signals, cancel)
 
 	logWriter := logwriter.NewWriter(os.Stdout)
 	writerCtx, stopWriter := context.WithCancel(context.Background())
@@ -80,18 +80,25 @@
 		stopWriter()
 		writerGroup.Wait()
 	}()
-	d := daemon.New(s, newLogger(s, logWriter))
+	logger := newLogger(s, logWriter)
+	go watchSignals(signals, cancel, logger)
+	d := daemon.New(s, logger)
 	expvar.Publish(daemon.MetricsName, expvar.Func(func() any { return d.Metrics(logWriter.Stats()) }))
 	go daemon.WatchSettings(stopCtx, path, hangups, d.Reload)
 	return d.Run(stopCtx)
 }
 
-// watchSignals starts the graceful shutdown at the first signal and exits at the
-// second. It handles both signals itself: if it restored the default action after
-// the first one, a second signal that arrives before that would be lost.
-func watchSignals(signals <-chan os.Signal, stop func()) {
+// watchSignals starts the graceful shutdown at the first signal. A further SIGTERM changes
+// nothing, as it must not cost requests; a further SIGINT, with which an operator ends the
+// wait, ends the process at once. It handles all signals itself: if it restored the default
+// action after the first one, a second signal that arrives before that would be lost.
+func watchSignals(signals <-chan os.Signal, stop func(), logger log.Interface) {
 	<-signals
 	stop()
-	<-signals
-	os.Exit(exitInterrupted)
+	for s := range signals {
+		if s == syscall.SIGINT {
+			os.Exit(exitInterrupted)
+		}
+		logger.Info("instance is shutting down already, the signal is ignored")
+	}
 }
--- a/cmd/rhubarbrelayd/main_test.go
+++ b/cmd/rhubarbrelayd/main_test.go
@@ -81,8 +81,9 @@
 	return l.Addr().String()
 }
 
-// Guards against a second signal that is ignored during the graceful shutdown:
-// the operator would have to wait until the shutdown ends. Also guards against
+// Guards against a second SIGTERM that ends the process during the graceful shutdown, and
+// costs the requests in progress, and against SIGINT that is ignored then: the operator
+// would have to wait until the shutdown ends. Also guards against
 // settings that are found only through the flag and not through the environment
 // variable RHUBARBRELAY_BOOT.
 func TestSecondSignalEndsTheProcess(t *testing.T) {
@@ -98,6 +99,8 @@
 	assert.NilError(t, cmd.Process.Signal(syscall.SIGTERM))
 	waitForLine(t, lines, "instance leaving")
 	assert.NilError(t, cmd.Process.Signal(syscall.SIGTERM))
+	waitForLine(t, lines, "the signal is ignored")
+	assert.NilError(t, cmd.Process.Signal(syscall.SIGINT))
 	_, err = io.Copy(io.Discard, stdout)
 	assert.NilError(t, err)
 	err = cmd.Wait()
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -18,22 +18,6 @@
 	// readyPollInterval is the time between checks whether configuration and
 	// targets are loaded.
 	readyPollInterval = 10 * time.Millisecond
-	// serveFraction is the fraction of the grace period during which a leaving
-	// instance accepts new requests, as callers cache entry responses. The entry
-	// TTL does not extend this time, even if it is longer.
-	serveFraction = 0.5
-	// exitMargin is the time before the end of the grace period at which the wait
-	// for requests in progress ends. The rest of the shutdown must fit into it: up
-	// to shutdownTimeout for entry and administration requests. It is too short for
-	// fetchConfig, which does not end with the context and takes up to fetchTimeout:
-	// a fetch in progress can delay the exit beyond the end of the grace period.
-	exitMargin = 300 * time.Millisecond
-	// responseTime is the time before the end of the wait at which requests in progress
-	// must end, so that their responses reach the callers.
-	responseTime = 200 * time.Millisecond
-	// shutdownTimeout limits the wait for entry and administration requests in
-	// progress at the end.
-	shutdownTimeout = 100 * time.Millisecond
 	// newerConfigTimeout limits the wait of a starting instance, once its state is
 	// loaded, for a newer configuration that it has heard of. An attempt that has
 	// begun by then ends within fetchTimeout. newerConfigInterval is the time between
@@ -72,12 +56,17 @@
 	if err != nil {
 		return trace.Wrap(err, "listen for peers on %s", d.settings.Peers.Listen)
 	}
+	listeners, err := listen(servers)
+	if err != nil {
+		return errors.Join(err, conn.Close())
+	}
 	stopCtx, stop := context.WithCancel(stopCtx)
 	defer stop()
 	// ctx ends after the graceful shutdown, during which all components still run.
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var group errgroup.Group
+	failure := make(chan error, 1) // the first one
 	start := func(name string, component func() error) {
 		group.Go(func() error {
 			err := component()
@@ -85,16 +74,17 @@
 				return nil
 			}
 			d.logger.WithError(err).WithField("component", name).Error("component failed, the instance stops")
+			err = trace.Wrap(err, "%s", name)
+			select {
+			case failure <- err:
+			default:
+			}
 			stop()
-			return trace.Wrap(err, "%s", name)
+			return err
 		})
 	}
-	for _, s := range servers {
-		l, err := net.Listen("tcp", s.address.String()) //nolint:noctx // The listener stays open as long as the daemon runs.
-		if err != nil {
-			return errors.Join(trace.Wrap(err, "listen on %s", s.address), conn.Close())
-		}
-		start(s.name, func() error { return s.serve(l) })
+	for i, s := range servers {
+		start(s.name, func() error { return s.serve(listeners[i]) })
 	}
 	d.recorder.Record(timeline.Event{Kind: timeline.InstanceStarted})
 	d.logger.WithField("callers", d.settings.Callers.Listen.String()).WithField("zone", d.settings.Instance.Zone).
@@ -124,17 +114,33 @@
 		<-ctx.Done()
 		shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
-		d.entryServer.Shutdown(shutdownCtx)
 		d.admin.Shutdown(shutdownCtx)
 		return nil
 	})
-	err = group.Wait()
+	err = d.waitForComponents(ctx, &group, failure)
 	d.changeLog.flush()
 	d.recorder.Record(timeline.Event{Kind: timeline.InstanceStopped})
 	d.logger.Info("instance stopped")
 	return err
 }
 
+// listen opens the listeners of all servers. No connection is accepted unless all can be
+// opened.
+func listen(servers []server) ([]net.Listener, error) {
+	listeners := make([]net.Listener, 0, len(servers))
+	for _, s := range servers {
+		l, err := net.Listen("tcp", s.address.String()) //nolint:noctx // The listener stays open as long as the daemon runs.
+		if err != nil {
+			for _, opened := range listeners {
+				err = errors.Join(err, opened.Close())
+			}
+			return nil, trace.Wrap(err, "listen on %s", s.address)
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
 // serveUntilStopped accepts callers once configuration and targets are loaded. When
 // stopCtx ends, it shuts down gracefully.
 func (d *Daemon) serveUntilStopped(stopCtx context.Context) {
@@ -181,32 +187,6 @@
 	}
 }
 
-// stop shuts down gracefully. It announces that the instance is leaving, which
-// removes it from entry responses unless no other instance is ready, and makes
-// every further response close the connection of its caller. It accepts new
-// requests for serveFraction of the grace period, then waits for requests in
-// progress until exitMargin before its end.
-func (d *Daemon) stop() {
-	start := time.Now()
-	grace := d.settings.Stop.Grace
-	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin)
-	defer cancel()
-	wasActive := d.selector.IsActive()
-	d.members.SetState(membership.Leaving)
-	d.relay.StartDraining(start.Add(grace - exitMargin - responseTime))
-	d.recorder.Record(timeline.Event{Kind: timeline.InstanceLeaving})
-	d.logger.WithField("in_progress", d.relay.InProgress()).Info("instance leaving")
-	var group errgroup.Group
-	group.Go(func() error { d.mesh.AnnounceLeaving(ctx, wasActive); return nil })
-	group.Go(func() error { d.registrar.Deregister(ctx); return nil })
-	time.Sleep(time.Duration(serveFraction * float64(grace)))
-	if err := d.relay.Shutdown(ctx); err != nil {
-		d.logger.WithError(err).WithField("in_progress", d.relay.InProgress()).Error("grace period ended before all requests finished")
-	}
-	_ = group.Wait() // its functions always return nil
-	d.logger.WithField("took", time.Since(start).String()).Info("shutdown finished")
-}
-
 // catchUpConfig fetches the configuration from another instance whose heartbeats
 // show a newer version, in case this instance missed the update.
 func (d *Daemon) catchUpConfig(ctx context.Context) error {
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -160,11 +161,19 @@
 	if ended >= crashes.MaxCrashes {
 		return nil, errEndsTargets
 	}
-	lease, err := c.dispatcher.Acquire(r.caller, &routing.Request{
+	ctx, leave := r.server.sends.enter(r.caller)
+	defer leave()
+	lease, err := c.dispatcher.Acquire(ctx, &routing.Request{
 		Route: c.route.Key(), Arrival: c.arrival, PriorElapsed: c.priorElapsed, Deadline: c.deadline, Objective: c.route.Objective,
 		Priority: c.route.Priority, Exclude: c.triedTargets, Retry: isRetry, Suspect: ended > 0,
 		Elsewhere: c.elsewhere && !isRetry,
 	})
+	if errors.Is(context.Cause(ctx), errDraining) {
+		if lease != nil {
+			lease.Release(routing.Inconclusive, platform.ResponseInfo{})
+		}
+		return nil, errDraining
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -186,7 +195,7 @@
 	c.triedTargets = append(c.triedTargets, lease.Target().Incarnation())
 	t := &try{
 		lease: lease, req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(),
-		deadline: c.deadline, started: time.Now(), number: c.sentTries, crashes: r.server.crashes,
+		deadline: c.deadline, started: time.Now(), number: c.sentTries, crashes: r.server.crashes, sends: r.server.sends,
 		reservation: bodies.NewReservation(r.server.responseMemory, 1),
 	}
 	r.req.CopyTo(t.req)
--- a/relay/entryserver.go
+++ b/relay/entryserver.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 
+	"rhubarbrelay/callers"
 	"rhubarbrelay/platform"
 )
 
@@ -26,15 +27,16 @@
 	ready    func() bool
 	logger   log.Interface
 	http     *fasthttp.Server
+	conns    *callers.Set
 }
 
 // NewEntryServer returns a server whose entry responses callers may cache for
 // ttl.
 func NewEntryServer(selector AddressSelector, ttl time.Duration, ready func() bool, logger log.Interface) *EntryServer {
-	s := &EntryServer{selector: selector, ready: ready, logger: logger}
+	s := &EntryServer{selector: selector, ready: ready, logger: logger, conns: callers.NewSet()}
 	s.SetTTL(ttl)
 	s.http = &fasthttp.Server{
-		Handler: s.handle, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: discardLogger{},
+		Handler: s.handle, ErrorHandler: handleEntryError, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: discardLogger{},
 		ReadTimeout: DefaultReadTimeout, WriteTimeout: DefaultWriteTimeout, IdleTimeout: DefaultIdleTimeout,
 	}
 	return s
@@ -44,14 +46,31 @@
 func (s *EntryServer) SetTTL(ttl time.Duration) { s.ttl.Store(int64(ttl)) }
 
 // Serve accepts connections until the listener is closed.
-func (s *EntryServer) Serve(l net.Listener) error { return s.http.Serve(l) }
+func (s *EntryServer) Serve(l net.Listener) error {
+	return s.http.Serve(callers.NewListener(s.conns, l, maxEntryConnections))
+}
+
+// Connections describes the number of open connections in each state.
+func (s *EntryServer) Connections() string { return s.conns.Counts().String() }
 
-// Shutdown closes the listeners and idle connections and waits for queries in
-// progress until the context is done. It also waits for connections on which no
-// query was sent.
-func (s *EntryServer) Shutdown(ctx context.Context) { _ = s.http.ShutdownWithContext(ctx) }
+// maxEntryConnections limits the number of connections of each listener. Queries are rare
+// and short.
+const maxEntryConnections = 1000
+
+// Shutdown accepts no further connections, closes those without a query and waits, until
+// the context is done, for the others. At refuseAt it closes those on which a query was
+// received in part.
+func (s *EntryServer) Shutdown(ctx context.Context, refuseAt time.Time) error {
+	return s.conns.Shutdown(ctx, refuseAt)
+}
 
 func (s *EntryServer) handle(ctx *fasthttp.RequestCtx) {
+	if conn, ok := ctx.Conn().(*callers.Conn); ok {
+		conn.Received()
+	}
+	if s.conns.ShutsDown() {
+		ctx.SetConnectionClose()
+	}
 	if platform.IsReadinessCheck(&ctx.Request) {
 		if !s.ready() {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -68,3 +87,11 @@
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 	}
 }
+
+// handleEntryError responds to a query that could not be read.
+func handleEntryError(ctx *fasthttp.RequestCtx, _ error) {
+	ctx.SetStatusCode(fasthttp.StatusBadRequest)
+	if conn, ok := ctx.Conn().(*callers.Conn); ok && conn.Interrupted() {
+		writeFailure(&ctx.Response, drainingFailure("instance shuts down before the query has arrived"))
+	}
+}
--- a/relay/input.go
+++ b/relay/input.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"rhubarbrelay/callers"
 )
 
 // The parts of a request.
@@ -26,11 +28,11 @@
 // input describes how far a request was read and which limit applied, for the log
 // line of its failure.
 type input struct {
-	conn    *countedConn // nil if the connection was not accepted by limitedListener
-	number  uint64       // of the request on its connection
-	endedIn string       // the part in which reading ended early
-	err     error        // why reading ended early
-	limit   int          // bytes, 0 if none applied
+	conn    *callers.Conn // nil if no callers.Listener has accepted the connection
+	number  uint64        // of the request on its connection
+	endedIn string        // the part in which reading ended early
+	err     error         // why reading ended early
+	limit   int           // bytes, 0 if none applied
 	// declared is the content length of the request, -1 if it has none. declared and
 	// read are in bytes of the body.
 	declared, read int
@@ -38,22 +40,22 @@
 }
 
 func newInput(conn net.Conn, number uint64) input {
-	counted, _ := conn.(*countedConn)
-	return input{conn: counted, number: number}
+	accepted, _ := conn.(*callers.Conn)
+	return input{conn: accepted, number: number}
 }
 
 // fromPeer reports whether another instance has sent the request.
-func (in *input) fromPeer() bool { return in.conn != nil && in.conn.fromPeer }
+func (in *input) fromPeer() bool { return in.conn.FromPeer() }
 
 func (in *input) endIn(stage string, err error) { in.endedIn, in.err = stage, err }
 
 // stageOf returns the part of the request in which fasthttp met an error. It reads the
 // first byte of a body as well, the errors of which it does not wrap.
 func (in *input) stageOf(err error) string {
-	if in.conn == nil || in.conn.received == 0 {
+	if in.conn == nil || in.conn.BytesReceived() == 0 {
 		return stageHeader
 	}
-	if err == in.conn.readErr || errors.Is(err, io.ErrUnexpectedEOF) { //nolint:errorlint // A wrapped error is one of the header.
+	if err == in.conn.ReadErr() || errors.Is(err, io.ErrUnexpectedEOF) { //nolint:errorlint // A wrapped error is one of the header.
 		return stageBody
 	}
 	return stageHeader
@@ -63,9 +65,9 @@
 func (in *input) addFields(fields log.Fields) {
 	fields["connection_request"] = in.number
 	if in.conn != nil {
-		fields["connection_bytes"] = in.conn.received
-		if in.conn.readFailed() {
-			fields["connection_error"] = truncate(in.conn.readErr.Error(), maxLoggedError)
+		fields["connection_bytes"] = in.conn.BytesReceived()
+		if err := in.conn.ReadErr(); err != nil {
+			fields["connection_error"] = truncate(err.Error(), maxLoggedError)
 		}
 	}
 	if in.limit > 0 {
--- a/relay/listener_test.go
+++ b/relay/listener_test.go
@@ -59,7 +59,7 @@
 	select {
 	case err := <-ended:
 		t.Fatalf("shutdown returned with a request in progress: %v", err)
-	case <-time.After(3 * flushDelay):
+	case <-time.After(300 * time.Millisecond):
 	}
 	close(release)
 	assert.Equal(t, c.mustReceive().body, "late")
--- a/relay/passon.go
+++ b/relay/passon.go
@@ -58,7 +58,7 @@
 	for range maxPeers {
 		left := time.Until(c.deadline)
 		address, ok := s.peers.SelectPeer(c.service, tried)
-		if !ok || left < minTryTime || caller.Err() != nil {
+		if !ok || left < minTryTime || caller.Err() != nil || s.sends.isClosed() {
 			return false
 		}
 		tried = append(tried, address)
--- a/relay/request.go
+++ b/relay/request.go
@@ -109,6 +109,7 @@
 	resp.SkipBody = req.Header.IsHead()
 	f := s.readBody(req, c)
 	if f == nil {
+		c.input.conn.Received()
 		f = s.admit(req, c)
 	}
 	if f != nil {
@@ -175,6 +176,9 @@
 
 // resolveRoute determines the route, the service and the deadline of a request.
 func (s *Server) resolveRoute(req *fasthttp.Request, c *call) (f *failure) {
+	if s.drained() { // recentDocument could wait for longer than there is time
+		return drainingFailure("instance shuts down")
+	}
 	if c.document, f = s.recentDocument(); f != nil {
 		return f
 	}
@@ -213,21 +217,6 @@
 	return nil
 }
 
-// limitToDrainEnd refuses a request that may be in progress when the server has drained,
-// or shortens its deadline. A request that must not run twice would end with an unknown
-// outcome.
-func (s *Server) limitToDrainEnd(c *call) *failure {
-	end := s.drainEnd.Load()
-	if end == nil || !c.deadline.After(*end) {
-		return nil
-	}
-	if !c.route.Idempotent || time.Until(*end) < c.route.Objective {
-		return unavailableFailure(refusedDraining, "instance shuts down before the deadline", notReadyRetryAfter)
-	}
-	c.deadline = *end
-	return nil
-}
-
 const (
 	// freshnessTimeout limits the wait for recent state.
 	freshnessTimeout = 300 * time.Millisecond
--- a/relay/response.go
+++ b/relay/response.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rhubarbrelay/bodies"
+	"rhubarbrelay/callers"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/timeline"
@@ -71,8 +72,8 @@
 		}
 	}
 	writeFailure(resp, f)
-	if f.closeConnection && f.notRun && c.input.conn != nil {
-		c.input.conn.lingers.Store(true)
+	if f.closeConnection && f.notRun {
+		c.input.conn.LingerOnClose()
 	}
 	if c.id != "" {
 		platform.SetRequestID(&resp.Header, []byte(c.id))
@@ -175,6 +176,8 @@
 	switch {
 	case callerClosed:
 		s.fail(resp, c, callerClosedFailure(false))
+	case errors.Is(err, errDraining):
+		s.fail(resp, c, drainingFailure(err.Error()))
 	case errors.Is(err, bodies.ErrNoMemory):
 		s.fail(resp, c, readFailure(err, c.input.conn))
 	case errors.Is(err, errEndsTargets):
@@ -205,15 +208,17 @@
 }
 
 // readFailure returns the failure of a request that could not be read.
-func readFailure(err error, conn *countedConn) *failure {
+func readFailure(err error, conn *callers.Conn) *failure {
 	switch {
+	case conn.Interrupted():
+		return drainingFailure("instance shuts down before the request has arrived")
 	case errors.Is(err, bodies.ErrNoMemory):
 		return unavailableFailure(refusedMemory, "instance has no memory for the request", memoryRetryAfter)
 	case errors.Is(err, bodies.ErrExceedsMemory), errors.Is(err, bodies.ErrTooFragmented):
 		return instanceLimitFailure("request body exceeds a limit of the instance")
-	case conn.readTimedOut():
+	case conn.ReadTimedOut():
 		return notRunFailure(refusedIncomplete, fasthttp.StatusRequestTimeout, "request did not arrive in time")
-	case conn.readFailed():
+	case conn.ReadErr() != nil:
 		return notRunFailure(refusedIncomplete, fasthttp.StatusRequestTimeout, "request did not arrive completely")
 	}
 	return notRunFailure(refusedMalformed, fasthttp.StatusBadRequest, "request is malformed")
--- a/relay/server.go
+++ b/relay/server.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"rhubarbrelay/bodies"
+	"rhubarbrelay/callers"
 	"rhubarbrelay/config"
 	"rhubarbrelay/crashes"
 	"rhubarbrelay/routing"
@@ -95,6 +96,8 @@
 	// drains.
 	drainEnd   atomic.Pointer[time.Time]
 	inProgress atomic.Int64
+	conns      *callers.Set
+	sends      *sendGate
 	calls      sync.Pool // of *call
 	http       *fasthttp.Server
 	// maxConnections limits the number of connections from callers, and that of connections
@@ -154,6 +157,8 @@
 		counters:      newCounters(),
 		crashes:       crashes.NewLedger(),
 		peerPools:     newPeerPools(),
+		conns:         callers.NewSet(),
+		sends:         newSendGate(),
 	}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
@@ -196,60 +201,14 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
-	return s.serve(&limitedListener{Listener: l, limit: int64(s.maxConnections), refuse: s.refuseConnection})
+	return s.serve(l)
 }
 
 // ServePeers accepts connections on which other instances pass requests on, until the
 // listener is closed.
 func (s *Server) ServePeers(l net.Listener) error {
-	return s.serve(&limitedListener{Listener: l, limit: int64(s.maxConnections), refuse: s.refuseConnection, fromPeers: true})
+	return s.serve(l, callers.FromPeers())
 }
 
-func (s *Server) serve(limited *limitedListener) error {
-	defer limited.refusals.Wait()
-	return s.http.Serve(limited)
-}
-
-// StartDraining sets Connection: close in every further response, after which the
-// connection is closed. A further request whose deadline is after the end is refused
-// if it must not run twice; any other one gets the end as its deadline.
-func (s *Server) StartDraining(end time.Time) { s.drainEnd.Store(&end) }
-
 // InProgress returns the number of requests being handled.
 func (s *Server) InProgress() int64 { return s.inProgress.Load() }
-
-const (
-	// shutdownPollInterval is the time between two checks for requests in
-	// progress.
-	shutdownPollInterval = 20 * time.Millisecond
-	// flushDelay is the time without requests in progress after which Shutdown
-	// returns even if connections are open. It leaves time to write the last
-	// responses: a request ends before its response is written.
-	flushDelay = 100 * time.Millisecond
-)
-
-// Shutdown closes the listener and idle connections and waits for requests in
-// progress until the context is done. It does not wait for connections on which
-// no request was sent.
-func (s *Server) Shutdown(ctx context.Context) error {
-	defer s.peerPools.close()
-	closed := make(chan error, 1)
-	go func() { closed <- s.http.ShutdownWithContext(ctx) }()
-	ticker := time.NewTicker(shutdownPollInterval)
-	defer ticker.Stop()
-	var idle time.Duration
-	for {
-		select {
-		case err := <-closed:
-			return err
-		case <-ticker.C:
-		}
-		idle += shutdownPollInterval
-		if s.InProgress() > 0 {
-			idle = 0
-		}
-		if idle >= flushDelay {
-			return nil
-		}
-	}
-}
--- a/relay/try.go
+++ b/relay/try.go
@@ -24,6 +24,7 @@
 	started  time.Time
 	number   int
 	crashes  CrashLedger
+	sends    *sendGate
 	// reservation is for the body of the response.
 	reservation *bodies.Reservation
 
@@ -79,7 +80,7 @@
 	t.activeConn = conn
 	canceled := t.canceled
 	t.mu.Unlock()
-	if canceled || !t.lease.Admitted() {
+	if canceled || t.sends.isClosed() || !t.lease.Admitted() {
 		return upstream.ErrNotSent
 	}
 	left := time.Until(t.deadline)
--- a/standin/target.go
+++ b/standin/target.go
@@ -41,6 +41,8 @@
 	headerEnd = "Standin-End"
 	// HeaderWork sets the processing time of the request in milliseconds.
 	HeaderWork = "Standin-Work-Ms"
+	// headerSize sets the least size of the response body in bytes.
+	headerSize = "Standin-Response-Bytes"
 	healthPath = "/healthz"
 )
 
@@ -275,6 +277,9 @@
 // applies the faults of responses.
 func (t *Target) respond(ctx *fasthttp.RequestCtx, id string, faults *TargetFaults) {
 	body := fmt.Sprintf("%s %s %s %s\n%s", t.registration.ID, ctx.Method(), ctx.RequestURI(), id, ctx.PostBody())
+	if size, err := strconv.Atoi(string(ctx.Request.Header.Peek(headerSize))); err == nil && size > len(body) {
+		body += strings.Repeat("x", size-len(body))
+	}
 	ctx.Response.Header.Set(headerSeal, fmt.Sprintf("%s.%d.%08x", t.registration.ID, len(body), rand.Uint32()))
 	ctx.SetBodyString(body)
 	switch {
