callers, relay: limit the progress of responses, not the time to send them

Cause: fasthttp's write timeout of 10 s covers the whole response, so that one that takes longer is truncated although its caller reads it and waits longer.

Change: a connection renews the deadline of a write while its caller reads. A response ends after 10 s without a byte (20 s if some were read in the first ten), and in all after 10 s or, if that is later, at the time that its caller states or its route allows, at most 2 min after its arrival.

--- a/callers/conn.go
+++ b/callers/conn.go
@@ -46,6 +46,9 @@
 	fromPeer bool
 	accepted time.Time
 	onClose  func() // releases its place at the listener
+	// writeTimeout limits the time in which no byte of a response can be written, 0 for
+	// no limit.
+	writeTimeout time.Duration
 
 	// received and readErr are used by the reading goroutine.
 	received int64 // bytes
@@ -56,9 +59,12 @@
 	// complete is set while a request that was received completely has no response.
 	complete     bool
 	readDeadline time.Time
-	interrupt    interruption
-	interrupted  bool
-	lingers      bool
+	// writeDeadline is the deadline of a write that the server has set, sendBy the time until
+	// which the present response may be written as long as its caller reads.
+	writeDeadline, sendBy time.Time
+	interrupt             interruption
+	interrupted           bool
+	lingers               bool
 }
 
 // Received states that a request was received completely. It must be called before
@@ -70,10 +76,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state != Closing {
-		c.state, c.complete = InProgress, true
+		c.state, c.complete, c.sendBy = InProgress, true, time.Time{}
 	}
 }
 
+// SetSendDeadline states until when the caller of the request waits. Its response may be
+// written until then, or for the write timeout of the listener, if that is later. It must be
+// called after Received.
+func (c *Conn) SetSendDeadline(t time.Time) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sendBy = t
+}
+
 // State returns the state of the connection.
 func (c *Conn) State() State {
 	c.mu.Lock()
@@ -188,14 +206,66 @@
 	return 0, io.EOF // as if the caller had closed the connection
 }
 
-// Write implements net.Conn.
-func (c *Conn) Write(p []byte) (int, error) {
+// Write implements net.Conn. It ends with an error if no byte can be written for the write
+// timeout, up to twice as long if some were before, or when the response must have been
+// written.
+func (c *Conn) Write(p []byte) (n int, err error) {
+	for {
+		deadline, limited := c.beginWrite()
+		if limited {
+			if err := c.Conn.SetWriteDeadline(deadline); err != nil {
+				return n, err //nolint:wrapcheck // The error must stay that of the connection.
+			}
+		}
+		written, err := c.Conn.Write(p[n:])
+		n += written
+		if err == nil || written == 0 || !isTimeout(err) || !c.mayWriteOn() {
+			return n, err //nolint:wrapcheck // The error must stay that of the connection.
+		}
+	}
+}
+
+// beginWrite updates the state and returns the deadline of the next write. limited is false
+// if the connection has the deadline already.
+func (c *Conn) beginWrite() (deadline time.Time, limited bool) {
 	c.mu.Lock()
-	if c.state != Closing {
+	defer c.mu.Unlock()
+	now := time.Now()
+	if c.state != Closing && c.state != Writing {
 		c.state = Writing
+		c.sendBy = later(c.sendBy, now.Add(c.writeTimeout))
 	}
-	c.mu.Unlock()
-	return c.Conn.Write(p) //nolint:wrapcheck // The error must stay that of the connection.
+	if c.writeTimeout == 0 {
+		return time.Time{}, false
+	}
+	deadline = earlier(now.Add(c.writeTimeout), c.sendBy)
+	if !c.writeDeadline.IsZero() {
+		deadline = earlier(deadline, c.writeDeadline)
+	}
+	return deadline, true
+}
+
+// mayWriteOn reports whether a response whose write has timed out after some progress may
+// be written further.
+func (c *Conn) mayWriteOn() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	return c.writeTimeout > 0 && now.Before(c.sendBy) && (c.writeDeadline.IsZero() || now.Before(c.writeDeadline))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // SetDeadline implements net.Conn.
@@ -211,6 +281,14 @@
 	return c.Conn.SetReadDeadline(c.effectiveDeadline())
 }
 
+// SetWriteDeadline implements net.Conn. The write timeout of the listener applies as well.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = t
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	sc, ok := c.Conn.(syscall.Conn)
--- a/callers/listener.go
+++ b/callers/listener.go
@@ -30,6 +30,8 @@
 	limit    int64
 	refuse   Refuse // nil to close the connections in excess of the limit
 	fromPeer bool
+	// writeTimeout is that of the connections.
+	writeTimeout time.Duration
 
 	open            atomic.Int64
 	pendingRefusals atomic.Int64
@@ -46,6 +48,13 @@
 // FromPeers states that other instances connect, not callers.
 func FromPeers() ListenerOption { return func(l *Listener) { l.fromPeer = true } }
 
+// WithWriteTimeout ends responses of which no byte can be written for the timeout, and those
+// that take longer than the timeout or, if that is later, until the deadline that
+// Conn.SetSendDeadline states.
+func WithWriteTimeout(timeout time.Duration) ListenerOption {
+	return func(l *Listener) { l.writeTimeout = timeout }
+}
+
 // NewListener returns a listener that accepts up to limit connections at a time. Accept must
 // be called until it returns an error, which is io.EOF after a shutdown of the set.
 func NewListener(set *Set, inner net.Listener, limit int, opts ...ListenerOption) *Listener {
@@ -79,7 +88,7 @@
 }
 
 func (l *Listener) newConn(conn net.Conn, onClose func()) *Conn {
-	c := &Conn{Conn: conn, set: l.set, fromPeer: l.fromPeer, accepted: time.Now(), onClose: onClose}
+	c := &Conn{Conn: conn, set: l.set, fromPeer: l.fromPeer, accepted: time.Now(), onClose: onClose, writeTimeout: l.writeTimeout}
 	l.set.add(c)
 	return c
 }
--- a/relay/entryserver.go
+++ b/relay/entryserver.go
@@ -37,7 +37,7 @@
 	s.SetTTL(ttl)
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: handleEntryError, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: discardLogger{},
-		ReadTimeout: DefaultReadTimeout, WriteTimeout: DefaultWriteTimeout, IdleTimeout: DefaultIdleTimeout,
+		ReadTimeout: DefaultReadTimeout, IdleTimeout: DefaultIdleTimeout,
 	}
 	return s
 }
@@ -47,7 +47,7 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *EntryServer) Serve(l net.Listener) error {
-	return s.http.Serve(callers.NewListener(s.conns, l, maxEntryConnections))
+	return s.http.Serve(callers.NewListener(s.conns, l, maxEntryConnections, callers.WithWriteTimeout(DefaultWriteTimeout)))
 }
 
 // Connections describes the number of open connections in each state.
--- a/relay/listener.go
+++ b/relay/listener.go
@@ -20,7 +20,7 @@
 // with which fasthttp itself refuses connections does not state whether the request has
 // run, so that the listener limits their number.
 func (s *Server) serve(l net.Listener, opts ...callers.ListenerOption) error {
-	limited := callers.NewListener(s.conns, l, s.maxConnections, append(opts, callers.WithRefuse(s.refuseConnection))...)
+	limited := callers.NewListener(s.conns, l, s.maxConnections, append(opts, callers.WithRefuse(s.refuseConnection), callers.WithWriteTimeout(s.writeTimeout))...)
 	defer limited.WaitForRefusals()
 	return s.http.Serve(limited)
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -193,7 +193,9 @@
 		return notRunFailure(refusedNoRoute, fasthttp.StatusNotFound, "no route matches")
 	}
 	c.deadline = c.arrival.Add(c.route.Timeout)
-	if timeout, ok := platform.CallerTimeout(&req.Header); ok {
+	timeout, ok := platform.CallerTimeout(&req.Header)
+	c.input.conn.SetSendDeadline(c.arrival.Add(min(max(timeout, c.route.Timeout), maxSendTime)))
+	if ok {
 		if timeout == 0 {
 			return unavailableFailure(refusedDeadline, "deadline has passed", notReadyRetryAfter)
 		}
--- a/relay/server.go
+++ b/relay/server.go
@@ -34,8 +34,11 @@
 	// callers do not hold memory.
 	DefaultReadTimeout = 10 * time.Second
 	// DefaultWriteTimeout limits the time for sending a response, for the same
-	// reason.
+	// reason, unless its caller reads it and has stated that it waits longer.
 	DefaultWriteTimeout = 10 * time.Second
+	// maxSendTime limits the time for sending a response whose caller states that it waits
+	// longer. It suffices for 16 MiB at 1.2 Mbit/s.
+	maxSendTime = 2 * time.Minute
 	// maxHeaderFields is the size in bytes of the header fields for which there is room
 	// in any case.
 	maxHeaderFields = 16 << 10
@@ -103,6 +106,7 @@
 	// maxConnections limits the number of connections from callers, and that of connections
 	// from other instances.
 	maxConnections int
+	writeTimeout   time.Duration
 	peers          PeerSelector // nil for none
 	peerPools      *peerPools
 	// requestMemory and responseMemory limit the large bodies of all requests and all
@@ -146,6 +150,12 @@
 	return func(s *Server) { s.http.ReadTimeout = timeout }
 }
 
+// WithWriteTimeout limits the time for sending a response in which its caller reads nothing,
+// and the time in all, unless the caller has stated that it waits longer.
+func WithWriteTimeout(timeout time.Duration) Option {
+	return func(s *Server) { s.writeTimeout = timeout }
+}
+
 // NewServer returns a server for callers.
 func NewServer(config ConfigSource, dispatchers Dispatchers, opts ...Option) *Server {
 	s := &Server{
@@ -158,6 +168,7 @@
 		crashes:       crashes.NewLedger(),
 		peerPools:     newPeerPools(),
 		conns:         callers.NewSet(),
+		writeTimeout:  DefaultWriteTimeout,
 		sends:         newSendGate(),
 	}
 	s.http = &fasthttp.Server{
@@ -168,7 +179,6 @@
 		MaxRequestBodySize:    DefaultMaxRequestBody,
 		ReadBufferSize:        maxRequestHeader,
 		ReadTimeout:           DefaultReadTimeout,
-		WriteTimeout:          DefaultWriteTimeout,
 		IdleTimeout:           DefaultIdleTimeout,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
