relay: count a request with an expectation once

Cause: handleExpect and handle both called admit, which advances the traffic split and the histogram of timeouts.

Change: handleExpect checks the request only; admit, after the body has arrived, chooses the service. An unknown service is refused after the body.

Measurement: TestTrafficSplitOfExpectations, 20 requests at weights 50 and 50: 20 to one service before, 10 to each now.

--- a/relay/request.go
+++ b/relay/request.go
@@ -88,13 +88,13 @@
 
 // handleExpect responds to a request with an Expect header. It responds with 100
 // Continue, after which the caller sends the body, only if the request passes
-// admission.
+// the checks; it is admitted when its body has arrived.
 func (s *Server) handleExpect(ctx *fasthttp.RequestCtx) (status int) {
 	c := call{arrival: time.Now(), input: newInput(ctx.Conn(), ctx.ConnRequestNum()+1)}
 	c.fromPeer = c.input.fromPeer()
 	status = fasthttp.StatusInternalServerError // after a panic
 	defer s.recoverPanic(&ctx.Response, &c)
-	f := s.admit(&ctx.Request, &c)
+	f := s.check(&ctx.Request, &c)
 	if f == nil {
 		return fasthttp.StatusContinue
 	}
@@ -122,8 +122,29 @@
 	s.dispatch(watch, req, resp, c)
 }
 
-// admit validates a request and fills in the call, whose arrival is set.
+// admit checks a request and chooses its service. It counts the request for the traffic split
+// and the timeouts of its route, and must be called once.
 func (s *Server) admit(req *fasthttp.Request, c *call) *failure {
+	if f := s.check(req, c); f != nil {
+		return f
+	}
+	if timeout, ok := platform.CallerTimeout(&req.Header); ok {
+		if c.fromPeer {
+			c.priorElapsed = statedElapsed(&req.Header)
+		} else {
+			c.priorElapsed = s.timeouts.recordTimeout(c.route.Key(), timeout)
+		}
+	}
+	c.service = s.trafficSplits.next(c.route)
+	c.dispatcher = s.dispatchers.Dispatcher(c.service)
+	if c.dispatcher == nil {
+		return unavailableFailure(refusedNoTarget, "service is not known", notReadyRetryAfter)
+	}
+	return nil
+}
+
+// check validates a request and fills in the call, whose arrival is set, but for the service.
+func (s *Server) check(req *fasthttp.Request, c *call) *failure {
 	if err := c.header.inspect(req.Header.RawHeaders()); err != nil {
 		c.input.endIn(stageHeader, err)
 		return notRunFailure(refusedMalformed, fasthttp.StatusBadRequest, err.Error()).withConnectionClose()
@@ -174,7 +195,7 @@
 	return document, nil
 }
 
-// resolveRoute determines the route, the service and the deadline of a request.
+// resolveRoute determines the route and the deadline of a request.
 func (s *Server) resolveRoute(req *fasthttp.Request, c *call) (f *failure) {
 	if s.drained() { // recentDocument could wait for longer than there is time
 		return drainingFailure("instance shuts down")
@@ -202,21 +223,8 @@
 		if d := c.arrival.Add(timeout); d.Before(c.deadline) {
 			c.deadline = d
 		}
-		if c.fromPeer {
-			c.priorElapsed = statedElapsed(&req.Header)
-		} else {
-			c.priorElapsed = s.timeouts.recordTimeout(c.route.Key(), timeout)
-		}
-	}
-	if f := s.limitToDrainEnd(c); f != nil {
-		return f
 	}
-	c.service = s.trafficSplits.next(c.route)
-	c.dispatcher = s.dispatchers.Dispatcher(c.service)
-	if c.dispatcher == nil {
-		return unavailableFailure(refusedNoTarget, "service is not known", notReadyRetryAfter)
-	}
-	return nil
+	return s.limitToDrainEnd(c)
 }
 
 const (
--- a/relay/trafficsplit_test.go
+++ b/relay/trafficsplit_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
 	"rhubarbrelay/config"
@@ -23,3 +24,23 @@
 		}
 	}
 }
+
+// Guards against a request with an expectation that counts twice, before its body and after
+// it: with two services of the same weight, one would get all of them.
+func TestTrafficSplitOfExpectations(t *testing.T) {
+	h := newHarness(t, targetInfos(newScriptedTarget(t, "t-1", "a", echo)))
+	d := harnessDocument()
+	d.Routes[1].Split = []config.WeightedService{{Service: "spoolkeep", Weight: 50}, {Service: "unknown", Weight: 50}}
+	h.document.Store(d)
+	counts := map[int]int{}
+	for range 20 {
+		c := h.connect(t)
+		c.send(rawRequest("POST", "/once/", "body", "Expect: 100-continue"))
+		got := c.mustReceive()
+		if got.status == fasthttp.StatusContinue {
+			got = c.mustReceive()
+		}
+		counts[got.status]++
+	}
+	assert.DeepEqual(t, counts, map[int]int{200: 10, 503: 10})
+}
