--- a/relay/pipeline.go
+++ b/relay/pipeline.go
@@ -3,23 +3,18 @@
 import (
 	"bufio"
 	"bytes"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"rhubarbrelay/bodies"
+	"rhubarbrelay/callers"
 )
 
-const (
-	// maxAhead limits the requests of one connection that run before the ones that were
-	// sent earlier are answered.
-	maxAhead = 8
-	// receiveSize is the number of bytes that are read at a time from a caller whose request
-	// is in progress.
-	receiveSize = 4 << 10
-)
+// receiveSize is the number of bytes that are read at a time from a caller whose request
+// is in progress.
+const receiveSize = 4 << 10
 
 // aheadRequest is a request that runs before an earlier one of its connection is answered.
 // fasthttp handles the requests of a connection one after the other: the request is handled
@@ -29,56 +24,15 @@
 	req   fasthttp.Request
 	resp  fasthttp.Response
 	watch *callerWatch
-	done  chan struct{}
-}
-
-// aheadRequests are the requests of one connection that run ahead, in the order in which
-// they were sent. It is safe for concurrent use.
-type aheadRequests struct {
-	mu       sync.Mutex
-	requests []*aheadRequest
-	closed   bool
-}
-
-// add adds a request, unless the connection takes no more.
-func (a *aheadRequests) add(r *aheadRequest) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.closed || len(a.requests) >= maxAhead {
-		return false
-	}
-	a.requests = append(a.requests, r)
-	return true
+	// done is closed when the response is complete. deadline is that of the request.
+	done     chan struct{}
+	deadline time.Time
 }
 
-func (a *aheadRequests) hasRoom() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return !a.closed && len(a.requests) < maxAhead
-}
-
-// take removes and returns the first request, or nil if there is none.
-func (a *aheadRequests) take() *aheadRequest {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if len(a.requests) == 0 {
-		return nil
-	}
-	first := a.requests[0]
-	a.requests = a.requests[1:]
-	return first
-}
-
-// cancel cancels all requests, whose callers get no responses, and takes no more.
-func (a *aheadRequests) cancel() {
-	a.mu.Lock()
-	requests := a.requests
-	a.requests, a.closed = nil, true
-	a.mu.Unlock()
-	for _, r := range requests {
-		r.watch.cancel(errCallerClosed)
-		go r.discard()
-	}
+// Cancel implements callers.AheadRequest.
+func (r *aheadRequest) Cancel() {
+	r.watch.cancel(errCallerClosed)
+	go r.discard()
 }
 
 // discard releases the memory of a response that nobody takes.
@@ -88,8 +42,8 @@
 }
 
 func cancelAhead(ctx *fasthttp.RequestCtx) {
-	if conn, ok := ctx.Conn().(*countedConn); ok {
-		conn.ahead.cancel()
+	if conn, ok := ctx.Conn().(*callers.Conn); ok {
+		conn.Ahead().Cancel()
 	}
 }
 
@@ -99,7 +53,7 @@
 	if !besideOthers {
 		return watchCaller(ctx.Conn(), nil)
 	}
-	conn := ctx.Conn().(*countedConn) //nolint:errcheck,forcetypeassert // Only beginRequest permits others.
+	conn := ctx.Conn().(*callers.Conn) //nolint:errcheck,forcetypeassert // Only beginRequest permits others.
 	s.runAhead(conn)
 	return watchCaller(conn, func(fd int) bool { return s.receiveAhead(conn, fd) })
 }
@@ -107,13 +61,13 @@
 // beginRequest reports whether requests may follow the given one, of which the head was
 // read, and whether it is certain where they begin.
 func beginRequest(ctx *fasthttp.RequestCtx) bool {
-	conn, ok := ctx.Conn().(*countedConn)
+	conn, ok := ctx.Conn().(*callers.Conn)
 	if !ok {
 		return false
 	}
 	h := &ctx.Request.Header
 	line := len(h.Method()) + len(h.RequestURI()) + len("  HTTP/1.1\r\n")
-	return conn.pipeline.BeginRequest(line+len(h.RawHeaders()), !isBodiless(h)) && !h.ConnectionClose()
+	return conn.Pipeline().BeginRequest(line+len(h.RawHeaders()), !isBodiless(h)) && !h.ConnectionClose()
 }
 
 // isBodiless reports whether a request has no body.
@@ -125,9 +79,9 @@
 
 // receiveAhead reads bytes that have arrived on the socket and runs the requests in them.
 // It returns false if it reads no more.
-func (s *Server) receiveAhead(conn *countedConn, fd int) bool {
-	room := min(conn.pipeline.Room(), receiveSize)
-	if room == 0 || !conn.ahead.hasRoom() {
+func (s *Server) receiveAhead(conn *callers.Conn, fd int) bool {
+	room := min(conn.Pipeline().Room(), receiveSize)
+	if room == 0 || !conn.Ahead().HasRoom() {
 		return false
 	}
 	buf := make([]byte, room)
@@ -135,18 +89,17 @@
 	if err != nil || n == 0 {
 		return false // the next read of the connection meets it again
 	}
-	conn.pipeline.Keep(buf[:n])
-	conn.received += int64(n)
+	conn.Keep(buf[:n])
 	s.runAhead(conn)
 	return true
 }
 
 // runAhead starts the complete requests that the connection keeps, up to one that has to
 // wait until those before it are answered.
-func (s *Server) runAhead(conn *countedConn) {
-	for s.drainEnd.Load() == nil && conn.ahead.hasRoom() {
+func (s *Server) runAhead(conn *callers.Conn) {
+	for s.drainEnd.Load() == nil && conn.Ahead().HasRoom() {
 		r := &aheadRequest{done: make(chan struct{}), watch: unwatchedCaller()}
-		if r.head = conn.pipeline.NextHead(r.accept(s)); r.head == nil || !conn.ahead.add(r) {
+		if r.head = conn.Pipeline().NextHead(r.accept(s)); r.head == nil || !conn.Ahead().Add(r) {
 			return
 		}
 		s.runningAhead.Add(1)
@@ -171,35 +124,38 @@
 	}
 }
 
-func (s *Server) relayAhead(conn *countedConn, r *aheadRequest) {
+func (s *Server) relayAhead(conn *callers.Conn, r *aheadRequest) {
 	defer s.runningAhead.Add(-1)
 	defer close(r.done)
-	c := call{arrival: time.Now(), input: newInput(conn, 0), reservation: bodies.NewReservation(s.requestMemory, requestCopies)}
+	// The call does not refer to the connection, whose state is that of an earlier request.
+	c := call{arrival: time.Now(), fromPeer: conn.FromPeer(), reservation: bodies.NewReservation(s.requestMemory, requestCopies)}
 	defer c.reservation.Release()
-	c.fromPeer = c.input.fromPeer()
 	s.relayRequest(&r.req, &r.resp, &c, func() *callerWatch { return r.watch })
+	r.deadline = c.deadline
 }
 
 // takeAhead responds to a request that has run ahead. It returns false if the request has
 // not.
 func (s *Server) takeAhead(ctx *fasthttp.RequestCtx, besideOthers bool) bool {
-	conn, ok := ctx.Conn().(*countedConn)
+	conn, ok := ctx.Conn().(*callers.Conn)
 	if !ok {
 		return false
 	}
-	r := conn.ahead.take()
-	if r == nil {
+	r, ok := conn.Ahead().Take().(*aheadRequest)
+	if !ok {
 		return false
 	}
+	conn.Received()
 	watch := s.watchConn(ctx, besideOthers)
 	defer watch.stop()
 	select {
 	case <-r.done:
 	case <-watch.Done():
 		r.watch.cancel(errCallerClosed)
-		conn.ahead.cancel()
+		conn.Ahead().Cancel()
 		<-r.done
 	}
+	conn.SetSendDeadline(r.deadline)
 	moveResponse(&ctx.Response, &r.resp)
 	return true
 }
--- a/relay/pipeline_test.go
+++ b/relay/pipeline_test.go
@@ -135,6 +135,9 @@
 	assert.DeepEqual(t, target.receivedIDs(), []string{"id-0"})
 }
 
+// maxRunningAhead is the limit of callers.Ahead.
+const maxRunningAhead = 8
+
 // Guards against more requests of one connection running at the same time than the limit,
 // and against the others getting no response.
 func TestPipelinedRequestsAreLimited(t *testing.T) {
@@ -147,8 +150,8 @@
 	for i := range n {
 		c.send(pipelined(fmt.Sprintf("/safe/%d", i), i))
 	}
-	target.awaitRequests(t, 1+maxAhead)
-	assert.Assert(t, h.relay.runningAhead.Load() <= maxAhead)
+	target.awaitRequests(t, 1+maxRunningAhead)
+	assert.Assert(t, h.relay.runningAhead.Load() <= maxRunningAhead)
 	for i := range n {
 		close(gates[i])
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -96,21 +96,21 @@
 		cancelAhead(ctx)
 	}
 	if !besideOthers {
-		// A deadline that the handler sets makes fasthttp send the response at once. Otherwise
-		// it waits for the response to a further request that it has read already.
-		_ = ctx.SetWriteDeadline(time.Now().Add(s.http.WriteTimeout)) // fails only if the connection is closed
+		// A deadline that the handler sets, if only to none, makes fasthttp send the response
+		// at once. Otherwise it waits for the response to a further request that it has read.
+		_ = ctx.SetWriteDeadline(time.Time{}) // fails only if the connection is closed
 	}
 }
 
 // handleExpect responds to a request with an Expect header. It responds with 100
 // Continue, after which the caller sends the body, only if the request passes
-// admission.
+// the checks; it is admitted when its body has arrived.
 func (s *Server) handleExpect(ctx *fasthttp.RequestCtx) (status int) {
 	c := call{arrival: time.Now(), input: newInput(ctx.Conn(), ctx.ConnRequestNum()+1)}
 	c.fromPeer = c.input.fromPeer()
 	status = fasthttp.StatusInternalServerError // after a panic
 	defer s.recoverPanic(&ctx.Response, &c)
-	f := s.admit(&ctx.Request, &c)
+	f := s.check(&ctx.Request, &c)
 	if f == nil {
 		return fasthttp.StatusContinue
 	}
@@ -125,6 +125,7 @@
 	resp.SkipBody = req.Header.IsHead()
 	f := s.readBody(req, c)
 	if f == nil {
+		c.input.conn.Received()
 		f = s.admit(req, c)
 	}
 	if f != nil {
@@ -137,8 +138,29 @@
 	s.dispatch(watch, req, resp, c)
 }
 
-// admit validates a request and fills in the call, whose arrival is set.
+// admit checks a request and chooses its service. It counts the request for the traffic split
+// and the timeouts of its route, and must be called once.
 func (s *Server) admit(req *fasthttp.Request, c *call) *failure {
+	if f := s.check(req, c); f != nil {
+		return f
+	}
+	if timeout, ok := platform.CallerTimeout(&req.Header); ok {
+		if c.fromPeer {
+			c.priorElapsed = statedElapsed(&req.Header)
+		} else {
+			c.priorElapsed = s.timeouts.recordTimeout(c.route.Key(), timeout)
+		}
+	}
+	c.service = s.trafficSplits.next(c.route)
+	c.dispatcher = s.dispatchers.Dispatcher(c.service)
+	if c.dispatcher == nil {
+		return unavailableFailure(refusedNoTarget, "service is not known", notReadyRetryAfter)
+	}
+	return nil
+}
+
+// check validates a request and fills in the call, whose arrival is set, but for the service.
+func (s *Server) check(req *fasthttp.Request, c *call) *failure {
 	if err := c.header.inspect(req.Header.RawHeaders()); err != nil {
 		c.input.endIn(stageHeader, err)
 		return notRunFailure(refusedMalformed, fasthttp.StatusBadRequest, err.Error()).withConnectionClose()
@@ -189,8 +211,11 @@
 	return document, nil
 }
 
-// resolveRoute determines the route, the service and the deadline of a request.
+// resolveRoute determines the route and the deadline of a request.
 func (s *Server) resolveRoute(req *fasthttp.Request, c *call) (f *failure) {
+	if s.drained() { // recentDocument could wait for longer than there is time
+		return drainingFailure("instance shuts down")
+	}
 	if c.document, f = s.recentDocument(); f != nil {
 		return f
 	}
@@ -208,43 +233,17 @@
 		return f
 	}
 	c.deadline = c.arrival.Add(c.route.Timeout)
-	if timeout, ok := platform.CallerTimeout(&req.Header); ok {
+	timeout, ok := platform.CallerTimeout(&req.Header)
+	c.input.conn.SetSendDeadline(c.arrival.Add(min(max(timeout, c.route.Timeout), maxSendTime)))
+	if ok {
 		if timeout == 0 {
 			return unavailableFailure(refusedDeadline, "deadline has passed", notReadyRetryAfter)
 		}
 		if d := c.arrival.Add(timeout); d.Before(c.deadline) {
 			c.deadline = d
 		}
-		if c.fromPeer {
-			c.priorElapsed = statedElapsed(&req.Header)
-		} else {
-			c.priorElapsed = s.timeouts.recordTimeout(c.route.Key(), timeout)
-		}
-	}
-	if f := s.limitToDrainEnd(c); f != nil {
-		return f
 	}
-	c.service = s.trafficSplits.next(c.route)
-	c.dispatcher = s.dispatchers.Dispatcher(c.service)
-	if c.dispatcher == nil {
-		return unavailableFailure(refusedNoTarget, "service is not known", notReadyRetryAfter)
-	}
-	return nil
-}
-
-// limitToDrainEnd refuses a request that may be in progress when the server has drained,
-// or shortens its deadline. A request that must not run twice would end with an unknown
-// outcome.
-func (s *Server) limitToDrainEnd(c *call) *failure {
-	end := s.drainEnd.Load()
-	if end == nil || !c.deadline.After(*end) {
-		return nil
-	}
-	if !c.route.Idempotent || time.Until(*end) < c.route.Objective {
-		return unavailableFailure(refusedDraining, "instance shuts down before the deadline", notReadyRetryAfter)
-	}
-	c.deadline = *end
-	return nil
+	return s.limitToDrainEnd(c)
 }
 
 const (
--- a/relay/server.go
+++ b/relay/server.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"rhubarbrelay/bodies"
+	"rhubarbrelay/callers"
 	"rhubarbrelay/config"
 	"rhubarbrelay/crashes"
 	"rhubarbrelay/routing"
@@ -33,8 +34,11 @@
 	// callers do not hold memory.
 	DefaultReadTimeout = 10 * time.Second
 	// DefaultWriteTimeout limits the time for sending a response, for the same
-	// reason.
+	// reason, unless its caller reads it and has stated that it waits longer.
 	DefaultWriteTimeout = 10 * time.Second
+	// maxSendTime limits the time for sending a response whose caller states that it waits
+	// longer. It suffices for 16 MiB at 1.2 Mbit/s.
+	maxSendTime = 2 * time.Minute
 	// maxHeaderFields is the size in bytes of the header fields for which there is room
 	// in any case.
 	maxHeaderFields = 16 << 10
@@ -100,11 +104,14 @@
 	// runningAhead is the number of requests that run before an earlier one of their
 	// connection is answered.
 	runningAhead atomic.Int64
+	conns        *callers.Set
+	sends        *sendGate
 	calls        sync.Pool // of *call
 	http         *fasthttp.Server
 	// maxConnections limits the number of connections from callers, and that of connections
 	// from other instances.
 	maxConnections int
+	writeTimeout   time.Duration
 	peers          PeerSelector // nil for none
 	peerPools      *peerPools
 	// requestMemory and responseMemory limit the large bodies of all requests and all
@@ -148,6 +155,12 @@
 	return func(s *Server) { s.http.ReadTimeout = timeout }
 }
 
+// WithWriteTimeout limits the time for sending a response in which its caller reads nothing,
+// and the time in all, unless the caller has stated that it waits longer.
+func WithWriteTimeout(timeout time.Duration) Option {
+	return func(s *Server) { s.writeTimeout = timeout }
+}
+
 // NewServer returns a server for callers.
 func NewServer(config ConfigSource, dispatchers Dispatchers, opts ...Option) *Server {
 	s := &Server{
@@ -160,6 +173,9 @@
 		counters:         newCounters(),
 		crashes:          crashes.NewLedger(),
 		peerPools:        newPeerPools(),
+		conns:            callers.NewSet(),
+		writeTimeout:     DefaultWriteTimeout,
+		sends:            newSendGate(),
 	}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
@@ -169,7 +185,6 @@
 		MaxRequestBodySize:    DefaultMaxRequestBody,
 		ReadBufferSize:        maxRequestHeader,
 		ReadTimeout:           DefaultReadTimeout,
-		WriteTimeout:          DefaultWriteTimeout,
 		IdleTimeout:           DefaultIdleTimeout,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
@@ -202,60 +217,14 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
-	return s.serve(&limitedListener{Listener: l, limit: int64(s.maxConnections), refuse: s.refuseConnection})
+	return s.serve(l)
 }
 
 // ServePeers accepts connections on which other instances pass requests on, until the
 // listener is closed.
 func (s *Server) ServePeers(l net.Listener) error {
-	return s.serve(&limitedListener{Listener: l, limit: int64(s.maxConnections), refuse: s.refuseConnection, fromPeers: true})
-}
-
-func (s *Server) serve(limited *limitedListener) error {
-	defer limited.refusals.Wait()
-	return s.http.Serve(limited)
+	return s.serve(l, callers.FromPeers())
 }
 
-// StartDraining sets Connection: close in every further response, after which the
-// connection is closed. A further request whose deadline is after the end is refused
-// if it must not run twice; any other one gets the end as its deadline.
-func (s *Server) StartDraining(end time.Time) { s.drainEnd.Store(&end) }
-
 // InProgress returns the number of requests being handled.
 func (s *Server) InProgress() int64 { return s.inProgress.Load() }
-
-const (
-	// shutdownPollInterval is the time between two checks for requests in
-	// progress.
-	shutdownPollInterval = 20 * time.Millisecond
-	// flushDelay is the time without requests in progress after which Shutdown
-	// returns even if connections are open. It leaves time to write the last
-	// responses: a request ends before its response is written.
-	flushDelay = 100 * time.Millisecond
-)
-
-// Shutdown closes the listener and idle connections and waits for requests in
-// progress until the context is done. It does not wait for connections on which
-// no request was sent.
-func (s *Server) Shutdown(ctx context.Context) error {
-	defer s.peerPools.close()
-	closed := make(chan error, 1)
-	go func() { closed <- s.http.ShutdownWithContext(ctx) }()
-	ticker := time.NewTicker(shutdownPollInterval)
-	defer ticker.Stop()
-	var idle time.Duration
-	for {
-		select {
-		case err := <-closed:
-			return err
-		case <-ticker.C:
-		}
-		idle += shutdownPollInterval
-		if s.InProgress() > 0 {
-			idle = 0
-		}
-		if idle >= flushDelay {
-			return nil
-		}
-	}
-}
