config, commands: tenants in files, commands for API keys

Cause: the configuration file had neither tenants nor public routes, so that publishing one removed them, and no command added or revoked a key. Change: a section [tenant NAME] with api_keys, api_key_digests or both, and the key public of routes. Format prints digests; publish takes the keys of digests from the version that it replaces, so that the output of show can be edited and published. Commands tenants, add-key (the key is read from the standard input) and revoke-key (by the beginning of its digest). Errors show no value of a tenant's section, nor of one with an unknown name, and in place of a line that is not in INI format they state its number. Publish has a further parameter; its tests pass nil.

--- a/cmd/rhubarbrelay/main.go
+++ b/cmd/rhubarbrelay/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/alexflint/go-arg"
@@ -28,6 +29,9 @@
 	exitAppendedToRestored = 5
 )
 
+// maxKeyInput limits the bytes that are read of an API key.
+const maxKeyInput = 4096
+
 // commandTimeout limits the run time of a command.
 const commandTimeout = 10 * time.Second
 
@@ -35,6 +39,15 @@
 	File string `arg:"positional,required" help:"configuration file"`
 }
 
+type addKeyArgs struct {
+	Tenant string `arg:"positional,required" help:"name of the tenant"`
+}
+
+type revokeKeyArgs struct {
+	Tenant string `arg:"positional,required" help:"name of the tenant"`
+	Digest string `arg:"positional,required" help:"digest of the key, or the beginning of it"`
+}
+
 type instanceArgs struct {
 	Admin []netip.AddrPort `arg:"--admin,required,env:RHUBARBRELAY_ADMIN" help:"administration addresses of the instances"`
 	Token string           `arg:"--token,env:RHUBARBRELAY_TOKEN" help:"bearer token for the administration API"`
@@ -49,13 +62,16 @@
 }
 
 type args struct {
-	Check    *fileArgs      `arg:"subcommand:check" help:"validate a configuration file and print its routes"`
-	Diff     *fileArgs      `arg:"subcommand:diff" help:"print the difference between the published configuration and a file"`
-	Publish  *fileArgs      `arg:"subcommand:publish" help:"publish a configuration file as the next version"`
-	Show     *struct{}      `arg:"subcommand:show" help:"print the published configuration"`
-	Status   *instanceArgs  `arg:"subcommand:status" help:"print the status of instances"`
-	Timeline *timelineArgs  `arg:"subcommand:timeline" help:"print the merged events of instances in chronological order"`
-	Store    netip.AddrPort `arg:"--store,env:RHUBARBRELAY_STORE" help:"address of the store (for diff, publish and show)"`
+	Tenants   *struct{}      `arg:"subcommand:tenants" help:"print the published tenants with the digests of their API keys"`
+	AddKey    *addKeyArgs    `arg:"subcommand:add-key" help:"add the API key that is read from the standard input to a tenant"`
+	RevokeKey *revokeKeyArgs `arg:"subcommand:revoke-key" help:"remove an API key from a tenant"`
+	Check     *fileArgs      `arg:"subcommand:check" help:"validate a configuration file and print its routes"`
+	Diff      *fileArgs      `arg:"subcommand:diff" help:"print the difference between the published configuration and a file"`
+	Publish   *fileArgs      `arg:"subcommand:publish" help:"publish a configuration file as the next version"`
+	Show      *struct{}      `arg:"subcommand:show" help:"print the published configuration"`
+	Status    *instanceArgs  `arg:"subcommand:status" help:"print the status of instances"`
+	Timeline  *timelineArgs  `arg:"subcommand:timeline" help:"print the merged events of instances in chronological order"`
+	Store     netip.AddrPort `arg:"--store,env:RHUBARBRELAY_STORE" help:"address of the store (for diff, publish, show and the commands for tenants)"`
 }
 
 // Epilogue returns the text at the end of the help.
@@ -72,7 +88,7 @@
 	if parser.Subcommand() == nil {
 		parser.Fail("missing command")
 	}
-	if err := run(&a, os.Stdout); err != nil {
+	if err := run(&a, os.Stdin, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "rhubarbrelay:", err)
 		os.Exit(exitCode(err))
 	}
@@ -94,7 +110,7 @@
 
 var errNoStore = errors.New("no store address: set --store or RHUBARBRELAY_STORE")
 
-func run(a *args, out io.Writer) error {
+func run(a *args, in io.Reader, out io.Writer) error {
 	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
 	defer cancel()
 	switch {
@@ -105,34 +121,43 @@
 		filter := timeline.Filter{Request: t.Request, Service: t.Service, Target: t.Target, Limit: t.Limit}
 		return queries.Client{Token: t.Token}.Timeline(ctx, t.Admin, filter, out)
 	case a.Check != nil:
-		d, err := loadDocument(a.Check.File)
+		d, _, err := loadDocument(a.Check.File)
 		if err != nil {
 			return err
 		}
 		return queries.PrintRoutes(d, out)
 	}
-	return runStore(ctx, a, out)
+	return runStore(ctx, a, in, out)
 }
 
 // runStore runs the commands that use the store.
-func runStore(ctx context.Context, a *args, out io.Writer) error {
+func runStore(ctx context.Context, a *args, in io.Reader, out io.Writer) error {
 	if !a.Store.IsValid() {
 		return errNoStore
 	}
 	store := platform.NewStore(a.Store)
-	if a.Publish != nil {
-		d, err := loadDocument(a.Publish.File)
+	switch {
+	case a.Publish != nil:
+		d, keys, err := loadDocument(a.Publish.File)
 		if err != nil {
 			return err
 		}
-		return commands.Publish(ctx, store, d, out)
+		return commands.Publish(ctx, store, d, keys, out)
+	case a.AddKey != nil:
+		key, err := io.ReadAll(io.LimitReader(in, maxKeyInput))
+		if err != nil {
+			return err
+		}
+		return commands.AddKey(ctx, store, a.AddKey.Tenant, strings.TrimSpace(string(key)), out)
+	case a.RevokeKey != nil:
+		return commands.RevokeKey(ctx, store, a.RevokeKey.Tenant, a.RevokeKey.Digest, out)
 	}
 	published, _, err := commands.LatestConfig(ctx, store)
 	if err != nil {
 		return err
 	}
 	if a.Diff != nil {
-		d, err := loadDocument(a.Diff.File)
+		d, _, err := loadDocument(a.Diff.File)
 		if err != nil {
 			return err
 		}
@@ -141,17 +166,20 @@
 	if published == nil {
 		return errors.New("no configuration has been published yet")
 	}
+	if a.Tenants != nil {
+		return queries.PrintTenants(published, out)
+	}
 	return queries.Show(published, out)
 }
 
-func loadDocument(path string) (*config.Document, error) {
+func loadDocument(path string) (*config.Document, config.Keys, error) {
 	text, err := os.ReadFile(path) //nolint:gosec // The operator chooses the file.
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	d, err := config.Parse(text)
+	d, keys, err := config.ParseWithKeys(text)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
 	}
-	return d, nil
+	return d, keys, nil
 }
--- a/commands/publish.go
+++ b/commands/publish.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 
 	"rhubarbrelay/config"
 	"rhubarbrelay/platform"
@@ -26,20 +27,37 @@
 	AppendAt(ctx context.Context, topic platform.Topic, at platform.Position, key string, value []byte) (platform.Position, error)
 }
 
+// published is the newest published configuration.
+type published struct {
+	document *config.Document // nil if there is none
+	keys     config.Keys
+	at       platform.Position // where the next version must be appended
+}
+
 // LatestConfig returns the newest published configuration, or nil if there is
 // none, and the position at which the next version must be appended.
 func LatestConfig(ctx context.Context, store Store) (*config.Document, platform.Position, error) {
+	p, err := latest(ctx, store)
+	return p.document, p.at, err
+}
+
+func latest(ctx context.Context, store Store) (published, error) {
 	batch, err := store.Newest(ctx, platform.ConfigTopic)
 	if err != nil {
-		return nil, platform.Position{}, err
+		return published{}, err
 	}
+	p := published{at: batch.Next}
 	for _, r := range batch.Records {
-		if r.Key == platform.ConfigKey && r.Value != nil {
-			d, err := platform.DecodeDocument(r.Value)
-			return d, batch.Next, err
+		if r.Key != platform.ConfigKey || r.Value == nil {
+			continue
 		}
+		if p.document, err = platform.DecodeDocument(r.Value); err != nil {
+			return p, err
+		}
+		p.keys, err = platform.DocumentKeys(r.Value)
+		return p, err
 	}
-	return nil, batch.Next, nil
+	return p, nil
 }
 
 // Publish publishes the document as the next version, unless it is the same as the
@@ -47,23 +65,31 @@
 // concurrently, all but one get platform.ErrConflict. The error wraps
 // ErrOutcomeUnknown if the store did not respond to the append, and
 // ErrAppendedToRestored if the store was restored since it was read but its end is the
-// same.
-func Publish(ctx context.Context, store Store, d *config.Document, out io.Writer) error {
-	latest, at, err := LatestConfig(ctx, store)
+// same. keys has the API keys of the document that the latest one does not have.
+func Publish(ctx context.Context, store Store, d *config.Document, keys config.Keys, out io.Writer) error {
+	p, err := latest(ctx, store)
 	if err != nil {
 		return err
 	}
-	baseVersion := int64(0)
-	if latest != nil {
-		baseVersion = latest.Version
-		if string(config.Format(latest)) == string(config.Format(d)) {
+	return p.replace(ctx, store, d, keys, out)
+}
+
+// replace publishes the document as the version after the latest one.
+func (p published) replace(ctx context.Context, store Store, d *config.Document, keys config.Keys, out io.Writer) error {
+	at, baseVersion := p.at, int64(0)
+	all := maps.Clone(keys)
+	if p.document != nil {
+		baseVersion = p.document.Version
+		all = maps.Clone(p.keys)
+		maps.Copy(all, keys)
+		if string(config.Format(p.document)) == string(config.Format(d)) {
 			_, err := fmt.Fprintf(out, "unchanged at version %d\n", baseVersion)
 			return err
 		}
 	}
 	next := *d
 	next.Version = baseVersion + 1
-	text, err := platform.EncodeDocument(&next, baseVersion, nil)
+	text, err := platform.EncodeDocument(&next, baseVersion, all)
 	if err != nil {
 		return err
 	}
--- a/commands/publish_test.go
+++ b/commands/publish_test.go
@@ -68,9 +68,9 @@
 	ctx := context.Background()
 	s := &fakeStore{}
 	var out bytes.Buffer
-	assert.NilError(t, Publish(ctx, s, parse(t, "kessler"), &out))
-	assert.NilError(t, Publish(ctx, s, parse(t, "kessler"), &out))
-	assert.NilError(t, Publish(ctx, s, parse(t, "hanbit"), &out))
+	assert.NilError(t, Publish(ctx, s, parse(t, "kessler"), nil, &out))
+	assert.NilError(t, Publish(ctx, s, parse(t, "kessler"), nil, &out))
+	assert.NilError(t, Publish(ctx, s, parse(t, "hanbit"), nil, &out))
 	assert.Equal(t, out.String(), "published version 1\nunchanged at version 1\npublished version 2\n")
 
 	latest, _, err := LatestConfig(ctx, s)
@@ -84,17 +84,17 @@
 	assert.NilError(t, err)
 	changed := *parse(t, "hanbit")
 	changed.Limits.MaxBodyBytes = 7
-	assert.ErrorIs(t, Publish(ctx, s, &changed, &out), platform.ErrConflict)
+	assert.ErrorIs(t, Publish(ctx, s, &changed, nil, &out), platform.ErrConflict)
 	latest, _, err = LatestConfig(ctx, s)
 	assert.NilError(t, err)
 	assert.Equal(t, latest.Version, int64(9))
 
 	s.appendErr = platform.ErrUnavailable
-	err = Publish(ctx, s, &changed, &out)
+	err = Publish(ctx, s, &changed, nil, &out)
 	assert.ErrorIs(t, err, platform.ErrUnavailable)
 	assert.Assert(t, !errors.Is(err, ErrOutcomeUnknown))
 	s.appendErr = errors.New("connection lost")
-	assert.ErrorIs(t, Publish(ctx, s, &changed, &out), ErrOutcomeUnknown)
+	assert.ErrorIs(t, Publish(ctx, s, &changed, nil, &out), ErrOutcomeUnknown)
 }
 
 // Guards against a version that counts as published or as rejected although it was
@@ -115,14 +115,14 @@
 			ctx := context.Background()
 			s := &fakeStore{end: platform.Position{Era: 1}}
 			var out bytes.Buffer
-			assert.NilError(t, Publish(ctx, s, parse(t, "kessler"), &out))
+			assert.NilError(t, Publish(ctx, s, parse(t, "kessler"), nil, &out))
 			first := s.value
-			assert.NilError(t, Publish(ctx, s, parse(t, "hanbit"), &out))
+			assert.NilError(t, Publish(ctx, s, parse(t, "hanbit"), nil, &out))
 			out.Reset()
 			s.restored = &fakeStore{value: first, end: platform.Position{Era: 2, Offset: tt.copyEnd}}
 			changed := *parse(t, "hanbit")
 			changed.Limits.MaxBodyBytes = 7
-			err := Publish(ctx, s, &changed, &out)
+			err := Publish(ctx, s, &changed, nil, &out)
 			assert.ErrorIs(t, err, tt.want)
 			assert.Equal(t, errors.Is(err, platform.ErrRestored), tt.appended)
 			for _, other := range tt.notWant {
@@ -140,12 +140,12 @@
 	ctx := context.Background()
 	s := &fakeStore{end: platform.Position{Era: 1}}
 	var out bytes.Buffer
-	assert.NilError(t, Publish(ctx, s, parse(t, "kessler"), &out))
+	assert.NilError(t, Publish(ctx, s, parse(t, "kessler"), nil, &out))
 	first := s.value
-	assert.NilError(t, Publish(ctx, s, parse(t, "hanbit"), &out))
+	assert.NilError(t, Publish(ctx, s, parse(t, "hanbit"), nil, &out))
 	lost := s.value
 	*s = fakeStore{value: first, end: platform.Position{Era: 2, Offset: 1}}
-	assert.NilError(t, Publish(ctx, s, parse(t, "hanbit"), &out))
+	assert.NilError(t, Publish(ctx, s, parse(t, "hanbit"), nil, &out))
 	assert.Equal(t, out.String(), "published version 1\npublished version 2\npublished version 2\n")
 	assert.Equal(t, string(s.value), string(lost))
 }
--- a/config/format.go
+++ b/config/format.go
@@ -26,31 +26,38 @@
 // is validated, and the error lists what Validate finds, by route or service
 // instead of section and key.
 func Parse(text []byte) (*Document, error) {
+	d, _, err := ParseWithKeys(text)
+	return d, err
+}
+
+// ParseWithKeys parses a configuration file like Parse. It also returns the API keys that
+// the file contains, with which the document can be published.
+func ParseWithKeys(text []byte) (*Document, Keys, error) {
 	if len(text) > MaxFileBytes {
-		return nil, fmt.Errorf("%w: file of %d bytes is larger than %d bytes", ErrInvalid, len(text), MaxFileBytes)
+		return nil, nil, fmt.Errorf("%w: file of %d bytes is larger than %d bytes", ErrInvalid, len(text), MaxFileBytes)
 	}
 	file, err := ini.LoadSources(ini.LoadOptions{
 		AllowNonUniqueSections: true, AllowShadows: true, AllowDuplicateShadowValues: true,
 		ChildSectionDelimiter: noChildDelimiter, KeyValueDelimiters: "=", IgnoreInlineComment: true, IgnoreContinuation: true,
 	}, text)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+		return nil, nil, lineProblem(text, err)
 	}
-	d := &Document{Version: 1, Services: map[string]*Service{}}
+	d, keys := &Document{Version: 1, Services: map[string]*Service{}}, Keys{}
 	var problems []error
 	for _, section := range file.Sections() {
 		r := &sectionReader{section: section, keysRead: map[string]bool{}}
-		r.readInto(d)
+		r.readInto(d, keys)
 		problems = append(problems, r.checkKeys()...)
 	}
 	if len(problems) > 0 {
-		return nil, fmt.Errorf("%w: %w", ErrInvalid, errors.Join(problems...))
+		return nil, nil, fmt.Errorf("%w: %w", ErrInvalid, errors.Join(problems...))
 	}
 	if err := d.Validate(); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	d.Index()
-	return d, nil
+	return d, keys, nil
 }
 
 // sectionReader reads the keys of one section and collects the problems.
@@ -61,10 +68,13 @@
 }
 
 func (r *sectionReader) addProblem(key, value, text string) {
+	if !r.showsValues() {
+		value = ""
+	}
 	r.problems = append(r.problems, fmt.Errorf("section %q, key %q, value %q: %s", r.section.Name(), key, value, text))
 }
 
-func (r *sectionReader) readInto(d *Document) {
+func (r *sectionReader) readInto(d *Document, keys Keys) {
 	words := strings.Fields(r.section.Name())
 	switch {
 	case r.section.Name() == ini.DefaultSection:
@@ -84,10 +94,12 @@
 		d.Routes = append(d.Routes, &Route{
 			Name: r.text("name", words[1]+words[2]), Host: words[1], PathPrefix: words[2], Idempotent: r.boolean("idempotent"),
 			Objective: r.duration("objective"), Timeout: r.duration("timeout"), MaxTries: r.integer("attempts", 1),
-			Priority: r.integer("priority", 0), Split: r.weightedServices("services"),
+			Priority: r.integer("priority", 0), Public: r.boolean("public"), Split: r.weightedServices("services"),
 		})
+	case len(words) >= 2 && words[0] == tenantSection:
+		r.readTenant(d, strings.TrimSpace(strings.TrimPrefix(r.section.Name(), tenantSection)), keys)
 	default:
-		r.addProblem("", "", "unknown section; the sections are [limits], [service NAME] and [route HOST PREFIX]")
+		r.addProblem("", "", "unknown section; the sections are [limits], [tenant NAME], [service NAME] and [route HOST PREFIX]")
 	}
 }
 
@@ -155,19 +167,25 @@
 	return split
 }
 
-// Format formats the configuration as a file that Parse accepts.
+// Format formats the configuration as a file that Parse accepts. It has digests in place of
+// API keys.
 func Format(d *Document) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "[limits]\nmax_header_bytes = %d\nmax_body_bytes = %d\nheader_timeout = %s\nidle_timeout = %s\n",
 		d.Limits.MaxHeaderBytes, d.Limits.MaxBodyBytes, d.Limits.HeaderTimeout, d.Limits.IdleTimeout)
+	formatTenants(&b, d)
 	for _, name := range d.ServiceNames() {
 		s := d.Services[name]
 		fmt.Fprintf(&b, "\n[service %s]\nhealth_path = %s\nmax_connections = %d\n", s.Name, s.HealthPath, s.MaxConnections)
 	}
 	routes := slices.SortedFunc(slices.Values(d.Routes), func(a, b *Route) int { return cmp.Compare(a.Key(), b.Key()) })
 	for _, r := range routes {
-		fmt.Fprintf(&b, "\n[route %s %s]\nname = %s\nidempotent = %t\nobjective = %s\ntimeout = %s\nattempts = %d\npriority = %d\nservices = %s\n",
-			r.Host, r.PathPrefix, r.Name, r.Idempotent, r.Objective, r.Timeout, r.MaxTries, r.Priority, formatSplit(r.Split))
+		fmt.Fprintf(&b, "\n[route %s %s]\nname = %s\nidempotent = %t\nobjective = %s\ntimeout = %s\nattempts = %d\npriority = %d\n",
+			r.Host, r.PathPrefix, r.Name, r.Idempotent, r.Objective, r.Timeout, r.MaxTries, r.Priority)
+		if r.Public {
+			b.WriteString("public = true\n")
+		}
+		fmt.Fprintf(&b, "services = %s\n", formatSplit(r.Split))
 	}
 	return b.Bytes()
 }
