java: tenants and public routes

Cause: configurations written with the Java library could have neither. Change: Tenant with keys, priority and quota, Document.withTenants, Route.open. The text form has the keys, messages of exceptions do not. Measurement: java/build with the new golden file tenants.ini, which TestFormatOfTenantsMatchesJavaLibrary parses and formats.

--- a/config/format_test.go
+++ b/config/format_test.go
@@ -20,6 +20,21 @@
 	}
 }
 
+// Guards against Parse rejecting the tenants that the Java library writes, and against
+// Format differing from them in more than the keys.
+func TestFormatOfTenantsMatchesJavaLibrary(t *testing.T) {
+	text, err := os.ReadFile("../java/testdata/tenants.ini")
+	assert.NilError(t, err)
+	d, keys, err := ParseWithKeys(text)
+	assert.NilError(t, err)
+	assert.Equal(t, len(keys), 3)
+	got := strings.ReplaceAll(string(Format(d)), "api_key_digests", "api_keys")
+	for digest, key := range keys {
+		got = strings.ReplaceAll(got, digest.String(), key)
+	}
+	assert.Equal(t, got, string(text))
+}
+
 // Guards against an invalid file being accepted, and against errors that do not
 // identify the problem. Errors of single keys and values state the section and
 // key; those of Validate do not.
--- a/java/src/org/rhubarbrelay/config/Checks.java
+++ b/java/src/org/rhubarbrelay/config/Checks.java
@@ -41,6 +41,13 @@
         return value;
     }
 
+    static double figure(String key, double value) {
+        if (!Double.isFinite(value) || value < 0 || value > MAX_COUNT) {
+            throw new IllegalArgumentException(key + " " + value + ": must be from 0 to " + MAX_COUNT);
+        }
+        return value;
+    }
+
     static int range(String key, int value, int lowest, int highest) {
         if (value < lowest || value > highest) {
             throw new IllegalArgumentException(key + " " + value + ": must be from " + lowest + " to " + highest);
--- a/java/src/org/rhubarbrelay/config/Document.java
+++ b/java/src/org/rhubarbrelay/config/Document.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -15,11 +16,13 @@
     private static final int MAX_BYTES = 4 << 20;
 
     private final Limits limits;
+    private final List<Tenant> tenants;
     private final List<Service> services;
     private final List<Route> routes;
 
-    private Document(Limits limits, List<Service> services, List<Route> routes) {
+    private Document(Limits limits, List<Tenant> tenants, List<Service> services, List<Route> routes) {
         this.limits = limits;
+        this.tenants = tenants;
         this.services = services;
         this.routes = routes;
     }
@@ -44,21 +47,47 @@
                         + ": at least one is needed, and all of them must be defined");
             }
         }
-        return new Document(limits, services.stream().sorted(Comparator.comparing(Service::name)).toList(),
+        return new Document(limits, List.of(), services.stream().sorted(Comparator.comparing(Service::name)).toList(),
                 routes.stream().sorted(Comparator.comparing(Route::key)).toList());
     }
 
+    /**
+     * Returns a copy with the given tenants, sorted by name. With tenants, requests of routes that are
+     * not public need an API key.
+     *
+     * @throws IllegalArgumentException if a tenant occurs twice, or two tenants have the same key
+     */
+    public Document withTenants(List<Tenant> values) {
+        Set<String> names = new HashSet<>();
+        Set<String> keys = new HashSet<>();
+        for (Tenant tenant : values) {
+            addUnique(names, tenant.name(), "tenant ");
+            if (!Collections.disjoint(keys, tenant.keys())) {
+                throw new IllegalArgumentException("tenant " + tenant.name() + " has an API key of another tenant");
+            }
+            keys.addAll(tenant.keys());
+        }
+        return new Document(limits, values.stream().sorted(Comparator.comparing(Tenant::name)).toList(), services,
+                routes);
+    }
+
     private static void addUnique(Set<String> seen, String name, String kind) {
         if (!seen.add(name)) {
             throw new IllegalArgumentException(kind + name + " appears twice");
         }
     }
 
-    /** Returns the document in the format of a configuration file, which operators review. */
+    /**
+     * Returns the document in the format of a configuration file, which operators review. It contains
+     * the API keys of the tenants.
+     */
     @Override
     public String toString() {
         StringBuilder out = new StringBuilder();
         limits.print(out);
+        for (Tenant tenant : tenants) {
+            tenant.print(out.append('\n'));
+        }
         for (Service service : services) {
             service.print(out.append('\n'));
         }
--- a/java/src/org/rhubarbrelay/config/Route.java
+++ b/java/src/org/rhubarbrelay/config/Route.java
@@ -15,18 +15,20 @@
     private final String host;
     private final String prefix;
     private final boolean idempotent;
+    private final boolean isPublic;
     private final Duration objective;
     private final Duration timeout;
     private final int attempts;
     private final int priority;
     private final Map<String, Integer> weights;
 
-    private Route(String name, String host, String prefix, boolean idempotent, Duration objective, Duration timeout,
-            int attempts, int priority, Map<String, Integer> weights) {
+    private Route(String name, String host, String prefix, boolean idempotent, boolean isPublic, Duration objective,
+            Duration timeout, int attempts, int priority, Map<String, Integer> weights) {
         this.name = name;
         this.host = host;
         this.prefix = prefix;
         this.idempotent = idempotent;
+        this.isPublic = isPublic;
         this.objective = objective;
         this.timeout = timeout;
         this.attempts = attempts;
@@ -43,19 +45,24 @@
             throw new IllegalArgumentException("path prefix \"" + prefix + "\": must end with \"/\"");
         }
         String checked = Checks.name("host", host);
-        return new Route(checked + prefix, checked, prefix, false, Duration.ZERO, Checks.duration("timeout", timeout),
+        return new Route(checked + prefix, checked, prefix, false, false, Duration.ZERO, Checks.duration("timeout", timeout),
                 1, 0, Map.of());
     }
 
     /** Returns a copy with the given name. */
     public Route named(String value) {
-        return new Route(Checks.name("route", value), host, prefix, idempotent, objective, timeout, attempts, priority,
+        return new Route(Checks.name("route", value), host, prefix, idempotent, isPublic, objective, timeout, attempts, priority,
                 weights);
     }
 
     /** Returns a copy whose requests are idempotent, so that they may be run more than once. */
     public Route idempotent() {
-        return new Route(name, host, prefix, true, objective, timeout, attempts, priority, weights);
+        return new Route(name, host, prefix, true, isPublic, objective, timeout, attempts, priority, weights);
+    }
+
+    /** Returns a copy whose requests need no API key. */
+    public Route open() {
+        return new Route(name, host, prefix, idempotent, true, objective, timeout, attempts, priority, weights);
     }
 
     /**
@@ -63,7 +70,7 @@
      * response.
      */
     public Route withObjective(Duration value) {
-        return new Route(name, host, prefix, idempotent, Checks.duration("objective", value), timeout, attempts,
+        return new Route(name, host, prefix, idempotent, isPublic, Checks.duration("objective", value), timeout, attempts,
                 priority, weights);
     }
 
@@ -72,13 +79,13 @@
      * hedges included.
      */
     public Route withAttempts(int value) {
-        return new Route(name, host, prefix, idempotent, objective, timeout,
+        return new Route(name, host, prefix, idempotent, isPublic, objective, timeout,
                 Checks.range("attempts", value, 1, Checks.MAX_ATTEMPTS), priority, weights);
     }
 
     /** Returns a copy with the given priority; 0 is the highest. */
     public Route withPriority(int value) {
-        return new Route(name, host, prefix, idempotent, objective, timeout, attempts,
+        return new Route(name, host, prefix, idempotent, isPublic, objective, timeout, attempts,
                 Checks.range("priority", value, 0, Checks.MAX_COUNT), weights);
     }
 
@@ -88,7 +95,7 @@
         if (extended.put(service.name(), Checks.range("weight", weight, 0, Checks.MAX_COUNT)) != null) {
             throw new IllegalArgumentException("route " + key() + ": service " + service.name() + " appears twice");
         }
-        return new Route(name, host, prefix, idempotent, objective, timeout, attempts, priority, extended);
+        return new Route(name, host, prefix, idempotent, isPublic, objective, timeout, attempts, priority, extended);
     }
 
     /**
@@ -115,6 +122,9 @@
         out.append("timeout = ").append(Durations.format(timeout)).append('\n');
         out.append("attempts = ").append(attempts).append('\n');
         out.append("priority = ").append(priority).append('\n');
+        if (isPublic) {
+            out.append("public = true\n");
+        }
         out.append("services = ").append(formatSplit()).append('\n');
     }
 
--- a/java/test/ConfigTest.java
+++ b/java/test/ConfigTest.java
@@ -7,6 +7,7 @@
 import org.rhubarbrelay.config.Limits;
 import org.rhubarbrelay.config.Route;
 import org.rhubarbrelay.config.Service;
+import org.rhubarbrelay.config.Tenant;
 
 /** Tests the configuration library against golden files, which the Go tests parse as well. */
 public final class ConfigTest {
@@ -23,13 +24,18 @@
         Path golden = Path.of(args[0]);
         compare(golden.resolve("kessler.ini"), document("kessler"));
         compare(golden.resolve("hanbit.ini"), document("hanbit"));
+        compare(golden.resolve("tenants.ini"), document("tenants"));
         rejectsInvalidValues();
         routesAreImmutable();
         System.out.println("java: all tests passed");
     }
 
     private static Document document(String example) {
-        return example.equals("kessler") ? kessler() : hanbit();
+        return switch (example) {
+            case "kessler" -> kessler();
+            case "hanbit" -> hanbit();
+            default -> tenants();
+        };
     }
 
     private static Document kessler() {
@@ -53,6 +59,17 @@
                 Route.of("orders.example", "/", Duration.ofMillis(1250)).to(ordering, 1).to(finishing, 0)));
     }
 
+    private static Document tenants() {
+        Service ordering = Service.named("ordering", "/health/ready");
+        return Document.of(LIMITS, List.of(ordering), List.of(
+                Route.of("orders.example", "/", Duration.ofSeconds(1)).to(ordering),
+                Route.of("orders.example", "/catalogue/", Duration.ofSeconds(1)).idempotent().open().to(ordering)))
+                .withTenants(List.of(
+                        Tenant.of("sulobe511", "hacruddedev3nax7u27g"),
+                        Tenant.of("cuka620", "mgjqnirth5mgjy5rcpih").withKey("b6onqzy3v8w2k4t7rxd1").withPriority(1)
+                                .withQuota(319, 20.5)));
+    }
+
     /**
      * Guards against a text form that differs from the golden file. The Go
      * parser, which is tested with the same file, could reject it, and operators
@@ -86,6 +103,16 @@
         assertRejected("unknown service", () -> Document.of(LIMITS, List.of(), List.of(route.to(service))));
         assertRejected("service twice",
                 () -> Document.of(LIMITS, List.of(service, service), List.of(route.to(service))));
+        Tenant tenant = Tenant.of("t", "mgjqnirth5mgjy5rcpih");
+        Document document = Document.of(LIMITS, List.of(service), List.of(route.to(service)));
+        assertRejected("short key", () -> tenant.withKey("short"));
+        assertRejected("key with a comma", () -> tenant.withKey("mgjqnirth5,mgjy5rcpih"));
+        assertRejected("key twice", () -> tenant.withKey("mgjqnirth5mgjy5rcpih"));
+        assertRejected("name of a tenant", () -> Tenant.of("a b", "mgjqnirth5mgjy5rcpih"));
+        assertRejected("quota", () -> tenant.withQuota(Double.NaN, 0));
+        assertRejected("tenant twice", () -> document.withTenants(List.of(tenant, tenant)));
+        assertRejected("key of another tenant",
+                () -> document.withTenants(List.of(tenant, Tenant.of("u", "mgjqnirth5mgjy5rcpih"))));
         assertRejected("route twice",
                 () -> Document.of(LIMITS, List.of(service), List.of(route.to(service), route.to(service))));
     }
@@ -94,6 +121,9 @@
         try {
             build.run();
         } catch (IllegalArgumentException expected) {
+            if (expected.getMessage().contains("mgjy5rcpih")) {
+                throw new AssertionError(what + ": the message contains an API key");
+            }
             return;
         }
         throw new AssertionError(what + " was accepted");
