--- a/standin/target.go
+++ b/standin/target.go
@@ -66,6 +66,8 @@
 
 	mu            sync.Mutex
 	runs          map[string]int
+	tenants       map[string]string // of the requests that ran, by ID
+	credentials   int               // requests with an Authorization header
 	drainingSince time.Time
 	drainingRuns  []time.Time // when requests began to run since drainingSince
 	drainDelay    time.Duration
@@ -86,7 +88,7 @@
 // NewTarget returns a target with the given registration.
 func NewTarget(registration targets.Target, opts ...TargetOption) *Target {
 	t := &Target{
-		registration: registration, slots: make(chan struct{}, registration.Slots), queueLimit: 2 * int64(registration.Slots), runs: map[string]int{},
+		registration: registration, slots: make(chan struct{}, registration.Slots), queueLimit: 2 * int64(registration.Slots), runs: map[string]int{}, tenants: map[string]string{},
 		drainDelay: 2 * time.Second, stateChanged: make(chan struct{}, 1),
 	}
 	t.faults.Store(&TargetFaults{})
@@ -171,7 +173,7 @@
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		}
 	case controlPrefix + "stats":
-		writeJSON(ctx, map[string]any{"runs": t.Runs(), "late": t.LateRequests(), "probes": t.probes.Load()})
+		writeJSON(ctx, map[string]any{"runs": t.Runs(), "late": t.LateRequests(), "probes": t.probes.Load(), "tenants": t.Tenants(), "credentials": t.Credentials()})
 	case controlPrefix + "faults":
 		t.handleFaults(ctx)
 	case controlPrefix + "drain":
@@ -213,6 +215,7 @@
 	}
 	defer t.releaseSlot()
 	t.recordRun(id)
+	t.recordTenant(id, &ctx.Request.Header)
 	t.simulateWork(ctx, faults)
 	t.respond(ctx, id, faults)
 }
