soak: API keys and revocations

Cause: keys were not checked under overlapping faults. Checked: no request with an unknown key runs, none with a valid key gets 401, the targets get the tenant of the key and no credentials, and at the end each instance admits the key of the newest version and refuses that of the one before. The seeds that found faults run without tenants as before.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,6 +23,7 @@
 	Callers   int           `arg:"--callers" default:"24" help:"number of callers"`
 	NoFaults  bool          `arg:"--calm" help:"inject no faults"`
 	Fault     string        `arg:"--fault" help:"inject only the faults whose names contain this"`
+	Tenants   bool          `arg:"--tenants" help:"make callers send API keys"`
 	Verbose   bool          `arg:"--verbose" help:"print the injected faults"`
 }
 
@@ -60,7 +61,7 @@
 	}
 	result, err := soak.Run(soak.Options{
 		DaemonPath: filepath.Join(filepath.Dir(self), "rhubarbrelayd"), Dir: dir, Instances: a.Instances, Targets: a.Targets,
-		Callers: a.Callers, Duration: a.Duration, Seed: seed, NoFaults: a.NoFaults, OnlyFault: a.Fault,
+		Callers: a.Callers, Duration: a.Duration, Seed: seed, NoFaults: a.NoFaults, OnlyFault: a.Fault, Tenants: a.Tenants,
 	})
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "soak: seed %d: %v; logs in %s\n", seed, err, dir)
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -29,6 +29,7 @@
 // requestResult is the result of one request as the caller saw it.
 type requestResult struct {
 	id            string
+	tenant        string // that the target must get
 	notIdempotent bool
 	instance      *instance
 	pid           int // process of the instance when the request was sent
@@ -105,20 +106,26 @@
 		current = &conn{raw, bufio.NewReader(raw)}
 		c.conns[address] = current
 	}
-	if err := c.roundTrip(current, &r); err != nil {
+	key, tenant := c.authorize(n)
+	r.tenant = tenant
+	if err := c.roundTrip(current, &r, key); err != nil {
 		_ = current.Close()
 		delete(c.conns, address)
 	}
 	return r
 }
 
-func (c *caller) roundTrip(current *conn, r *requestResult) error {
+func (c *caller) roundTrip(current *conn, r *requestResult, key string) error {
 	path := "/safe/"
 	if r.notIdempotent {
 		path = "/once/"
 	}
-	request := fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
-		path, host, standin.HeaderRequestID, r.id, standin.HeaderDeadline, callTimeout.Milliseconds()/2, standin.HeaderWork, workMS, len(r.id), r.id)
+	authorization := ""
+	if key != "" {
+		authorization = "Authorization: Token " + key + "\r\n"
+	}
+	request := fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: %s\r\n%s%s: %s\r\n%s: %d\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+		path, host, authorization, standin.HeaderRequestID, r.id, standin.HeaderDeadline, callTimeout.Milliseconds()/2, standin.HeaderWork, workMS, len(r.id), r.id)
 	if err := current.SetDeadline(time.Now().Add(callTimeout)); err != nil {
 		return err
 	}
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -60,6 +60,8 @@
 	OnlyFault string
 	// NoFaults disables all faults.
 	NoFaults bool
+	// Tenants makes callers send API keys, one of which changes with each version.
+	Tenants bool
 }
 
 // environment is the system under test with stand-ins for the store and the
@@ -212,7 +214,11 @@
 			Objective: 300 * time.Millisecond, Timeout: 2 * time.Second, Split: []config.WeightedService{{Service: service, Weight: 1}},
 		})
 	}
-	text, err := platform.EncodeDocument(d, e.version-1, nil)
+	var keys config.Keys
+	if e.opts.Tenants {
+		keys = addTenants(d)
+	}
+	text, err := platform.EncodeDocument(d, e.version-1, keys)
 	if err != nil {
 		return err
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -116,6 +116,7 @@
 		r.addViolation("only %d of %d requests succeeded; at least half are required", served, len(results))
 	}
 	r.checkVersions(env)
+	r.checkTenants(env, results)
 }
 
 // lateRequests returns the number of requests that began to run on a target more
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -16,10 +16,13 @@
 	duration                    time.Duration
 	faults                      int // how many of the faults existed when the seed was found
 	onlyFault                   string
+	tenants                     bool
 }
 
 // smallRun returns a run of the size with which most seeds were found.
-func smallRun(seed uint64) seededRun { return seededRun{seed, 4, 6, 12, 4 * time.Second, 22, ""} }
+func smallRun(seed uint64) seededRun {
+	return seededRun{seed, 4, 6, 12, 4 * time.Second, 22, "", false}
+}
 
 // seededRuns are the runs that CI repeats. A seed that has found a bug stays here,
 // with its cause.
@@ -35,9 +38,10 @@
 	smallRun(2479946651),
 	// The check of drains counted requests as late although the store had refused the
 	// calls of all instances from the start of the drain until the end of the delay.
-	{2439008661, 5, 9, 24, 8 * time.Second, 22, ""},
-	{1, 4, 6, 12, 4 * time.Second, 0, ""},
-	{1, 4, 6, 6, 8 * time.Second, 0, "restored"},
+	{2439008661, 5, 9, 24, 8 * time.Second, 22, "", false},
+	{1, 4, 6, 12, 4 * time.Second, 0, "", false},
+	{1, 4, 6, 6, 8 * time.Second, 0, "restored", false},
+	{2, 4, 6, 12, 4 * time.Second, 0, "", true},
 }
 
 // Guards against faults of processes, the store and targets that overlap and
@@ -51,7 +55,7 @@
 	for _, run := range seededRuns {
 		result, err := Run(Options{
 			DaemonPath: daemon, Dir: t.TempDir(), Instances: run.instances, Targets: run.targets, Callers: run.callers, Duration: run.duration, Seed: run.seed,
-			Faults: run.faults, OnlyFault: run.onlyFault,
+			Faults: run.faults, OnlyFault: run.onlyFault, Tenants: run.tenants,
 		})
 		assert.NilError(t, err)
 		assert.Equal(t, len(result.Violations), 0, "seed %d: violations %q after the faults %q", run.seed, result.Violations, result.Faults)
