routing: apply lists of targets in the order in which they are read

Cause: RefreshTargets read the list before the dispatcher's lock, so that of two concurrent changes the older list could be applied last.

Change: a lock is held from the read of a list until it is applied.

Measurement: TestConcurrentRefreshesOfTargets, one target of the older list in use before, none now.

--- a/routing/table.go
+++ b/routing/table.go
@@ -20,6 +20,7 @@
 	targets  TargetSource
 	opts     []Option
 
+	refresh     sync.Mutex // held from the read of a list until it is applied
 	mu          sync.RWMutex
 	instances   InstanceCounts
 	dispatchers map[string]*Dispatcher
@@ -107,8 +108,11 @@
 	}
 }
 
-// RefreshTargets reloads the targets of a service from the target source.
+// RefreshTargets reloads the targets of a service from the target source. It may be called
+// concurrently: the list that is read last is applied last.
 func (t *Table) RefreshTargets(service string) {
+	t.refresh.Lock()
+	defer t.refresh.Unlock()
 	if d := t.Dispatcher(service); d != nil {
 		d.SetTargets(t.targets.ByService(service))
 	}
