callers, daemon: wait and continue when a connection cannot be accepted

Cause: fasthttp takes "too many open files" for permanent; the failed server ended the instance. Entry queries, readiness checks and the administration API had no limit of connections, and those of callers and other instances could exceed the file descriptors.

Change: the listener waits 5 ms, doubling to 1 s, logs, and tries again. Excess entry connections get 503.

--- a/callers/listener.go
+++ b/callers/listener.go
@@ -1,11 +1,15 @@
 package callers
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/apex/log"
 )
 
 const (
@@ -15,8 +19,14 @@
 	// acceptTime is how long it waits for each of them.
 	acceptTime = 2 * time.Millisecond
 	// maxPendingRefusals limits the number of refused connections that are kept
-	// open to read their requests.
+	// open to read their requests, refusalFraction their number as a fraction of the limit
+	// of connections.
 	maxPendingRefusals = 256
+	refusalFraction    = 8
+	// minAcceptDelay and maxAcceptDelay are the times between attempts to accept a connection
+	// while the process has no resources for one.
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = time.Second
 )
 
 // Refuse responds to the first request of a connection in excess of the limit. The
@@ -34,9 +44,12 @@
 	writeTimeout time.Duration
 
 	open            atomic.Int64
+	logger          log.Interface // nil for none
+	acceptFailures  int           // since the last accepted connection
 	pendingRefusals atomic.Int64
 	refusals        sync.WaitGroup
 	stoppedAt       atomic.Pointer[time.Time] // when stop was called
+	stops           chan struct{}             // closed by stop
 }
 
 // ListenerOption configures a Listener.
@@ -45,6 +58,11 @@
 // WithRefuse sets what responds to connections in excess of the limit.
 func WithRefuse(refuse Refuse) ListenerOption { return func(l *Listener) { l.refuse = refuse } }
 
+// WithLogger logs connections that cannot be accepted.
+func WithLogger(logger log.Interface) ListenerOption {
+	return func(l *Listener) { l.logger = logger }
+}
+
 // FromPeers states that other instances connect, not callers.
 func FromPeers() ListenerOption { return func(l *Listener) { l.fromPeer = true } }
 
@@ -58,7 +76,7 @@
 // NewListener returns a listener that accepts up to limit connections at a time. Accept must
 // be called until it returns an error, which is io.EOF after a shutdown of the set.
 func NewListener(set *Set, inner net.Listener, limit int, opts ...ListenerOption) *Listener {
-	l := &Listener{Listener: inner, set: set, limit: int64(limit)}
+	l := &Listener{Listener: inner, set: set, limit: int64(limit), stops: make(chan struct{})}
 	for _, opt := range opts {
 		opt(l)
 	}
@@ -106,15 +124,44 @@
 			return nil, io.EOF
 		}
 		conn, err := l.Listener.Accept()
-		if err == nil {
+		switch {
+		case err == nil:
+			l.acceptFailures = 0
 			return conn, nil
-		}
-		if l.stoppedAt.Load() == nil {
+		case l.stoppedAt.Load() != nil:
+		case lacksResources(err):
+			l.waitForResources(err)
+		default:
 			return nil, err //nolint:wrapcheck // The error must stay that of the listener.
 		}
 	}
 }
 
+// lacksResources reports whether accepting a connection may succeed later. A server that
+// ended for such an error would cut off all other callers.
+func lacksResources(err error) bool {
+	for _, cause := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
+// waitForResources waits before the next attempt to accept a connection, longer each time.
+func (l *Listener) waitForResources(err error) {
+	delay := min(minAcceptDelay<<min(l.acceptFailures, 16), maxAcceptDelay)
+	l.acceptFailures++
+	if l.logger != nil {
+		l.logger.WithError(err).WithField("listener", l.Addr().String()).WithField("open", l.open.Load()).WithField("retry", delay.String()).
+			Error("connection cannot be accepted")
+	}
+	select {
+	case <-time.After(delay):
+	case <-l.stops:
+	}
+}
+
 // acceptBacklog returns whether the listener stops and, if so, a connection of its backlog,
 // nil if there is none.
 func (l *Listener) acceptBacklog() (stops bool, conn net.Conn) {
@@ -142,6 +189,7 @@
 	if !l.stoppedAt.CompareAndSwap(nil, &now) {
 		return
 	}
+	close(l.stops)
 	if inner, ok := l.Listener.(deadlineListener); ok && inner.SetDeadline(expired) == nil {
 		return
 	}
@@ -157,7 +205,7 @@
 		_ = conn.Close() // the caller sees the error of its own end
 		return
 	}
-	if l.pendingRefusals.Add(1) > maxPendingRefusals {
+	if l.pendingRefusals.Add(1) > min(maxPendingRefusals, max(1, l.limit/refusalFraction)) {
 		l.pendingRefusals.Add(-1)
 		l.refuse(conn, false)
 		return
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -56,6 +56,7 @@
 	relay          *relay.Server
 	entryServer    *relay.EntryServer
 	admin          *admin.Server
+	limits         connectionLimits
 	targetDial     upstream.DialFunc // nil for the default
 	// peerClient calls the administration API of other instances.
 	peerClient *fasthttp.Client
@@ -81,6 +82,11 @@
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.limits = newConnectionLimits(fileLimit(), s.Callers.MaxConnections)
+	if d.limits.callers < s.Callers.MaxConnections {
+		logger.WithField("max_connections", s.Callers.MaxConnections).WithField("limit", d.limits.callers).
+			Warn("fewer connections are accepted than configured, as file descriptors are limited")
+	}
 	d.peerClient = &fasthttp.Client{MaxResponseBodySize: maxPeerResponse, NoDefaultUserAgentHeader: true}
 	d.members = membership.NewDirectory(membership.Instance{
 		ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: time.Now().UnixMilli(),
@@ -102,7 +108,7 @@
 	d.registrar = registry.NewRegistrar(store, d.members, logger, registry.WithStoreEra(d.targetFollower.Era))
 	d.freshness = newFreshness(d.targetFollower, d.configFollower, s.Budgets.DrainDelay, d.recordSuspension)
 	d.relay = relay.NewServer(d.configFollower, d.table, relay.WithRecorder(d.recorder), relay.WithLogger(logger),
-		relay.WithFreshness(d.freshness), relay.WithMaxConnections(s.Callers.MaxConnections), relay.WithCrashLedger(d.crashes), relay.WithPeers(d.selector),
+		relay.WithFreshness(d.freshness), relay.WithConnectionLimits(d.limits.callers, d.limits.peers), relay.WithCrashLedger(d.crashes), relay.WithPeers(d.selector),
 		relay.WithMemory(newMemory(s, requestMemoryFraction), newMemory(s, responseMemoryFraction)))
 	d.entryServer = relay.NewEntryServer(d.selector, s.Callers.EntryTTL, d.ready, logger)
 	d.admin = admin.NewServer(d, d.recorder, s.Admin.Token, logger)
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -41,9 +41,9 @@
 	return []server{
 		{"server for callers", d.settings.Callers.Listen, d.relay.Serve},
 		{"server for other instances", d.settings.Peers.Listen, d.relay.ServePeers},
-		{"entry server", d.settings.Callers.Entry, d.entryServer.Serve},
-		{"readiness server", d.settings.Callers.Ready, d.entryServer.Serve},
-		{"administration server", d.settings.Admin.Listen, d.admin.Serve},
+		{"entry server", d.settings.Callers.Entry, d.serveEntry},
+		{"readiness server", d.settings.Callers.Ready, d.serveReadiness},
+		{"administration server", d.settings.Admin.Listen, d.serveAdmin},
 	}
 }
 
--- a/relay/entryserver.go
+++ b/relay/entryserver.go
@@ -45,18 +45,31 @@
 // SetTTL changes how long callers may cache an entry response.
 func (s *EntryServer) SetTTL(ttl time.Duration) { s.ttl.Store(int64(ttl)) }
 
-// Serve accepts connections until the listener is closed.
-func (s *EntryServer) Serve(l net.Listener) error {
-	return s.http.Serve(callers.NewListener(s.conns, l, maxEntryConnections, callers.WithWriteTimeout(DefaultWriteTimeout)))
+// Serve accepts up to limit connections at a time until the listener is closed.
+func (s *EntryServer) Serve(l net.Listener, limit int) error {
+	limited := callers.NewListener(s.conns, l, limit, callers.WithRefuse(refuseEntryConnection),
+		callers.WithWriteTimeout(DefaultWriteTimeout), callers.WithLogger(s.logger))
+	defer limited.WaitForRefusals()
+	return s.http.Serve(limited)
+}
+
+// refuseEntryConnection responds to a connection in excess of the limit.
+func refuseEntryConnection(conn *callers.Conn, readRequest bool) {
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(refusalTimeout)); err != nil {
+		return
+	}
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	writeFailure(resp, unavailableFailure(refusedConnections, "instance has too many connections", notReadyRetryAfter).withConnectionClose())
+	if _, err := resp.WriteTo(conn); err == nil && readRequest {
+		conn.LingerOnClose()
+	}
 }
 
 // Connections describes the number of open connections in each state.
 func (s *EntryServer) Connections() string { return s.conns.Counts().String() }
 
-// maxEntryConnections limits the number of connections of each listener. Queries are rare
-// and short.
-const maxEntryConnections = 1000
-
 // Shutdown accepts no further connections, closes those without a query and waits, until
 // the context is done, for the others. At refuseAt it closes those on which a query was
 // received in part.
--- a/relay/listener.go
+++ b/relay/listener.go
@@ -19,8 +19,9 @@
 // serve accepts connections until the set shuts down or the listener fails. The response
 // with which fasthttp itself refuses connections does not state whether the request has
 // run, so that the listener limits their number.
-func (s *Server) serve(l net.Listener, opts ...callers.ListenerOption) error {
-	limited := callers.NewListener(s.conns, l, s.maxConnections, append(opts, callers.WithRefuse(s.refuseConnection), callers.WithWriteTimeout(s.writeTimeout))...)
+func (s *Server) serve(l net.Listener, limit int, opts ...callers.ListenerOption) error {
+	opts = append(opts, callers.WithRefuse(s.refuseConnection), callers.WithWriteTimeout(s.writeTimeout), callers.WithLogger(s.logger))
+	limited := callers.NewListener(s.conns, l, limit, opts...)
 	defer limited.WaitForRefusals()
 	return s.http.Serve(limited)
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -103,12 +103,12 @@
 	sends      *sendGate
 	calls      sync.Pool // of *call
 	http       *fasthttp.Server
-	// maxConnections limits the number of connections from callers, and that of connections
-	// from other instances.
-	maxConnections int
-	writeTimeout   time.Duration
-	peers          PeerSelector // nil for none
-	peerPools      *peerPools
+	// maxConnections limits the number of connections from callers, maxPeerConnections that
+	// of connections from other instances.
+	maxConnections, maxPeerConnections int
+	writeTimeout                       time.Duration
+	peers                              PeerSelector // nil for none
+	peerPools                          *peerPools
 	// requestMemory and responseMemory limit the large bodies of all requests and all
 	// responses; nil means no limit. They are separate, so that requests that wait for
 	// their responses do not hold the memory that those need.
@@ -129,8 +129,15 @@
 	return func(s *Server) { s.freshness = freshness }
 }
 
-// WithMaxConnections limits the number of connections from callers.
-func WithMaxConnections(n int) Option { return func(s *Server) { s.maxConnections = n } }
+// WithMaxConnections limits the number of connections from callers, and that of connections
+// from other instances.
+func WithMaxConnections(n int) Option { return WithConnectionLimits(n, n) }
+
+// WithConnectionLimits limits the number of connections from callers and from other
+// instances.
+func WithConnectionLimits(callers, peers int) Option {
+	return func(s *Server) { s.maxConnections, s.maxPeerConnections = callers, peers }
+}
 
 // WithMemory limits the bytes that the large bodies of all requests and those of all
 // responses hold. A request that does not fit is refused.
@@ -159,7 +166,7 @@
 // NewServer returns a server for callers.
 func NewServer(config ConfigSource, dispatchers Dispatchers, opts ...Option) *Server {
 	s := &Server{
-		config: config, dispatchers: dispatchers, maxConnections: DefaultMaxConnections,
+		config: config, dispatchers: dispatchers, maxConnections: DefaultMaxConnections, maxPeerConnections: DefaultMaxConnections,
 		logger:        log.Log,
 		refusalEvents: rate.NewLimiter(refusalEventsPerSecond, refusalEventsPerSecond),
 		forwardLogs:   rate.NewLimiter(forwardLogsPerSecond, forwardLogsPerSecond),
@@ -196,7 +203,7 @@
 	// The two listeners, for callers and for other instances, enforce the limit. A
 	// fasthttp worker becomes free only shortly after its connection is closed, so there
 	// must be more workers than connections.
-	s.http.Concurrency = 2 * (2 * s.maxConnections)
+	s.http.Concurrency = 2 * (s.maxConnections + s.maxPeerConnections)
 	return s
 }
 
@@ -211,13 +218,13 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
-	return s.serve(l)
+	return s.serve(l, s.maxConnections)
 }
 
 // ServePeers accepts connections on which other instances pass requests on, until the
 // listener is closed.
 func (s *Server) ServePeers(l net.Listener) error {
-	return s.serve(l, callers.FromPeers())
+	return s.serve(l, s.maxPeerConnections, callers.FromPeers())
 }
 
 // InProgress returns the number of requests being handled.
