routing, limits, entry: limit the requests to cold targets

Cause: targets that are cold tolerate few requests, and crash at more. Instances only counted a new target as slower during the time in its first registration; one that became cold later got requests like a warm one, and a whole zone that returned cold got all of its load.

Change: a service with cold_per_second limits the requests to each cold target. Two active instances of its zone share the limit, with an interval after each request and each change of their view, and only while they hear the other active instances and half of the zone. The cold time comes from registrations, also later ones, from health responses and from other instances; a target without a health response within 0.3 s is probed, or counts as cold. The expected rate of the queue counts cold targets by their share. The file format has cold and cold_per_second. Services without the limit are routed as before.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -31,6 +31,7 @@
 	Zone    string         `arg:"--zone" default:"zone-a" help:"zone of the target"`
 	Slots   int            `arg:"--slots" default:"4" help:"number of requests that it runs concurrently"`
 
+	Cold     time.Duration `arg:"--cold" help:"time after its start for which it is cold"`
 	Interval time.Duration `arg:"--interval" default:"300ms" help:"time between two registrations without a change of state"`
 }
 
@@ -83,6 +84,9 @@
 
 func runTarget(ctx context.Context, a *targetArgs) error {
 	target := standin.NewTarget(standin.NewRegistration(a.ID, a.Service, a.Zone, a.Slots, a.Listen))
+	if a.Cold > 0 {
+		target.SetCold(a.Cold, 0)
+	}
 	registered := make(chan error, 1)
 	go func() {
 		registered <- target.Register(ctx, platform.NewStore(a.Store), a.Interval)
--- a/config/format.go
+++ b/config/format.go
@@ -80,6 +80,7 @@
 		d.Services[words[1]] = &Service{
 			Name: words[1], HealthPath: r.text("health_path", ""), MaxConnections: r.integer("max_connections", 0),
 		}
+		r.readCold(d.Services[words[1]])
 	case len(words) == 3 && words[0] == "route":
 		d.Routes = append(d.Routes, &Route{
 			Name: r.text("name", words[1]+words[2]), Host: words[1], PathPrefix: words[2], Idempotent: r.boolean("idempotent"),
@@ -163,6 +164,7 @@
 	for _, name := range d.ServiceNames() {
 		s := d.Services[name]
 		fmt.Fprintf(&b, "\n[service %s]\nhealth_path = %s\nmax_connections = %d\n", s.Name, s.HealthPath, s.MaxConnections)
+		b.WriteString(formatCold(s))
 	}
 	routes := slices.SortedFunc(slices.Values(d.Routes), func(a, b *Route) int { return cmp.Compare(a.Key(), b.Key()) })
 	for _, r := range routes {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -92,6 +92,7 @@
 	d.targets = targets.NewDirectory(targets.WithOnChange(d.onTargetsChanged))
 	d.table = routing.NewTable(d.routingSettings(s), d.targets, routing.WithLogger(logger), routing.WithPoolFactory(d.newTargetPool),
 		routing.WithLimitSharing(entry.NewLimitSharing(d.members, time.Now)),
+		routing.WithColdSharing(entry.NewColdSharing(d.members, time.Now)),
 		routing.WithOnStatement(func(s targets.Statement) { d.mesh.BroadcastStatement(s) }))
 	d.evacuations = evacuation.NewSet(evacuation.WithOnChange(d.onEvacuation))
 	d.crashes = crashes.NewLedger(crashes.WithOnChange(d.onCrashRecord))
@@ -125,6 +126,7 @@
 		Retries: limits.RetryLimits{
 			Ratio: s.Budgets.RetryRatio, Slack: s.Budgets.RetrySlack, Window: s.Budgets.RetryWindow, Since: d.startedAt,
 		},
+		Cold:            routing.ColdLimits{Overage: s.Budgets.ColdOverage, Slack: s.Budgets.ColdSlack},
 		ProbesPerSecond: s.Budgets.ProbesPerSecond,
 	}
 }
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -63,6 +63,7 @@
 	Limited         int    `json:"limited"`
 	Leaving         int    `json:"leaving"`
 	Quiet           int    `json:"quiet"`
+	Cold            int    `json:"cold"`
 	Evacuated       int    `json:"evacuated"`
 	Unreached       int    `json:"unreached"`
 	Reach           string `json:"reach"`
--- a/peer/statement.go
+++ b/peer/statement.go
@@ -56,11 +56,20 @@
 	return nil
 }
 
+// coldLeft returns the stated cold time of a target, 0 if there is none.
+func coldLeft(m *peerpb.TargetStatement) time.Duration {
+	if !m.GetColdStated() {
+		return 0
+	}
+	return targets.Warmup(m.GetColdMs())
+}
+
 func statementsToWire(statements []targets.Statement) []*peerpb.TargetStatement {
 	messages := make([]*peerpb.TargetStatement, 0, len(statements))
 	for _, s := range statements {
 		messages = append(messages, &peerpb.TargetStatement{
 			Id: s.Incarnation.ID, Born: s.Incarnation.StartedMS, Leaving: s.Leaving, Limited: s.Limited, Limit: s.Limit,
+			ColdStated: s.ColdLeft > 0, ColdMs: s.ColdLeft.Milliseconds(),
 		})
 	}
 	return messages
@@ -75,7 +84,7 @@
 		}
 		statements = append(statements, targets.Statement{
 			Incarnation: targets.Incarnation{ID: m.GetId(), StartedMS: m.GetBorn()},
-			Leaving:     m.GetLeaving(), Limited: m.GetLimited(), Limit: limit,
+			Leaving:     m.GetLeaving(), Limited: m.GetLimited(), Limit: limit, ColdLeft: coldLeft(m),
 		})
 	}
 	return statements, nil
--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -139,14 +139,9 @@
 // instance's share of the targets can run.
 func (d *Dispatcher) dequeueRate(r *Request, now time.Time) float64 {
 	throughput := d.throughput * decay(now.Sub(d.throughputAt), throughputTimeConstant)
-	capacity := 0
-	for _, t := range d.targets {
-		if t.usable(now) && !t.statements.limited && !t.statements.silent(now) {
-			capacity += t.capacity()
-		}
-	}
+	capacity, coldRate := d.usableCapacity(now)
 	maxRate := float64(capacity) / float64(max(1, d.instances.Active)) / d.durations.estimate(r).Seconds()
-	return max(throughput, usableRateFraction*maxRate, 1)
+	return max(throughput, usableRateFraction*maxRate+coldRate, 1)
 }
 
 // usableRateFraction is the fraction of the highest possible rate that is
--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -37,12 +37,14 @@
 	retryBudget *limits.RetryBudget
 	newPool     func(upstream.Destination, int) *upstream.Pool
 	sharing     LimitSharing
+	coldSharing ColdSharing
 	logger      log.Interface
 	// onStatement is told of changed statements of targets, with d.mu held.
 	onStatement func(targets.Statement)
 	// statementLogs limits the log lines about statements of targets, sharedStatements
 	// the calls of onStatement.
 	statementLogs, sharedStatements *rate.Limiter
+	sharedCold                      *rate.Limiter // those about cold targets
 
 	mu              sync.Mutex
 	random          *rand.Rand
@@ -84,6 +86,12 @@
 	return func(d *Dispatcher) { d.sharing = sharing }
 }
 
+// WithColdSharing sets how the limits of cold targets are shared with the other instances.
+// By default there are none.
+func WithColdSharing(sharing ColdSharing) Option {
+	return func(d *Dispatcher) { d.coldSharing = sharing }
+}
+
 // WithOnStatement sets a function that is called when a target has changed what it
 // states, as this instance has heard it. It must not call the dispatcher.
 func WithOnStatement(fn func(targets.Statement)) Option {
@@ -102,9 +110,10 @@
 		settings: settings, clock: time.Now, service: service, instances: instances,
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		newPool: func(to upstream.Destination, limit int) *upstream.Pool { return upstream.NewPool(to, limit) },
-		targets: map[targets.Incarnation]*target{}, former: formerStatements{}, reach: reachability.NewTracker(), logger: log.Log, sharing: soleInstance{},
+		targets: map[targets.Incarnation]*target{}, former: formerStatements{}, reach: reachability.NewTracker(), logger: log.Log, sharing: soleInstance{}, coldSharing: soleColdSharer{},
 		onStatement:      func(targets.Statement) {},
 		sharedStatements: rate.NewLimiter(sharedStatementsPerSecond, sharedStatementsPerSecond),
+		sharedCold:       rate.NewLimiter(sharedColdPerSecond, sharedColdPerSecond),
 		statementLogs:    rate.NewLimiter(statementLogsPerSecond, statementLogsPerSecond),
 	}
 	for _, opt := range opts {
@@ -163,6 +172,7 @@
 			}
 			d.targets[info.Incarnation()] = t
 		}
+		d.recordRegisteredCold(t, info, now)
 		t.info = info
 		if !t.inService() {
 			d.reach.Forget(info.Incarnation())
@@ -215,6 +225,9 @@
 	s.Unreached, s.Reach = d.reach.Unreached(), d.reach.State().String()
 	for _, t := range d.targets {
 		s.InFlight += len(t.inFlight)
+		if d.isCold(t, d.clock()) {
+			s.Cold++
+		}
 		if t.evacuated {
 			s.Evacuated++
 		}
--- a/routing/evacuation.go
+++ b/routing/evacuation.go
@@ -59,6 +59,7 @@
 			d.reach.Forget(incarnation)
 			continue
 		}
+		t.cold.assumed, t.cold.confirmedAt = true, time.Time{}
 		if opens := now.Add(time.Duration(d.random.Float64() * float64(reopenSpread))); opens.After(t.backoffUntil) {
 			t.backoffUntil = opens
 		}
--- a/routing/lease.go
+++ b/routing/lease.go
@@ -23,6 +23,7 @@
 	// Decision is what the choice of the target was based on, for the log.
 	Decision Decision
 	suspect  bool // see Request.Suspect
+	cold     bool // whether the request counts for the limit of a cold target
 	released bool
 }
 
@@ -71,12 +72,16 @@
 }
 
 // Admitted reports whether, since the target was chosen, it has not stated that it wants
-// no requests, and its zone was not evacuated.
+// no requests or become cold, and its zone was not evacuated.
 func (l *Lease) Admitted() bool {
 	d := l.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !l.target.statements.silent(d.clock()) && !d.evacuated[l.target.info.Zone]
+	now := d.clock()
+	if l.target.statements.silent(now) || !l.cold && d.isCold(l.target, now) {
+		return false
+	}
+	return !d.evacuated[l.target.info.Zone]
 }
 
 // TargetEnded reports whether the process of the target has ended, as far as that shows
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -74,7 +74,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock()
-	if d.service.HealthPath == "" || t.statements.silent(now) || t.reportedWithin(now, freshReportAge) || !t.probeBudget.Allow(now) {
+	if d.service.HealthPath == "" || t.statements.silent(now) || t.reportedWithin(now, freshReportAge) && !d.isUnconfirmed(t, now) || !t.probeBudget.Allow(now) {
 		return false
 	}
 	d.stats.Probes++
@@ -124,6 +124,7 @@
 	}
 	d.recordReached(t, now)
 	d.recordStatements(t, info, began, now)
+	d.recordCold(t, info.Cold, began, now)
 	if info.HasLoad {
 		d.recordReport(t, info.Load, now)
 	}
--- a/routing/request.go
+++ b/routing/request.go
@@ -92,6 +92,8 @@
 	// Retries limits the retries of a service, including hedges, over all
 	// instances.
 	Retries limits.RetryLimits
+	// Cold limits the requests to cold targets of services that have a limit for them.
+	Cold ColdLimits
 	// ProbesPerSecond limits the probes of a target, over all instances.
 	ProbesPerSecond float64
 }
@@ -128,6 +130,7 @@
 	Limited         int // targets that limit their requests
 	Leaving         int // targets that state that they leave
 	Quiet           int // targets that want no requests for a time
+	Cold            int // targets that are cold, or count as cold, and whose requests are limited
 	Evacuated       int // targets in evacuated zones
 	Unreached       int // targets that could not be reached lately
 	// Reach is the name of the state of the network links to the targets.
--- a/routing/scan.go
+++ b/routing/scan.go
@@ -104,7 +104,9 @@
 		return nil
 	}
 	t.statements.share.Take(now)
+	t.cold.share.Take(now)
 	l := &Lease{
+		cold:       d.isCold(t, now) || d.isUnconfirmed(t, now),
 		dispatcher: d, target: t, route: r.Route, start: now, conn: c.conn,
 		estimate: estimate, slowdown: t.slowdown(now), suspect: r.Suspect,
 		Decision: Decision{
--- a/routing/statements.go
+++ b/routing/statements.go
@@ -126,7 +126,7 @@
 	if (changes.leaving || changes.limit) && d.sharedStatements.Allow() {
 		d.onStatement(targets.Statement{Incarnation: t.info.Incarnation(), Leaving: s.leaving, Limited: s.limited, Limit: s.limit})
 	}
-	malformed := info.Limit.Malformed || info.Quiet.Malformed
+	malformed := info.Limit.Malformed || info.Quiet.Malformed || info.Cold.Malformed
 	if (malformed || changes != statementChanges{}) && d.statementLogs.Allow() {
 		d.logStatements(t, changes, malformed, now)
 	}
@@ -142,6 +142,12 @@
 		return
 	}
 	now := d.clock()
+	if statement.ColdLeft > 0 {
+		if d.limitsCold() {
+			t.cold.extend(statement.ColdLeft, now)
+		}
+		return
+	}
 	s := &t.statements
 	s.leaving = s.leaving || statement.Leaving
 	switch {
@@ -187,7 +193,7 @@
 // has stated. The caller must hold d.mu.
 func (d *Dispatcher) admits(t *target, now time.Time) bool {
 	s := &t.statements
-	if s.silent(now) {
+	if s.silent(now) || !d.admitsCold(t, now) {
 		return false
 	}
 	if s.limited && d.service.HealthPath == "" && now.Sub(s.limitStatedAt) > unprobedLimitLifetime {
@@ -203,6 +209,9 @@
 // mayRecheck reports whether a target that admits no request may be probed, to find out
 // whether its limit has ended. The caller must hold d.mu.
 func (d *Dispatcher) mayRecheck(t *target, now time.Time) bool {
+	if d.mayRecheckCold(t, now) {
+		return true
+	}
 	s := &t.statements
 	return s.limited && !s.silent(now) && d.service.HealthPath != "" && now.Sub(s.limitStatedAt) >= limitRecheckInterval
 }
@@ -222,7 +231,7 @@
 		opens, known := t.backoffUntil, true
 		if !d.admits(t, now) && !d.mayRecheck(t, now) {
 			closed = true
-			opens, known = t.statements.opensAt()
+			opens, known = d.opensFor(t, now)
 		}
 		if known && !now.Before(opens) {
 			return time.Time{}, false, false
--- a/routing/target.go
+++ b/routing/target.go
@@ -59,6 +59,7 @@
 	// evacuated is set while the zone of the target is evacuated.
 	evacuated  bool
 	statements statements
+	cold       coldState
 
 	inFlight []*Lease
 	// load is the latest report. sentSinceReport counts the requests sent since
@@ -124,7 +125,7 @@
 	if t.reportedWithin(now, maxReportAge) && t.load.Slowdown > 0 {
 		factor *= t.load.Slowdown
 	}
-	if now.Before(t.warmAt) {
+	if now.Before(t.warmAt) || now.Before(t.cold.until) {
 		factor *= warmupSlowdown
 	}
 	return factor
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -83,6 +83,10 @@
 	version int64 // the newest one that was published
 	targets []*target
 	closers []func()
+	// coldPerSecond is the limit of cold targets, 0 in a run whose faults make none cold.
+	coldPerSecond float64
+	// violations are those that faults have found.
+	violations []string
 }
 
 // randomInt returns a random number below n.
@@ -95,7 +99,7 @@
 // target is a stand-in target in this process.
 type target struct {
 	*standin.Target
-	id         string
+	id, zone   string
 	deregister context.CancelFunc
 }
 
@@ -121,7 +125,7 @@
 func (in *instance) tryClaim() bool { return in.faultInProgress.CompareAndSwap(false, true) }
 
 func newEnvironment(opts Options) (*environment, error) {
-	env := &environment{opts: opts, random: rand.New(rand.NewPCG(opts.Seed, 1)), store: standin.NewStore()}
+	env := &environment{opts: opts, random: rand.New(rand.NewPCG(opts.Seed, 1)), store: standin.NewStore(), coldPerSecond: opts.coldPerSecond()}
 	l, err := env.listenOnFreeNetwork()
 	if err != nil {
 		return nil, err
@@ -167,8 +171,8 @@
 	if err != nil {
 		return err
 	}
-	t := &target{id: fmt.Sprintf("t-%02d", i)}
-	t.Target = standin.NewTarget(standin.NewRegistration(t.id, service, string(rune('a'+i%3)), 4, address), standin.WithDrainDelay(drainDelay))
+	t := &target{id: fmt.Sprintf("t-%02d", i), zone: string(rune('a' + i%3))}
+	t.Target = standin.NewTarget(standin.NewRegistration(t.id, service, t.zone, 4, address), standin.WithDrainDelay(drainDelay))
 	ctx, cancel := context.WithCancel(context.Background())
 	t.deregister = cancel
 	go func() { _ = t.Serve(l) }()
@@ -202,7 +206,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.version++
-	d := &config.Document{Version: e.version, Services: map[string]*config.Service{service: {Name: service, HealthPath: "/healthz", MaxConnections: 200}}}
+	d := &config.Document{Version: e.version, Services: map[string]*config.Service{service: {Name: service, HealthPath: "/healthz", MaxConnections: 200, ColdPerSecond: e.coldPerSecond}}}
 	for _, r := range []struct {
 		prefix     string
 		idempotent bool
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -65,6 +65,8 @@
 	{name: "target limits its requests", run: targetFault(standin.TargetFaults{Limit: "1"})},
 	{name: "target wants no requests for a time", run: targetFault(standin.TargetFaults{Shed: true, RetryAfter: "1"})},
 	{name: "target states that it leaves", run: replaceStatingTarget},
+	{name: coldFault, run: makeTargetCold},
+	{name: "zone evacuated", run: evacuateZone},
 }
 
 func proxyFault(mode string) func(*environment, *instance, time.Duration) {
--- a/soak/run.go
+++ b/soak/run.go
@@ -115,6 +115,7 @@
 	if len(results) == 0 || served*2 < len(results) {
 		r.addViolation("only %d of %d requests succeeded; at least half are required", served, len(results))
 	}
+	r.checkZones(env)
 	r.checkVersions(env)
 }
 
--- a/standin/target.go
+++ b/standin/target.go
@@ -59,6 +59,7 @@
 	state        atomic.Int32
 	http         *fasthttp.Server
 	probes       atomic.Int64
+	requests     atomic.Int64
 	// stateChanged receives a value when the state was set, so that it is registered.
 	stateChanged chan struct{}
 
@@ -69,6 +70,8 @@
 	drainingSince time.Time
 	drainingRuns  []time.Time // when requests began to run since drainingSince
 	drainDelay    time.Duration
+
+	cold coldTime
 }
 
 // TargetOption configures a Target.
@@ -170,11 +173,16 @@
 	case healthPath:
 		t.probes.Add(1)
 		h.Set(headerTargetID, t.registration.ID)
+		t.setCold(h)
 		if faults.ReportUnhealthy || !faults.ReportHealthy && targets.State(t.state.Load()) == targets.Draining {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		}
 	case controlPrefix + "stats":
-		writeJSON(ctx, map[string]any{"runs": t.Runs(), "late": t.LateRequests(), "probes": t.Probes()})
+		peak, total := t.ColdPeak()
+		writeJSON(ctx, map[string]any{"runs": t.Runs(), "late": t.LateRequests(), "probes": t.Probes(), "cold_peak": peak, "cold_runs": total})
+	case controlPrefix + "cold":
+		args := ctx.QueryArgs()
+		t.SetCold(time.Duration(args.GetUintOrZero("ms"))*time.Millisecond, time.Duration(args.GetUintOrZero("notice_ms"))*time.Millisecond)
 	case controlPrefix + "faults":
 		t.handleFaults(ctx)
 	case controlPrefix + "drain":
@@ -199,6 +207,10 @@
 		ctx.Response.Header.Set(headerTargetID, t.registration.ID)
 		t.reject(ctx, fasthttp.StatusMisdirectedRequest)
 		return
+	}
+	t.requests.Add(1)
+	t.recordCold()
+	switch {
 	case faults.Shed:
 		t.reject(ctx, fasthttp.StatusServiceUnavailable)
 		return
--- a/standin/target_registration.go
+++ b/standin/target_registration.go
@@ -20,6 +20,7 @@
 	for sequence := int64(1); ; sequence++ {
 		registration := t.registration
 		registration.Sequence, registration.State = sequence, targets.State(t.state.Load())
+		registration.WarmupLeft, _ = t.coldLeft()
 		value, err := platform.EncodeTarget(&registration)
 		if err != nil {
 			return err
--- a/targets/statement.go
+++ b/targets/statement.go
@@ -1,5 +1,7 @@
 package targets
 
+import "time"
+
 // Statement is what an incarnation of a target has stated in its responses, as far as
 // it holds for all instances.
 type Statement struct {
@@ -10,4 +12,7 @@
 	// instances together.
 	Limited bool
 	Limit   float64
+	// ColdLeft is the remaining cold time that a health response states, 0 if the
+	// statement is not about it.
+	ColdLeft time.Duration
 }
