--- a/relay/authorization_test.go
+++ b/relay/authorization_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/hex"
 	"fmt"
 	"net/netip"
@@ -362,6 +363,40 @@
 	}
 }
 
+// documentOnRefresh is a Freshness that activates a document.
+type documentOnRefresh struct {
+	h        *harness
+	document *config.Document
+}
+
+// Await implements Freshness.
+func (f *documentOnRefresh) Await(context.Context) bool {
+	if f.document != nil {
+		f.h.document.Store(f.document)
+	}
+	return true
+}
+
+// Guards against a request that runs without its body, or is refused with 401, as its key
+// became valid after the check of its header.
+func TestKeyAddedWhileRequestArrives(t *testing.T) {
+	for _, body := range []string{"", "body"} {
+		refresh := &documentOnRefresh{}
+		h := newTenantHarness(t, WithFreshness(refresh))
+		h.document.Store(withoutTenant(tenantDocument(), "a"))
+		refresh.h, refresh.document = h, tenantDocument()
+		got := h.call(t, "POST", "/once/", body, withKeyA)
+		if body == "" {
+			assert.Equal(t, got.status, 200)
+			continue
+		}
+		assert.Equal(t, got.status, 503)
+		assert.Equal(t, got.headers["Retry-After"], "0.20")
+		assert.Equal(t, got.headers["Connection"], "close")
+		assert.Equal(t, h.call(t, "POST", "/once/", body, withKeyA).status, 200)
+	}
+}
+
 // Guards against headers of callers that are lost while there are no tenants.
 func TestHeadersWithoutTenants(t *testing.T) {
 	var got []string
@@ -397,6 +432,7 @@
 	assert.Equal(t, lines.last(t, "request failed")["status"], 401)
 	assert.Equal(t, h.relay.Stats().Refused["unauthorized"], uint64(count))
 	h.call(t, "GET", "/safe/", "", withKeyA)
+	assert.Equal(t, lines.last(t, "request answered")["tenant"], "a")
 	h.raw(t, "GET /safe/ HTTP/1.1\r\n"+host+withKeyA+"\r\n folded\r\n\r\n")
 	h.raw(t, "GET /safe/ HTTP/1.1\r\n"+host+"Author ization: Token "+keyOfA+"\r\n\r\n")
 	h.raw(t, "GET /safe/ HTTP/1.1\r\n"+host+"Authorization\x00: Token "+keyOfA+"\r\n\r\n")
--- a/relay/response.go
+++ b/relay/response.go
@@ -243,6 +243,9 @@
 	if c.route != nil {
 		f["route"], f["service"], f["tries"] = c.route.Name, c.service, c.sentTries
 	}
+	if c.tenant != nil {
+		f["tenant"] = c.tenant.Name
+	}
 	if c.fromPeer {
 		f["from_peer"] = true
 	}
