--- a/relay/authorization_test.go
+++ b/relay/authorization_test.go
@@ -44,13 +44,13 @@
 	return d
 }
 
-// withoutTenant returns the document without the tenant of the name.
-func withoutTenant(d *config.Document, name string) *config.Document {
+// withoutTenantA returns the document without the tenant a.
+func withoutTenantA(d *config.Document) *config.Document {
 	changed := *d
 	changed.Version++
 	changed.Tenants = nil
 	for _, t := range d.Tenants {
-		if t.Name != name {
+		if t.Name != "a" {
 			changed.Tenants = append(changed.Tenants, t)
 		}
 	}
@@ -277,7 +277,7 @@
 		for _, step := range []struct {
 			document *config.Document
 			want     int
-		}{{all, 200}, {withoutTenant(all, "a"), 401}, {nil, 503}} {
+		}{{all, 200}, {withoutTenantA(all), 401}, {nil, 503}} {
 			h.document.Store(step.document)
 			c.send(rawRequest("GET", "/safe/", "", withKeyA))
 			assert.Equal(t, c.mustReceive().status, step.want)
@@ -302,7 +302,7 @@
 	<-arrived
 	waiting.send(rawRequest("POST", "/once/", "second", withKeyA))
 	waitFor(t, "the request waits", func() bool { return h.table.Dispatcher("spoolkeep").Stats().Waiting == 1 })
-	h.document.Store(withoutTenant(tenantDocument(), "a"))
+	h.document.Store(withoutTenantA(tenantDocument()))
 	close(release)
 	assert.Equal(t, running.mustReceive().status, 200)
 	assert.Equal(t, waiting.mustReceive().status, 401)
@@ -383,7 +383,7 @@
 	for _, body := range []string{"", "body"} {
 		refresh := &documentOnRefresh{}
 		h := newTenantHarness(t, WithFreshness(refresh))
-		h.document.Store(withoutTenant(tenantDocument(), "a"))
+		h.document.Store(withoutTenantA(tenantDocument()))
 		refresh.h, refresh.document = h, tenantDocument()
 		got := h.call(t, "POST", "/once/", body, withKeyA)
 		if body == "" {
@@ -492,7 +492,7 @@
 // know, or tells its target another tenant.
 func TestTenantOfPassedOnRequest(t *testing.T) {
 	document := tenantDocument()
-	without := withoutTenant(document, "a")
+	without := withoutTenantA(document)
 	renamed := tenantDocument()
 	renamed.Tenants[0].Name = "renamed"
 	renamed.Index()
