commands: change keys in the published text

Cause: add-key and revoke-key encoded the document anew, which drops fields that this release does not know.

--- a/commands/keys.go
+++ b/commands/keys.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 
 	"rhubarbrelay/config"
+	"rhubarbrelay/platform"
 )
 
 // minKey is the minimum length of a new API key. The digests of short keys could be
@@ -62,7 +64,8 @@
 	})
 }
 
-// changeKeys publishes a version in which the keys of a tenant are changed.
+// changeKeys publishes a version in which the keys of a tenant are changed, and nothing
+// else.
 func changeKeys(
 	ctx context.Context, store Store, tenant string, added config.Keys, out io.Writer,
 	change func([]config.KeyDigest) ([]config.KeyDigest, error),
@@ -74,19 +77,27 @@
 	if p.document == nil {
 		return errNoConfig
 	}
-	next := *p.document
-	next.Tenants = slices.Clone(next.Tenants)
-	i := slices.IndexFunc(next.Tenants, func(t *config.Tenant) bool { return t.Name == tenant })
+	i := slices.IndexFunc(p.document.Tenants, func(t *config.Tenant) bool { return t.Name == tenant })
 	if i < 0 {
 		return fmt.Errorf("tenant %q: %w", tenant, errNoTenant)
 	}
-	changed := *next.Tenants[i]
-	if changed.Keys, err = change(slices.Clone(changed.Keys)); err != nil {
+	before := p.document.Tenants[i].Keys
+	after, err := change(slices.Clone(before))
+	if err != nil {
 		return fmt.Errorf("tenant %q: %w", tenant, err)
 	}
-	next.Tenants[i] = &changed
-	if err := next.Validate(); err != nil {
+	if slices.Equal(before, after) {
+		_, err := fmt.Fprintf(out, "unchanged at version %d\n", p.document.Version)
 		return err
 	}
-	return p.replace(ctx, store, &next, added, out)
+	maps.Copy(p.keys, added)
+	keys := make([]string, 0, len(after))
+	for _, digest := range after {
+		keys = append(keys, p.keys[digest])
+	}
+	text, err := platform.WithTenantKeys(p.text, tenant, keys)
+	if err != nil {
+		return fmt.Errorf("tenant %q: %w", tenant, err)
+	}
+	return p.replace(ctx, store, text, p.document.Version+1, out)
 }
--- a/commands/keys_test.go
+++ b/commands/keys_test.go
@@ -86,6 +86,24 @@
 	assert.ErrorIs(t, RevokeKey(ctx, s, "t", "", &out), errAmbiguous)
 }
 
+// Guards against a field that a change of keys drops, as this release does not know it.
+func TestChangeOfKeysKeepsUnknownFields(t *testing.T) {
+	ctx := context.Background()
+	s := &fakeStore{}
+	publishTenants(t, s)
+	s.value = []byte(strings.Replace(string(s.value), `"name":"t",`, `"name":"t","new-of-tenant":[1.50],`, 1))
+	s.value = []byte(strings.Replace(string(s.value), `{"version":1,`, `{"new":{"a":"<b>"},"version":1,`, 1))
+	assert.NilError(t, AddKey(ctx, s, "t", secondKey, &bytes.Buffer{}))
+	assert.NilError(t, RevokeKey(ctx, s, "t", config.DigestKey([]byte(firstKey)).String(), &bytes.Buffer{}))
+	assert.DeepEqual(t, keysOf(t, s), []string{secondKey})
+	assert.Assert(t, strings.Contains(string(s.value), `"new-of-tenant":[1.50]`) && strings.Contains(string(s.value), `"new":{"a":`), string(s.value))
+	assert.Assert(t, strings.Contains(string(s.value), `"base-version":2`) && strings.Contains(string(s.value), `"version":3`), string(s.value))
+
+	before := string(s.value)
+	s.value = []byte(strings.Replace(before, `"name":"t"`, `"Name":"t"`, 1)) // ambiguous names are not edited
+	assert.ErrorContains(t, AddKey(ctx, s, "t", firstKey, &bytes.Buffer{}), "cannot be edited in place")
+}
+
 // Guards against a key that is lost when a published configuration is edited: the file
 // that operators edit has digests only.
 func TestPublishOfDigests(t *testing.T) {
--- a/commands/publish.go
+++ b/commands/publish.go
@@ -30,6 +30,7 @@
 // published is the newest published configuration.
 type published struct {
 	document *config.Document // nil if there is none
+	text     []byte
 	keys     config.Keys
 	at       platform.Position // where the next version must be appended
 }
@@ -54,6 +55,7 @@
 		if p.document, err = platform.DecodeDocument(r.Value); err != nil {
 			return p, err
 		}
+		p.text = r.Value
 		p.keys, err = platform.DocumentKeys(r.Value)
 		return p, err
 	}
@@ -71,12 +73,7 @@
 	if err != nil {
 		return err
 	}
-	return p.replace(ctx, store, d, keys, out)
-}
-
-// replace publishes the document as the version after the latest one.
-func (p published) replace(ctx context.Context, store Store, d *config.Document, keys config.Keys, out io.Writer) error {
-	at, baseVersion := p.at, int64(0)
+	baseVersion := int64(0)
 	all := maps.Clone(keys)
 	if p.document != nil {
 		baseVersion = p.document.Version
@@ -93,16 +90,21 @@
 	if err != nil {
 		return err
 	}
-	end, err := store.AppendAt(ctx, platform.ConfigTopic, at, platform.ConfigKey, text)
+	return p.replace(ctx, store, text, next.Version, out)
+}
+
+// replace appends the text of the next version, and prints its number.
+func (p published) replace(ctx context.Context, store Store, text []byte, version int64, out io.Writer) error {
+	end, err := store.AppendAt(ctx, platform.ConfigTopic, p.at, platform.ConfigKey, text)
 	switch {
 	case err != nil && isRejection(err):
 		return err
 	case err != nil:
 		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
-	case end.Era != at.Era:
-		return fmt.Errorf("%w: version %d, era %d after era %d: %w", ErrAppendedToRestored, next.Version, end.Era, at.Era, platform.ErrRestored)
+	case end.Era != p.at.Era:
+		return fmt.Errorf("%w: version %d, era %d after era %d: %w", ErrAppendedToRestored, version, end.Era, p.at.Era, platform.ErrRestored)
 	}
-	_, err = fmt.Fprintf(out, "published version %d\n", next.Version)
+	_, err = fmt.Fprintf(out, "published version %d\n", version)
 	return err
 }
 
