relay: answer readably when a body is hidden

Cause: a request that was refused for another reason than its key while its body was hidden, such as a missing ID, got its response and a reset connection, as the body was not read: its caller could lose the response. Change: any refusal with a hidden body closes the connection after the rest was read, for a second at most. Measurement: TestRefusalWhileBodyIsSent, with the race detector.

--- a/relay/authorization.go
+++ b/relay/authorization.go
@@ -113,14 +113,11 @@
 func (c *call) setTenant(req *fasthttp.Request) *failure {
 	var ok bool
 	c.tenant, c.keyDigest, ok = c.header.credentials.tenantOf(c.document, c.route, c.fromPeer)
-	hidden := c.header.hasBody() && req.Header.ContentLength() == 0 // by configureBodyRead
 	switch {
-	case !ok && hidden:
-		return unauthorizedFailure().withConnectionClose()
 	case !ok:
 		return unauthorizedFailure()
-	case hidden:
-		return unavailableFailure(refusedStale, "configuration has changed while the request arrived", notReadyRetryAfter).withConnectionClose()
+	case c.header.isBodyHidden(req):
+		return unavailableFailure(refusedStale, "configuration has changed while the request arrived", notReadyRetryAfter)
 	}
 	return nil
 }
--- a/relay/authorization_test.go
+++ b/relay/authorization_test.go
@@ -197,6 +197,7 @@
 		{"chunked, expectation", "Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n"},
 		{"unknown key", "Content-Length: 4\r\n" + withUnknown + "\r\n"},
 		{"digest of no key", "Content-Length: 4\r\n" + keyDigestHeader + ": 00\r\n"},
+		{"body of many segments", "Content-Length: 4000000\r\n"},
 	}
 	h := newTenantHarness(t)
 	for _, tt := range tests {
@@ -213,6 +214,21 @@
 	}
 }
 
+// Guards against a response that is lost as its caller is still sending the body, which
+// is not read.
+func TestRefusalWhileBodyIsSent(t *testing.T) {
+	const size = 1 << 20
+	h := newTenantHarness(t)
+	for _, tt := range []struct {
+		lines  string
+		status int
+	}{{"Rhubarbrelay-Attempt-Id: id-1\r\n", 401}, {"", 400}} {
+		c := h.connect(t)
+		c.send("POST /once/ HTTP/1.1\r\n" + host + tt.lines + fmt.Sprintf("Content-Length: %d\r\n\r\n", size) + strings.Repeat("x", size))
+		assert.Equal(t, c.mustReceive().status, tt.status)
+	}
+}
+
 // Guards against a body that is not asked for although the key is valid.
 func TestExpectationWithKey(t *testing.T) {
 	h := newTenantHarness(t)
--- a/relay/header.go
+++ b/relay/header.go
@@ -109,8 +109,11 @@
 	return in.checkControl(lower)
 }
 
-// hasBody reports whether the raw header announces a body.
-func (in *headerInspection) hasBody() bool { return in.contentLength > 0 || in.hasTransferEncoding }
+// isBodyHidden reports whether configureBodyRead has hidden the body that the raw header
+// announces. It is still to be received then.
+func (in *headerInspection) isBodyHidden(req *fasthttp.Request) bool {
+	return (in.contentLength > 0 || in.hasTransferEncoding) && req.Header.ContentLength() == 0
+}
 
 func appendLower(dst, name []byte) []byte {
 	for _, c := range name {
--- a/relay/request.go
+++ b/relay/request.go
@@ -114,6 +114,9 @@
 		f = s.admit(req, c)
 	}
 	if f != nil {
+		if c.header.isBodyHidden(req) {
+			f = f.withConnectionClose()
+		}
 		s.fail(resp, c, f)
 		return
 	}
