--- a/relay/authorization_test.go
+++ b/relay/authorization_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/hex"
 	"fmt"
 	"net/netip"
@@ -43,13 +44,13 @@
 	return d
 }
 
-// withoutTenant returns the document without the tenant of the name.
-func withoutTenant(d *config.Document, name string) *config.Document {
+// withoutTenantA returns the document without the tenant a.
+func withoutTenantA(d *config.Document) *config.Document {
 	changed := *d
 	changed.Version++
 	changed.Tenants = nil
 	for _, t := range d.Tenants {
-		if t.Name != name {
+		if t.Name != "a" {
 			changed.Tenants = append(changed.Tenants, t)
 		}
 	}
@@ -196,6 +197,7 @@
 		{"chunked, expectation", "Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n"},
 		{"unknown key", "Content-Length: 4\r\n" + withUnknown + "\r\n"},
 		{"digest of no key", "Content-Length: 4\r\n" + keyDigestHeader + ": 00\r\n"},
+		{"body of many segments", "Content-Length: 4000000\r\n"},
 	}
 	h := newTenantHarness(t)
 	for _, tt := range tests {
@@ -212,6 +214,21 @@
 	}
 }
 
+// Guards against a response that is lost as its caller is still sending the body, which
+// is not read.
+func TestRefusalWhileBodyIsSent(t *testing.T) {
+	const size = 1 << 20
+	h := newTenantHarness(t)
+	for _, tt := range []struct {
+		lines  string
+		status int
+	}{{"Rhubarbrelay-Attempt-Id: id-1\r\n", 401}, {"", 400}} {
+		c := h.connect(t)
+		c.send("POST /once/ HTTP/1.1\r\n" + host + tt.lines + fmt.Sprintf("Content-Length: %d\r\n\r\n", size) + strings.Repeat("x", size))
+		assert.Equal(t, c.mustReceive().status, tt.status)
+	}
+}
+
 // Guards against a body that is not asked for although the key is valid.
 func TestExpectationWithKey(t *testing.T) {
 	h := newTenantHarness(t)
@@ -276,7 +293,7 @@
 		for _, step := range []struct {
 			document *config.Document
 			want     int
-		}{{all, 200}, {withoutTenant(all, "a"), 401}, {nil, 503}} {
+		}{{all, 200}, {withoutTenantA(all), 401}, {nil, 503}} {
 			h.document.Store(step.document)
 			c.send(rawRequest("GET", "/safe/", "", withKeyA))
 			assert.Equal(t, c.mustReceive().status, step.want)
@@ -301,7 +318,7 @@
 	<-arrived
 	waiting.send(rawRequest("POST", "/once/", "second", withKeyA))
 	waitFor(t, "the request waits", func() bool { return h.table.Dispatcher("spoolkeep").Stats().Waiting == 1 })
-	h.document.Store(withoutTenant(tenantDocument(), "a"))
+	h.document.Store(withoutTenantA(tenantDocument()))
 	close(release)
 	assert.Equal(t, running.mustReceive().status, 200)
 	assert.Equal(t, waiting.mustReceive().status, 401)
@@ -362,6 +379,40 @@
 	}
 }
 
+// documentOnRefresh is a Freshness that activates a document.
+type documentOnRefresh struct {
+	h        *harness
+	document *config.Document
+}
+
+// Await implements Freshness.
+func (f *documentOnRefresh) Await(context.Context) bool {
+	if f.document != nil {
+		f.h.document.Store(f.document)
+	}
+	return true
+}
+
+// Guards against a request that runs without its body, or is refused with 401, as its key
+// became valid after the check of its header.
+func TestKeyAddedWhileRequestArrives(t *testing.T) {
+	for _, body := range []string{"", "body"} {
+		refresh := &documentOnRefresh{}
+		h := newTenantHarness(t, WithFreshness(refresh))
+		h.document.Store(withoutTenantA(tenantDocument()))
+		refresh.h, refresh.document = h, tenantDocument()
+		got := h.call(t, "POST", "/once/", body, withKeyA)
+		if body == "" {
+			assert.Equal(t, got.status, 200)
+			continue
+		}
+		assert.Equal(t, got.status, 503)
+		assert.Equal(t, got.headers["Retry-After"], "0.20")
+		assert.Equal(t, got.headers["Connection"], "close")
+		assert.Equal(t, h.call(t, "POST", "/once/", body, withKeyA).status, 200)
+	}
+}
+
 // Guards against headers of callers that are lost while there are no tenants.
 func TestHeadersWithoutTenants(t *testing.T) {
 	var got []string
@@ -397,6 +448,7 @@
 	assert.Equal(t, lines.last(t, "request failed")["status"], 401)
 	assert.Equal(t, h.relay.Stats().Refused["unauthorized"], uint64(count))
 	h.call(t, "GET", "/safe/", "", withKeyA)
+	assert.Equal(t, lines.last(t, "request answered")["tenant"], "a")
 	h.raw(t, "GET /safe/ HTTP/1.1\r\n"+host+withKeyA+"\r\n folded\r\n\r\n")
 	h.raw(t, "GET /safe/ HTTP/1.1\r\n"+host+"Author ization: Token "+keyOfA+"\r\n\r\n")
 	h.raw(t, "GET /safe/ HTTP/1.1\r\n"+host+"Authorization\x00: Token "+keyOfA+"\r\n\r\n")
@@ -456,7 +508,7 @@
 // know, or tells its target another tenant.
 func TestTenantOfPassedOnRequest(t *testing.T) {
 	document := tenantDocument()
-	without := withoutTenant(document, "a")
+	without := withoutTenantA(document)
 	renamed := tenantDocument()
 	renamed.Tenants[0].Name = "renamed"
 	renamed.Index()
--- a/relay/request.go
+++ b/relay/request.go
@@ -129,6 +129,9 @@
 		f = s.admit(req, c)
 	}
 	if f != nil {
+		if c.header.isBodyHidden(req) {
+			f = f.withConnectionClose()
+		}
 		s.fail(resp, c, f)
 		return
 	}
