routing: make TestEqualFailureRates independent of the choice of targets

Cause: the outcomes alternated over all requests, while the target of each depended on chance, so that one target could get more of the failures.

Change: each outcome is given to both targets in turn.

--- a/routing/dispatcher_test.go
+++ b/routing/dispatcher_test.go
@@ -335,9 +335,14 @@
 	_, a := startTarget(t, "t-1", "a", 100)
 	_, b := startTarget(t, "t-2", "a", 100)
 	d := newDispatcher(t, a, b)
-	for i := range 200 {
-		l := acquire(t, d, request())
-		l.Release([]Outcome{Shed, Succeeded}[i%2], platform.ResponseInfo{})
+	for i := range 100 {
+		first := acquire(t, d, request())
+		other := request()
+		other.Exclude = []targets.Incarnation{first.Target().Incarnation()}
+		second := acquire(t, d, other)
+		for _, l := range []*Lease{first, second} {
+			l.Release([]Outcome{Shed, Succeeded}[i%2], platform.ResponseInfo{})
+		}
 	}
 	d.mu.Lock()
 	now := d.clock()
