daemon: count a pause before SIGTERM towards the grace period

Cause: a process that is paused when SIGTERM is sent handles it afterwards, and counted the whole grace period from then on; SIGKILL comes earlier, and cuts off requests that were admitted in the meantime.

Change: the process records every 0.1 s that it runs, by the clock that includes suspensions. After a gap of 0.3 s or more, requests are admitted as if the grace period had begun with it; those in progress are awaited for a whole one. Nothing is sent to targets after the end of the drain, also before the listeners are closed.

No test pauses a process around SIGTERM.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -57,6 +57,7 @@
 	entryServer    *relay.EntryServer
 	admin          *admin.Server
 	limits         connectionLimits
+	pauses         *pauses
 	targetDial     upstream.DialFunc // nil for the default
 	// peerClient calls the administration API of other instances.
 	peerClient *fasthttp.Client
@@ -82,6 +83,7 @@
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.pauses = newPauses(bootTime)
 	d.limits = newConnectionLimits(fileLimit(), s.Callers.MaxConnections)
 	if d.limits.callers < s.Callers.MaxConnections {
 		logger.WithField("max_connections", s.Callers.MaxConnections).WithField("limit", d.limits.callers).
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -103,6 +103,7 @@
 	start("configuration follower", follow(d.configFollower.Run))
 	start("target follower", follow(d.targetFollower.Run))
 	start("membership", func() error { return d.join(ctx, startFollowers) })
+	start("pause detection", func() error { return d.pauses.run(ctx) })
 	start("reachability checks", func() error { return d.watchReach(ctx) })
 	start("configuration catch-up", func() error { return d.catchUpConfig(ctx) })
 	group.Go(func() error {
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -39,13 +39,15 @@
 // removes it from entry responses unless no other instance is ready, and makes
 // every further response close the connection of its caller. It accepts new
 // connections for serveFraction of the grace period, then waits until no connection has a
-// request or a response under way, until exitMargin before its end.
+// request or a response under way, until exitMargin before its end. If the process was
+// paused when SIGTERM may have been sent, requests are admitted as if the grace period had
+// begun with the pause, but those in progress are awaited for all of it.
 func (d *Daemon) stop() {
 	start := time.Now()
 	grace := d.settings.Stop.Grace
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-exitMargin))
 	defer cancel()
-	drainEnd := start.Add(grace - exitMargin - responseTime)
+	drainEnd := start.Add(grace - exitMargin - responseTime - min(d.pauses.signalAge(), grace))
 	wasActive := d.selector.IsActive()
 	d.members.SetState(membership.Leaving)
 	d.relay.StartDraining(drainEnd)
--- a/relay/shutdown.go
+++ b/relay/shutdown.go
@@ -9,9 +9,11 @@
 
 // StartDraining sets Connection: close in every further response, after which the
 // connection is closed. A further request whose deadline is after the end is refused
-// if it must not run twice; any other one gets the end as its deadline.
+// if it must not run twice; any other one gets the end as its deadline. From the end on,
+// nothing is sent to targets.
 func (s *Server) StartDraining(end time.Time) {
 	s.drainEnd.Store(&end)
+	time.AfterFunc(time.Until(end), s.sends.close)
 	s.conns.StartDraining()
 }
 
@@ -31,8 +33,6 @@
 		end = &deadline
 	}
 	defer s.sends.close()
-	closeSends := time.AfterFunc(time.Until(*end), s.sends.close)
-	defer closeSends.Stop()
 	return s.conns.Shutdown(ctx, *end)
 }
 
