daemon: leave more connections to entry queries and the administration API

Cause: with 1,024 file descriptors, entry queries had 32 connections and the administration API 16, less than callers that keep one, or a start of all instances, may need.

Change: 12 % and 4 % of the descriptors; callers get 40 % at most, not 50 %. Measurement: TestConnectionLimits, below three quarters together as before.

--- a/daemon/connectionlimits.go
+++ b/daemon/connectionlimits.go
@@ -7,15 +7,17 @@
 	"rhubarbrelay/callers"
 )
 
-// The parts of the file descriptors that connections at each port may use. The rest, more
-// than a quarter, is for connections to targets, to other instances and to the store. A
-// refused connection counts in addition for a moment, an eighth of the limit at most.
+// The parts of the file descriptors, in thousandths, that connections at each port may use.
+// The rest, more than a quarter, is for connections to targets, to other instances and to
+// the store. A refused connection counts in addition for a moment, an eighth of the limit at
+// most. Callers may keep a connection for entry queries beside those for requests, and a
+// start of all instances brings many connections to the administration API.
 const (
-	callerFileFraction = 2 // a half
-	peerFileFraction   = 16
-	entryFileFraction  = 32
-	readyFileFraction  = 64
-	adminFileFraction  = 64
+	callerFiles = 400
+	peerFiles   = 60
+	entryFiles  = 120
+	readyFiles  = 15
+	adminFiles  = 40
 	// maxFiles limits what the ports without a setting may use where files are not scarce.
 	maxFiles = 32_000
 )
@@ -29,11 +31,13 @@
 	if files == 0 {
 		files = maxFiles
 	}
-	part := func(files, fraction uint64) int { return int(max(1, min(files, 2*maxMaxConnections)/fraction)) }
+	part := func(files, thousandths uint64) int {
+		return int(max(1, min(files, maxMaxConnections*1000/callerFiles)*thousandths/1000))
+	}
 	rest := min(files, maxFiles)
 	return connectionLimits{
-		callers: min(configured, part(files, callerFileFraction)), peers: min(configured, part(files, peerFileFraction)),
-		entry: part(rest, entryFileFraction), ready: part(rest, readyFileFraction), admin: part(rest, adminFileFraction),
+		callers: min(configured, part(files, callerFiles)), peers: min(configured, part(files, peerFiles)),
+		entry: part(rest, entryFiles), ready: part(rest, readyFiles), admin: part(rest, adminFiles),
 	}
 }
 
