entry: do not name instances that are silent for 5 s

Cause: an instance that is not active is considered dead 7.8 s after its last packet. If it was killed together with the active ones of its zone, it took their place and was named to callers until then; the bound is 6 s, after which at most three responses may name it. Found by the review of the related bounds. Change: the selection leaves out instances whose last packet is older than 5 s.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -88,7 +88,7 @@
 		ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: time.Now().UnixMilli(),
 		CallerAddress: s.Callers.Listen, PeerAddress: s.Peers.Listen, AdminAddress: s.Admin.Listen,
 	}, membership.WithOnChange(d.onMembersChanged))
-	d.selector = entry.NewSelector(d.members)
+	d.selector = entry.NewSelector(d.members, entry.WithSilence(d.members.Silence))
 	d.targets = targets.NewDirectory(targets.WithOnChange(d.onTargetsChanged))
 	d.table = routing.NewTable(d.routingSettings(s), d.targets, routing.WithLogger(logger), routing.WithPoolFactory(d.newTargetPool),
 		routing.WithLimitSharing(entry.NewLimitSharing(d.members, time.Now)),
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -66,10 +66,33 @@
 
 // Selector selects the addresses in entry responses. It is safe for concurrent
 // use.
-type Selector struct{ directory Directory }
+type Selector struct {
+	directory Directory
+	silence   func(id string) time.Duration
+}
+
+// SelectorOption configures a Selector.
+type SelectorOption func(*Selector)
+
+// WithSilence sets the function that returns the time since the last packet of an
+// instance. Those that are silent for maxNamedSilence are not named.
+func WithSilence(silence func(id string) time.Duration) SelectorOption {
+	return func(s *Selector) { s.silence = silence }
+}
+
+// maxNamedSilence is the time since the last packet of an instance up to which callers are
+// sent to it. An instance that is not active is considered dead only 7.8 s after its last
+// packet; callers must not be sent to one that was killed more than 6 s before.
+const maxNamedSilence = 5 * time.Second
 
 // NewSelector returns a selector of the directory's instances.
-func NewSelector(directory Directory) *Selector { return &Selector{directory} }
+func NewSelector(directory Directory, opts ...SelectorOption) *Selector {
+	s := &Selector{directory: directory, silence: func(string) time.Duration { return 0 }}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
 
 // Select returns the addresses for a caller in the zone: those of the active
 // instances of its zone, and those of all eligible instances of other zones when
@@ -79,6 +102,9 @@
 func (s *Selector) Select(zone string) []netip.AddrPort {
 	var local, remote []netip.AddrPort
 	for _, in := range eligible(s.directory) {
+		if s.silence(in.ID) > maxNamedSilence {
+			continue
+		}
 		if in.Zone == zone {
 			local = append(local, in.CallerAddress)
 		} else {
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -182,6 +182,17 @@
 	return !m.lastPacket.IsZero() && d.clock().Sub(m.lastPacket) < time.Duration(missedHeartbeats*float64(m.interval))
 }
 
+// Silence returns the time since the last packet of another instance that is known, 0 for
+// this one.
+func (d *Directory) Silence(id string) time.Duration {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if m := d.members[id]; m != nil {
+		return d.clock().Sub(m.lastPacket)
+	}
+	return 0
+}
+
 // Ready returns the instances that accept callers, this one included, by ID.
 func (d *Directory) Ready() []Instance {
 	d.mu.RLock()
