--- a/daemon/evacuations_test.go
+++ b/daemon/evacuations_test.go
@@ -8,7 +8,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"rhubarbrelay/evacuation"
 	"rhubarbrelay/logwriter"
+	"rhubarbrelay/peer"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/timeline"
 )
@@ -70,3 +72,12 @@
 	assert.Equal(t, kinds[timeline.ZoneEvacuated], 3)
 	assert.Equal(t, kinds[timeline.ZoneRestored], 3)
 }
+
+// Guards against an instance that joins through another one and uses the targets of an
+// evacuated zone until it reads the store or hears of the evacuation.
+func TestEvacuationInSnapshot(t *testing.T) {
+	d, _ := newTestDaemon(t, "a-1")
+	at := platform.Position{Era: 1, Offset: 5}
+	d.restoreState(peer.Snapshot{Evacuations: evacuation.State{At: at, Zones: []evacuation.Zone{{Name: "z", Since: time.Now()}}}}, "a-2", time.Now())
+	assert.DeepEqual(t, d.evacuations.State().Names(), []string{"z"})
+}
--- a/peer/evacuation_test.go
+++ b/peer/evacuation_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"rhubarbrelay/evacuation"
@@ -97,3 +98,13 @@
 		})
 	}
 }
+
+// Guards against a complete packet without the evacuated zones. An instance of a remote
+// zone may get no other packet of this one.
+func TestEvacuationInCompletePacket(t *testing.T) {
+	in := startInstance(t, "a")
+	in.evacuations.Replace(at(5), []string{"z"})
+	var packet peerpb.Packet
+	assert.NilError(t, proto.Unmarshal(in.mesh.encode(&peerpb.Packet{}), &packet))
+	assert.Equal(t, packet.GetEvacuations().GetZones()[0].GetName(), "z")
+}
