--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -19,6 +19,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"rhubarbrelay/crashes"
+	"rhubarbrelay/limits"
 	"rhubarbrelay/membership"
 	"rhubarbrelay/peer/peerpb"
 	"rhubarbrelay/targets"
@@ -60,9 +61,11 @@
 	onUpdate  func(TargetUpdate)
 	// onStatements receives the statements of targets that other instances have heard.
 	onStatements func([]targets.Statement)
-	seeds        []netip.AddrPort
-	active       func() bool
-	crashes      CrashLedger // nil for none
+	// onDemands receives the demands that other instances report.
+	onDemands func(limits.DemandReport)
+	seeds     []netip.AddrPort
+	active    func() bool
+	crashes   CrashLedger // nil for none
 
 	mu   sync.Mutex   // guards the fields below
 	conn *net.UDPConn // nil before Run
@@ -101,7 +104,7 @@
 	m := &Mesh{
 		directory: directory, clock: clock, logger: log.Log, onUpdate: func(TargetUpdate) {}, active: func() bool { return true },
 		joinedSignal: make(chan struct{}, 1), crashSignal: make(chan struct{}, 1), statementSignal: make(chan struct{}, 1),
-		onStatements: func([]targets.Statement) {},
+		onStatements: func([]targets.Statement) {}, onDemands: func(limits.DemandReport) {},
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -235,10 +238,7 @@
 			return err
 		}
 	}
-	if err := m.handleCrashes(&packet); err != nil {
-		return err
-	}
-	if err := m.handleStatements(&packet); err != nil {
+	if err := errors.Join(m.handleCrashes(&packet), m.handleStatements(&packet), m.handleDemands(&packet, sender)); err != nil {
 		return err
 	}
 	if packet.GetPassOn() {
