relay, daemon: enforce the quotas of tenants

Cause: a tenant may send any number of requests. Change: relay takes a token of the tenant before a request waits for a target and refuses it with 429 and Retry-After if there is none; a request that was not run returns it, one passed on by another instance takes none. The daemon sets quotas, members and limits, sends the reports, and shows each tenant in status, metrics and log. Nothing is sent while no tenant has a quota.

--- a/admin/codec.go
+++ b/admin/codec.go
@@ -21,6 +21,17 @@
 	StoreFailing bool
 	InProgress   int64
 	Instances    []string // IDs of the ready instances
+	// Tenants are those of the configuration, by name.
+	Tenants []TenantStatus
+}
+
+// TenantStatus describes the quota of a tenant and its requests at the instance. The share
+// of the instance is in requests per second.
+type TenantStatus struct {
+	Name              string
+	PerSecond, Burst  float64
+	Share             float64
+	Admitted, Refused uint64
 }
 
 type statusMessage struct {
@@ -33,13 +44,28 @@
 	StoreFailing  bool     `json:"store_failing"`
 	InProgress    int64    `json:"in_progress"`
 	Instances     []string `json:"instances"`
+
+	Tenants []tenantMessage `json:"tenants,omitempty"`
+}
+
+type tenantMessage struct {
+	Name          string  `json:"name"`
+	RatePerSecond float64 `json:"rate_per_second"`
+	Burst         float64 `json:"burst"`
+	Share         float64 `json:"share"`
+	Admitted      uint64  `json:"admitted"`
+	Refused       uint64  `json:"refused"`
 }
 
 func newStatusMessage(s Status) statusMessage {
-	return statusMessage{
+	message := statusMessage{
 		ID: s.ID, Zone: s.Zone, Ready: s.Ready, ConfigVersion: s.ConfigVersion, Targets: s.Targets,
 		TargetAgeMS: s.TargetAge.Milliseconds(), StoreFailing: s.StoreFailing, InProgress: s.InProgress, Instances: s.Instances,
 	}
+	for _, t := range s.Tenants {
+		message.Tenants = append(message.Tenants, tenantMessage{t.Name, t.PerSecond, t.Burst, t.Share, t.Admitted, t.Refused})
+	}
+	return message
 }
 
 // DecodeStatus decodes the response body of StatusPath.
@@ -48,11 +74,15 @@
 	if err := json.Unmarshal(body, &m); err != nil {
 		return Status{}, err
 	}
-	return Status{
+	status := Status{
 		ID: m.ID, Zone: m.Zone, Ready: m.Ready, ConfigVersion: m.ConfigVersion, Targets: m.Targets,
 		TargetAge: time.Duration(m.TargetAgeMS) * time.Millisecond, StoreFailing: m.StoreFailing,
 		InProgress: m.InProgress, Instances: m.Instances,
-	}, nil
+	}
+	for _, t := range m.Tenants {
+		status.Tenants = append(status.Tenants, TenantStatus{t.Name, t.RatePerSecond, t.Burst, t.Share, t.Admitted, t.Refused})
+	}
+	return status, nil
 }
 
 type eventMessage struct {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -53,6 +53,8 @@
 	registrar      *registry.Registrar
 	freshness      *freshness
 	crashes        *crashes.Ledger
+	quotas         *limits.Quotas
+	quotasChanged  chan struct{}
 	relay          *relay.Server
 	entryServer    *relay.EntryServer
 	admin          *admin.Server
@@ -91,9 +93,10 @@
 	d.table = routing.NewTable(d.routingSettings(s), d.targets, routing.WithLogger(logger), routing.WithPoolFactory(d.newTargetPool),
 		routing.WithLimitSharing(entry.NewLimitSharing(d.members, time.Now)),
 		routing.WithOnStatement(func(s targets.Statement) { d.mesh.BroadcastStatement(s) }))
+	d.quotas, d.quotasChanged = limits.NewQuotas(quotaLimits(s), time.Now), make(chan struct{}, 1)
 	d.crashes = crashes.NewLedger(crashes.WithOnChange(d.onCrashRecord))
 	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger), peer.WithCrashLedger(d.crashes), peer.WithOnStatements(d.table.ApplyStatements),
-		peer.WithOnTargetUpdate(d.onTargetUpdate), peer.WithSeeds(seedAddresses(s)), peer.WithActive(d.selector.IsActive))
+		peer.WithOnTargetUpdate(d.onTargetUpdate), peer.WithOnDemands(d.quotas.Record), peer.WithSeeds(seedAddresses(s)), peer.WithActive(d.selector.IsActive))
 	d.targetFollower = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, d.members.ReadOrder, d.recordTargetChange,
 		d.onRegistryRecovered, logger, registry.WithOnRestored(d.onStoreRestored))
 	d.configFollower = registry.NewConfigFollower(store, registry.ReadRole{
@@ -102,7 +105,7 @@
 	d.registrar = registry.NewRegistrar(store, d.members, logger, registry.WithStoreEra(d.targetFollower.Era))
 	d.freshness = newFreshness(d.targetFollower, d.configFollower, s.Budgets.DrainDelay, d.recordSuspension)
 	d.relay = relay.NewServer(d.configFollower, d.table, relay.WithRecorder(d.recorder), relay.WithLogger(logger),
-		relay.WithFreshness(d.freshness), relay.WithMaxConnections(s.Callers.MaxConnections), relay.WithCrashLedger(d.crashes), relay.WithPeers(d.selector),
+		relay.WithFreshness(d.freshness), relay.WithMaxConnections(s.Callers.MaxConnections), relay.WithCrashLedger(d.crashes), relay.WithPeers(d.selector), relay.WithQuotas(d.quotas),
 		relay.WithMemory(newMemory(s, requestMemoryFraction), newMemory(s, responseMemoryFraction)))
 	d.entryServer = relay.NewEntryServer(d.selector, s.Callers.EntryTTL, d.ready, logger)
 	d.admin = admin.NewServer(d, d.recorder, s.Admin.Token, logger)
@@ -146,6 +149,7 @@
 // zones, and any other active instance announces it to the local zone.
 func (d *Daemon) applyConfig(document *config.Document) {
 	d.table.Update(document.Services)
+	d.setQuotas(document)
 	d.relay.ResetTrafficSplits()
 	d.relay.LogUnmetLimits(document)
 	d.members.SetConfigVersion(document.Version)
@@ -229,6 +233,7 @@
 	if document := d.configFollower.Current(); document != nil {
 		status.ConfigVersion = document.Version
 	}
+	status.Tenants = d.tenantStatus()
 	for _, in := range d.members.Ready() {
 		status.Instances = append(status.Instances, in.ID)
 	}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"rhubarbrelay/limits"
 	"rhubarbrelay/logwriter"
 	"rhubarbrelay/peer"
 	"rhubarbrelay/relay"
@@ -26,6 +27,8 @@
 	Services        map[string]serviceMetrics `json:"services"`
 	Peers           peerMetrics               `json:"peers"`
 	Log             logMetrics                `json:"log"`
+	// Tenants are empty unless the configuration has tenants.
+	Tenants map[string]tenantMetrics `json:"tenants,omitempty"`
 }
 
 // callerMetrics describes the requests of callers and their outcomes.
@@ -75,6 +78,17 @@
 	SendErrors uint64 `json:"send_errors"`
 }
 
+// tenantMetrics describes the requests of a tenant at this instance. The share and the
+// demand are in requests per second.
+type tenantMetrics struct {
+	RatePerSecond float64 `json:"rate_per_second"`
+	Burst         float64 `json:"burst"`
+	Share         float64 `json:"share"`
+	Demand        float64 `json:"demand"`
+	Admitted      uint64  `json:"admitted"`
+	Refused       uint64  `json:"refused"`
+}
+
 // logMetrics counts log lines by outcome.
 type logMetrics struct {
 	Written uint64 `json:"written"`
@@ -91,6 +105,7 @@
 		StoreFailing: status.StoreFailing, StoreEra: d.targetFollower.Era(), BlockedRequests: d.crashes.BlockedCount(), Callers: newCallerMetrics(d.relay.Stats(), status.InProgress),
 		Services: map[string]serviceMetrics{}, Peers: newPeerMetrics(d.mesh.Stats()), Log: logMetrics(logStats),
 	}
+	m.Tenants = newTenantMetrics(d.quotas.Stats())
 	for name, s := range d.table.Stats() {
 		m.Services[name] = newServiceMetrics(s)
 	}
@@ -109,6 +124,16 @@
 	return m
 }
 
+func newTenantMetrics(stats map[string]limits.QuotaStats) map[string]tenantMetrics {
+	metrics := make(map[string]tenantMetrics, len(stats))
+	for name, s := range stats {
+		metrics[name] = tenantMetrics{
+			RatePerSecond: s.PerSecond, Burst: s.Burst, Share: s.Share, Demand: s.Demand, Admitted: s.Admitted, Refused: s.Refused,
+		}
+	}
+	return metrics
+}
+
 func newServiceMetrics(s routing.Stats) serviceMetrics { return serviceMetrics(s) }
 
 func newPeerMetrics(s peer.Stats) peerMetrics { return peerMetrics(s) }
--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -45,8 +45,8 @@
 	return info.ModTime()
 }
 
-// Reload applies the changed entry TTL, retry limits and probe rate without
-// interrupting requests. It also applies a changed zone, but only to the routing.
+// Reload applies the changed entry TTL, retry limits, probe rate and limits of quotas
+// without interrupting requests. It also applies a changed zone, but only to the routing.
 // All other changes, such as addresses, take effect only after a restart. If the
 // settings cannot be loaded, the current ones stay active.
 func (d *Daemon) Reload(s *settings.Settings, err error) {
@@ -55,6 +55,7 @@
 		return
 	}
 	d.table.SetSettings(d.routingSettings(s))
+	d.quotas.SetLimits(quotaLimits(s))
 	d.entryServer.SetTTL(s.Callers.EntryTTL)
 	d.logger.WithFields(log.Fields{
 		"entry_ttl": s.Callers.EntryTTL.String(), "retry_ratio": s.Budgets.RetryRatio, "retry_slack": s.Budgets.RetrySlack,
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -114,6 +114,7 @@
 	start("target follower", follow(d.targetFollower.Run))
 	start("membership", func() error { return d.join(ctx, startFollowers) })
 	start("reachability checks", func() error { return d.watchReach(ctx) })
+	start("quota shares", func() error { return d.shareQuotas(ctx) })
 	start("configuration catch-up", func() error { return d.catchUpConfig(ctx) })
 	group.Go(func() error {
 		defer cancel()
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -127,6 +127,15 @@
 	return local[rand.IntN(len(local))], true
 }
 
+// Active returns the active instances of all zones.
+func (s *Selector) Active() []membership.Instance {
+	var active []membership.Instance
+	for _, instances := range activeByZone(eligible(s.directory)) {
+		active = append(active, instances...)
+	}
+	return active
+}
+
 // ActiveCount returns the number of active instances in all zones, at least 1.
 func (s *Selector) ActiveCount() int {
 	active := 0
--- a/relay/request.go
+++ b/relay/request.go
@@ -33,6 +33,7 @@
 	document   *config.Document
 	route      *config.Route
 	service    string
+	tenant     *config.Tenant // nil if the request needs no API key
 	dispatcher *routing.Dispatcher
 	arrival    time.Time
 	// priorElapsed is the estimated duration of the caller's earlier attempts.
@@ -52,8 +53,10 @@
 	lastTry      *try
 	// elsewhere is set while another instance may run the request.
 	elsewhere bool
-	fromPeer  bool           // whether another instance has passed the request on
-	peer      netip.AddrPort // the instance that the request was passed on to last
+	// holdsToken is set while a token of the tenant's quota is taken for the request.
+	holdsToken bool
+	fromPeer   bool           // whether another instance has passed the request on
+	peer       netip.AddrPort // the instance that the request was passed on to last
 }
 
 // reset clears the call for reuse. It keeps the body buffer unless it is large.
@@ -111,6 +114,9 @@
 	if f == nil {
 		f = s.admit(req, c)
 	}
+	if f == nil {
+		f = s.takeToken(c)
+	}
 	if f != nil {
 		s.fail(resp, c, f)
 		return
--- a/relay/response.go
+++ b/relay/response.go
@@ -70,6 +70,7 @@
 			f.status, f.retryAfter = fasthttp.StatusBadGateway, 0
 		}
 	}
+	s.returnToken(c, f)
 	writeFailure(resp, f)
 	if f.closeConnection && f.notRun && c.input.conn != nil {
 		c.input.conn.lingers.Store(true)
@@ -78,7 +79,9 @@
 		platform.SetRequestID(&resp.Header, []byte(c.id))
 	}
 	s.counters.countFailure(f)
-	s.logFailure(c, f)
+	if f.cause != refusedQuota || !f.notRun || s.quotaLogs.Allow() {
+		s.logFailure(c, f)
+	}
 	switch {
 	case !f.notRun:
 		s.recordEvent(timeline.RequestUnknown, c, "", f.reason)
@@ -235,6 +238,9 @@
 	if c.route != nil {
 		f["route"], f["service"], f["tries"] = c.route.Name, c.service, c.sentTries
 	}
+	if c.tenant != nil {
+		f["tenant"] = c.tenant.Name
+	}
 	if c.fromPeer {
 		f["from_peer"] = true
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -101,6 +101,8 @@
 	// from other instances.
 	maxConnections int
 	peers          PeerSelector // nil for none
+	quotas         Quotas       // nil for none
+	quotaLogs      *rate.Limiter
 	peerPools      *peerPools
 	// requestMemory and responseMemory limit the large bodies of all requests and all
 	// responses; nil means no limit. They are separate, so that requests that wait for
@@ -150,6 +152,7 @@
 		logger:        log.Log,
 		refusalEvents: rate.NewLimiter(refusalEventsPerSecond, refusalEventsPerSecond),
 		forwardLogs:   rate.NewLimiter(forwardLogsPerSecond, forwardLogsPerSecond),
+		quotaLogs:     rate.NewLimiter(quotaLogsPerSecond, quotaLogsPerSecond),
 		calls:         sync.Pool{New: func() any { return &call{} }},
 		counters:      newCounters(),
 		crashes:       crashes.NewLedger(),
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -30,6 +30,7 @@
 	refusedCallerClosed                      // the caller closed its connection; a try in flight may still run the request
 	refusedDraining                          // the instance shuts down before the deadline of the request
 	refusedByPeer                            // the instance that the request was passed on to did not run it
+	refusedQuota                             // the quota of the tenant is used up
 	refusedInternal
 	refusalCauses // the number of causes
 )
@@ -37,7 +38,7 @@
 // refusalCauseNames are the metric names of the causes.
 var refusalCauseNames = [refusalCauses]string{
 	"malformed", "incomplete", "too_large", "instance_limit", "no_route", "unsupported", "too_late", "no_target", "memory", "stale", "connections",
-	"unreachable", "shed", "deadline", "caller_closed", "draining", "peer", "internal",
+	"unreachable", "shed", "deadline", "caller_closed", "draining", "peer", "quota", "internal",
 }
 
 // The range in microseconds and the precision of the latency histogram.
