limits: restart the common bucket after a pause or a cut

Cause: an instance that was frozen or cut off subtracted all that the others had admitted meanwhile from tokens that do not exceed the size of the bucket, and admitted nothing afterwards while the tenant sent more than its rate. Change: what instances admit while they are not heard is not counted, as its rate is reserved; for 200 ms after a pause reports only set the counts.

--- a/limits/pooled_bucket.go
+++ b/limits/pooled_bucket.go
@@ -51,6 +51,11 @@
 	n := float64(view.instances())
 	spare := limits.bound(t) - rate*limits.Window.Seconds()
 	needed := limits.dividedBurst(t, view.instances()) < n*minDividedTokens
+	// What instances that are not heard admit has its reserved rate.
+	for id := range view.unheard {
+		delete(b.others, id)
+	}
+	was := b.enabled
 	b.enabled = needed && n > 1 && view.hearsMost() && t.PerSecond*unseenTime.Seconds() < maxUnseenPart*spare
 	fraction := 1 / float64(view.heard)
 	if own+others > 0 {
@@ -59,6 +64,9 @@
 	b.part, b.perSecond, b.othersDemand = evenFraction/float64(view.heard)+(1-evenFraction)*fraction, view.pool(rate), others
 	b.size = min(limits.maxBurst(t), spare-min(n-1, pooledReserve*spare))
 	b.tokens = min(b.tokens, b.size)
+	if b.enabled && !was {
+		b.tokens = 0 // the others may have used the rest
+	}
 }
 
 func (b *pooledBucket) refill(elapsed float64) {
--- a/limits/quota.go
+++ b/limits/quota.go
@@ -225,6 +225,14 @@
 	q.outdated = true
 }
 
+// recountOther makes the next report of another instance the first one that counts what it
+// has admitted.
+func (q *quota) recountOther(id string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.pooled.others, id)
+}
+
 // endOther records that another instance has no demand.
 func (q *quota) endOther(id string, now time.Time) {
 	q.mu.Lock()
--- a/limits/quotas.go
+++ b/limits/quotas.go
@@ -27,6 +27,9 @@
 	fullInterval = 2 * time.Second
 	demandExpiry = 3 * fullInterval
 	expiryPeriod = time.Second
+	// catchUpTime is the time after a pause of this instance in which it reads the reports
+	// that have arrived meanwhile.
+	catchUpTime = 200 * time.Millisecond
 	// awakeTime is how long an instance reports after the last demand, its own or that of
 	// another instance: those with demand must know that they reach the others.
 	awakeTime = 2 * fullInterval
@@ -85,6 +88,7 @@
 	view                          *quotaView
 	cutOffSince                   time.Time // zero while this instance hears most others
 	reportedAt, fullAt, expiredAt time.Time
+	tickedAt, catchUpUntil        time.Time // the last tick, and the end of catchUpTime after a pause
 	demandAt, awakeSince          time.Time // when there was demand last, and since when
 }
 
@@ -192,6 +196,11 @@
 	case report.Incarnation != p.incarnation:
 		q.forgetDemands(report.Instance)
 	}
+	if now.Sub(p.heardAt) >= silenceLimit || now.Sub(q.tickedAt) >= silenceLimit || now.Before(q.catchUpUntil) {
+		for _, t := range q.quotas {
+			t.recountOther(report.Instance)
+		}
+	}
 	changed := p.heardAt.IsZero() || p.idle != report.Idle || now.Sub(p.heardAt) >= silenceLimit
 	p.incarnation, p.heardAt, p.idle, p.leaving = report.Incarnation, now, report.Idle, report.Leaving
 	if report.Idle {
@@ -310,6 +319,10 @@
 	now := q.clock()
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if now.Sub(q.tickedAt) >= silenceLimit {
+		q.catchUpUntil = now.Add(catchUpTime)
+	}
+	q.tickedAt = now
 	q.updateView(now)
 	q.expireDemands(now)
 	busy := q.measure(now)
--- a/limits/quotas_test.go
+++ b/limits/quotas_test.go
@@ -299,3 +299,29 @@
 		q.Tick()
 	}
 }
+
+// Guards against an instance that was frozen or cut off, sees afterwards what the others
+// have admitted meanwhile, and admits nothing for as long.
+func TestQuotaAfterFreeze(t *testing.T) {
+	tests := []struct {
+		name   string
+		inject func(*quotaModel)
+	}{
+		{"frozen", func(m *quotaModel) { m.instances[0].frozen = true }},
+		{"cut off", func(m *quotaModel) { m.instances[0].group = 1 }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := newQuotaModel(TenantQuota{modelTenant, 20, 20}, 9, 1)
+			m.run(5*time.Second, m.unevenly(5))
+			tt.inject(m)
+			m.run(10*time.Second, m.unevenly(5))
+			m.instances[0].frozen, m.instances[0].group = false, 0
+			m.run(3*time.Second, m.unevenly(5))
+			before := m.instances[0].quotas.Stats()[modelTenant].Admitted
+			m.run(5*time.Second, m.unevenly(5))
+			admitted := m.instances[0].quotas.Stats()[modelTenant].Admitted - before
+			assert.Assert(t, admitted > 20, "%d admitted", admitted)
+		})
+	}
+}
--- a/scenario/processes_test.go
+++ b/scenario/processes_test.go
@@ -21,6 +21,7 @@
 	running map[string]*process
 	calls   map[string]chan string
 	watches map[string]*watch
+	floods  map[string]*flood
 }
 
 // process is one background process.
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -72,6 +72,11 @@
 			"peakrss":  peakRSS,
 			"never":    never,
 			"held":     held,
+
+			"flood":       startFlood,
+			"flooded":     endFlood,
+			"ran":         waitForRuns,
+			"withinquota": withinQuota,
 		},
 	})
 }
@@ -89,7 +94,7 @@
 		env.Defer(func() { _ = l.Close() })
 		env.Setenv("NET", network)
 		env.Setenv("RHUBARBRELAY_STORE", network+".1:7000")
-		p := &processes{network: network, dir: env.WorkDir, running: map[string]*process{}, calls: map[string]chan string{}, watches: map[string]*watch{}}
+		p := &processes{network: network, dir: env.WorkDir, running: map[string]*process{}, calls: map[string]chan string{}, watches: map[string]*watch{}, floods: map[string]*flood{}}
 		env.Values[processesKey{}] = p
 		env.Defer(p.killAll)
 		return expandFiles(env.WorkDir, network)
--- a/standin/target.go
+++ b/standin/target.go
@@ -69,6 +69,7 @@
 	drainingSince time.Time
 	drainingRuns  []time.Time // when requests began to run since drainingSince
 	drainDelay    time.Duration
+	runTimes      []time.Time // when requests began to run
 }
 
 // TargetOption configures a Target.
@@ -176,6 +177,8 @@
 		t.handleFaults(ctx)
 	case controlPrefix + "drain":
 		t.SetState(targets.Draining)
+	case controlPrefix + "run-times":
+		writeJSON(ctx, t.RunTimes())
 	default:
 		t.handleRequest(ctx, faults)
 	}
@@ -258,11 +261,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.runs[id]++
+	t.runTimes = append(t.runTimes, time.Now())
 	if !t.drainingSince.IsZero() {
 		t.drainingRuns = append(t.drainingRuns, time.Now())
 	}
 }
 
+// RunTimes returns when requests began to run.
+func (t *Target) RunTimes() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.runTimes)
+}
+
 func (t *Target) simulateWork(ctx *fasthttp.RequestCtx, faults *TargetFaults) {
 	ms, err := strconv.Atoi(string(ctx.Request.Header.Peek(HeaderWork)))
 	if err != nil {
