--- a/scenario/quota_test.go
+++ b/scenario/quota_test.go
@@ -91,7 +91,7 @@
 
 // runTimes returns when requests began to run at targets, sorted.
 func runTimes(ts *testscript.TestScript, hosts []string) []time.Time {
-	var all []time.Time
+	all := []time.Time{}
 	for _, host := range hosts {
 		resp, err := http.Get("http://" + host + ":9000/standin/run-times") //nolint:noctx // The stand-in responds at once.
 		ts.Check(err)
