--- a/scenario/quota_test.go
+++ b/scenario/quota_test.go
@@ -91,15 +91,14 @@
 
 // runTimes returns when requests began to run at targets, sorted.
 func runTimes(ts *testscript.TestScript, hosts []string) []time.Time {
-	all := []time.Time{}
-	for _, host := range hosts {
+	parts := make([][]time.Time, len(hosts))
+	for i, host := range hosts {
 		resp, err := http.Get("http://" + host + ":9000/standin/run-times") //nolint:noctx // The stand-in responds at once.
 		ts.Check(err)
-		var times []time.Time
-		ts.Check(json.NewDecoder(resp.Body).Decode(&times))
+		ts.Check(json.NewDecoder(resp.Body).Decode(&parts[i]))
 		ts.Check(resp.Body.Close())
-		all = append(all, times...)
 	}
+	all := slices.Concat(parts...)
 	slices.SortFunc(all, time.Time.Compare)
 	return all
 }
