--- a/admin/codec.go
+++ b/admin/codec.go
@@ -23,6 +23,17 @@
 	Instances    []string // IDs of the ready instances
 	// Evacuated holds since when each evacuated zone is evacuated, as far as known.
 	Evacuated map[string]time.Time
+	// Tenants are those of the configuration, by name.
+	Tenants []TenantStatus
+}
+
+// TenantStatus describes the quota of a tenant and its requests at the instance. The share
+// of the instance is in requests per second.
+type TenantStatus struct {
+	Name              string
+	PerSecond, Burst  float64
+	Share             float64
+	Admitted, Refused uint64
 }
 
 type statusMessage struct {
@@ -37,6 +48,17 @@
 	Instances     []string `json:"instances"`
 	// EvacuatedSinceMS holds Unix times in milliseconds by zone.
 	EvacuatedSinceMS map[string]int64 `json:"evacuated_since_ms,omitempty"`
+
+	Tenants []tenantMessage `json:"tenants,omitempty"`
+}
+
+type tenantMessage struct {
+	Name          string  `json:"name"`
+	RatePerSecond float64 `json:"rate_per_second"`
+	Burst         float64 `json:"burst"`
+	Share         float64 `json:"share"`
+	Admitted      uint64  `json:"admitted"`
+	Refused       uint64  `json:"refused"`
 }
 
 func newStatusMessage(s Status) statusMessage {
@@ -44,11 +66,15 @@
 	for zone, since := range s.Evacuated {
 		evacuated[zone] = since.UnixMilli()
 	}
-	return statusMessage{
+	message := statusMessage{
 		EvacuatedSinceMS: evacuated,
 		ID:               s.ID, Zone: s.Zone, Ready: s.Ready, ConfigVersion: s.ConfigVersion, Targets: s.Targets,
 		TargetAgeMS: s.TargetAge.Milliseconds(), StoreFailing: s.StoreFailing, InProgress: s.InProgress, Instances: s.Instances,
 	}
+	for _, t := range s.Tenants {
+		message.Tenants = append(message.Tenants, tenantMessage{t.Name, t.PerSecond, t.Burst, t.Share, t.Admitted, t.Refused})
+	}
+	return message
 }
 
 // DecodeStatus decodes the response body of StatusPath.
@@ -61,12 +87,16 @@
 	for zone, since := range m.EvacuatedSinceMS {
 		evacuated[zone] = time.UnixMilli(since)
 	}
-	return Status{
+	status := Status{
 		Evacuated: evacuated,
 		ID:        m.ID, Zone: m.Zone, Ready: m.Ready, ConfigVersion: m.ConfigVersion, Targets: m.Targets,
 		TargetAge: time.Duration(m.TargetAgeMS) * time.Millisecond, StoreFailing: m.StoreFailing,
 		InProgress: m.InProgress, Instances: m.Instances,
-	}, nil
+	}
+	for _, t := range m.Tenants {
+		status.Tenants = append(status.Tenants, TenantStatus{t.Name, t.RatePerSecond, t.Burst, t.Share, t.Admitted, t.Refused})
+	}
+	return status, nil
 }
 
 type eventMessage struct {
--- a/relay/request.go
+++ b/relay/request.go
@@ -54,8 +54,10 @@
 	lastTry      *try
 	// elsewhere is set while another instance may run the request.
 	elsewhere bool
-	fromPeer  bool           // whether another instance has passed the request on
-	peer      netip.AddrPort // the instance that the request was passed on to last
+	// holdsToken is set while a token of the tenant's quota is taken for the request.
+	holdsToken bool
+	fromPeer   bool           // whether another instance has passed the request on
+	peer       netip.AddrPort // the instance that the request was passed on to last
 }
 
 // reset clears the call for reuse. It keeps the body buffer unless it is large.
@@ -129,6 +131,9 @@
 		c.input.conn.Received()
 		f = s.admit(req, c)
 	}
+	if f == nil {
+		f = s.takeToken(c)
+	}
 	if f != nil {
 		if c.header.isBodyHidden(req) {
 			f = f.withConnectionClose()
--- a/relay/response.go
+++ b/relay/response.go
@@ -71,6 +71,7 @@
 			f.status, f.retryAfter = fasthttp.StatusBadGateway, 0
 		}
 	}
+	s.returnToken(c, f)
 	writeFailure(resp, f)
 	if f.status == fasthttp.StatusUnauthorized {
 		platform.SetChallenge(&resp.Header)
@@ -82,7 +83,7 @@
 		platform.SetRequestID(&resp.Header, []byte(c.id))
 	}
 	s.counters.countFailure(f)
-	if f.cause == refusedUnauthorized && !s.unauthorizedLogs.Allow() {
+	if !s.mayLog(f) {
 		return
 	}
 	s.logFailure(c, f)
@@ -94,6 +95,20 @@
 	}
 }
 
+// mayLog reports whether a failure is logged. Callers beyond their quota or without a valid
+// key may send many requests.
+func (s *Server) mayLog(f *failure) bool {
+	switch {
+	case !f.notRun:
+		return true
+	case f.cause == refusedUnauthorized:
+		return s.unauthorizedLogs.Allow()
+	case f.cause == refusedQuota:
+		return s.quotaLogs.Allow()
+	}
+	return true
+}
+
 func writeFailure(resp *fasthttp.Response, f *failure) {
 	skipBody := resp.SkipBody
 	resp.Reset()
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -31,6 +31,7 @@
 	refusedDraining                          // the instance shuts down before the deadline of the request
 	refusedByPeer                            // the instance that the request was passed on to did not run it
 	refusedUnauthorized                      // the request has no valid API key
+	refusedQuota                             // the quota of the tenant is used up
 	refusedInternal
 	refusalCauses // the number of causes
 )
@@ -38,7 +39,7 @@
 // refusalCauseNames are the metric names of the causes.
 var refusalCauseNames = [refusalCauses]string{
 	"malformed", "incomplete", "too_large", "instance_limit", "no_route", "unsupported", "too_late", "no_target", "memory", "stale", "connections",
-	"unreachable", "shed", "deadline", "caller_closed", "draining", "peer", "unauthorized", "internal",
+	"unreachable", "shed", "deadline", "caller_closed", "draining", "peer", "unauthorized", "quota", "internal",
 }
 
 // The range in microseconds and the precision of the latency histogram.
--- a/scenario/processes_test.go
+++ b/scenario/processes_test.go
@@ -22,6 +22,7 @@
 	calls   map[string]chan string
 	watches map[string]*watch
 	slow    map[string]*slowCall
+	floods  map[string]*flood
 }
 
 // process is one background process.
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -77,6 +77,11 @@
 			"status":   status,
 			"body":     body,
 			"refuses":  refuses,
+
+			"flood":       startFlood,
+			"flooded":     endFlood,
+			"ran":         waitForRuns,
+			"withinquota": withinQuota,
 		},
 	})
 }
@@ -94,7 +99,7 @@
 		env.Defer(func() { _ = l.Close() })
 		env.Setenv("NET", network)
 		env.Setenv("RHUBARBRELAY_STORE", network+".1:7000")
-		p := &processes{network: network, dir: env.WorkDir, running: map[string]*process{}, calls: map[string]chan string{}, watches: map[string]*watch{}, slow: map[string]*slowCall{}}
+		p := &processes{network: network, dir: env.WorkDir, running: map[string]*process{}, calls: map[string]chan string{}, watches: map[string]*watch{}, slow: map[string]*slowCall{}, floods: map[string]*flood{}}
 		env.Values[processesKey{}] = p
 		env.Defer(p.killAll)
 		return expandFiles(env.WorkDir, network)
--- a/standin/target.go
+++ b/standin/target.go
@@ -75,7 +75,8 @@
 	drainingRuns  []time.Time // when requests began to run since drainingSince
 	drainDelay    time.Duration
 
-	cold coldTime
+	cold     coldTime
+	runTimes []time.Time // when requests began to run
 }
 
 // TargetOption configures a Target.
@@ -194,6 +195,8 @@
 		t.handleFaults(ctx)
 	case controlPrefix + "drain":
 		t.SetState(targets.Draining)
+	case controlPrefix + "run-times":
+		writeJSON(ctx, t.RunTimes())
 	default:
 		t.handleRequest(ctx, faults)
 	}
@@ -281,11 +284,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.runs[id]++
+	t.runTimes = append(t.runTimes, time.Now())
 	if !t.drainingSince.IsZero() {
 		t.drainingRuns = append(t.drainingRuns, time.Now())
 	}
 }
 
+// RunTimes returns when requests began to run.
+func (t *Target) RunTimes() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.runTimes)
+}
+
 func (t *Target) simulateWork(ctx *fasthttp.RequestCtx, faults *TargetFaults) {
 	ms, err := strconv.Atoi(string(ctx.Request.Header.Peek(HeaderWork)))
 	if err != nil {
