startup: read the store at random, notify all registered instances

Cause: after a loss of power of all instances each waits 40 ms for the seeds, then lists the registrations, and in a deployment of 64 or more waits 0.4 to 0.8 s for a seed. A ready instance can tell only those whose addresses it knows, which are none at that time.

Change: package startup decides when an instance lists the registrations (a hazard rate that rises from 40 ms on) and when it reads the state. Registrations state the addresses of the known instances of their zone; an instance that reads the state notifies all of them, local zone first, paced for a link of 10 Mbit/s, and names others that are ready. A refused join names ready instances. An instance with seeds registers only if it has not joined the others after 1.5 s. Registrations are written again when instances of the zone have been missing for 12 s.

--- a/admin/server.go
+++ b/admin/server.go
@@ -136,8 +136,7 @@
 	state, err := s.instance.Join(ctx.PostBody())
 	if err != nil {
 		s.logger.WithError(err).WithField("from", ctx.RemoteAddr().String()).Debug("join request refused")
-		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
-		return
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 	ctx.SetContentType("application/x-protobuf")
 	ctx.SetBody(state)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"rhubarbrelay/relay"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/settings"
+	"rhubarbrelay/startup"
 	"rhubarbrelay/targets"
 	"rhubarbrelay/timeline"
 	"rhubarbrelay/upstream"
@@ -63,6 +64,8 @@
 	// whether any has.
 	joining   atomic.Int64
 	hasJoined atomic.Bool
+	joiner    *startup.Joiner
+	starter   starter
 }
 
 // Option configures a Daemon.
@@ -93,7 +96,10 @@
 		routing.WithOnStatement(func(s targets.Statement) { d.mesh.BroadcastStatement(s) }))
 	d.crashes = crashes.NewLedger(crashes.WithOnChange(d.onCrashRecord))
 	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger), peer.WithCrashLedger(d.crashes), peer.WithOnStatements(d.table.ApplyStatements),
-		peer.WithOnTargetUpdate(d.onTargetUpdate), peer.WithSeeds(seedAddresses(s)), peer.WithActive(d.selector.IsActive))
+		peer.WithOnTargetUpdate(d.onTargetUpdate), peer.WithSeeds(seedAddresses(s)), peer.WithActive(d.selector.IsActive),
+		peer.WithOnStartNotice(d.onStartNotice))
+	d.starter.Daemon = d
+	d.joiner = d.newJoiner()
 	d.targetFollower = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, d.members.ReadOrder, d.recordTargetChange,
 		d.onRegistryRecovered, logger, registry.WithOnRestored(d.onStoreRestored))
 	d.configFollower = registry.NewConfigFollower(store, registry.ReadRole{
@@ -213,6 +219,11 @@
 	d.configFollower.RecordPeerVersion(update.ConfigVersion)
 }
 
+// onStartNotice receives a notice of an instance that reads its state from the store.
+func (d *Daemon) onStartNotice(sender membership.Instance, notice peer.StartNotice) {
+	d.joiner.RecordNotice(sender, notice)
+}
+
 // ready reports whether the instance accepts callers.
 func (d *Daemon) ready() bool { return d.members.Self().State == membership.Ready }
 
--- a/daemon/join.go
+++ b/daemon/join.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -13,6 +14,7 @@
 	"rhubarbrelay/admin"
 	"rhubarbrelay/membership"
 	"rhubarbrelay/peer"
+	"rhubarbrelay/startup"
 )
 
 const (
@@ -25,61 +27,116 @@
 	maxConcurrentJoins = 4
 )
 
-var (
-	// errJoinRefused means that an instance is not ready or busy with others that join.
-	errJoinRefused = errors.New("instance cannot provide its state now")
-	// errOtherInstance means that a join request describes the instance itself.
-	errOtherInstance = errors.New("join request does not describe another instance")
-)
+// errOtherInstance means that a join request describes the instance itself.
+var errOtherInstance = errors.New("join request does not describe another instance")
+
+// starter is the instance as its joiner sees it.
+type starter struct {
+	*Daemon
+	// load starts to read the state from the store.
+	load func()
+}
 
-func (d *Daemon) newJoiner() *joiner {
+func (d *Daemon) newJoiner() *startup.Joiner {
 	seeds := seedAddresses(d.settings)
-	return &joiner{
-		members: d.members, greet: d.mesh.GreetSeeds, fetch: d.fetchState, restore: d.restoreState,
-		loaded: d.loaded, hasJoined: d.hasJoined.Load, logger: d.logger,
-		countInstances: d.countInstances, firstStart: d.settings.Instance.FirstStart,
-		hasSeeds: len(seeds) > 0, isSeed: slices.Contains(seeds, d.settings.Peers.Listen),
+	return startup.NewJoiner(d.members, &d.starter, startup.Role{
+		HasSeeds: len(seeds) > 0, IsSeed: slices.Contains(seeds, d.settings.Peers.Listen), FirstStart: d.settings.Instance.FirstStart,
+	}, d.logger)
+}
+
+// Greet implements startup.Instance.
+func (s *starter) Greet() { s.mesh.GreetSeeds() }
+
+// Fetch implements startup.Instance.
+func (s *starter) Fetch(through membership.Instance) (peer.Snapshot, error) {
+	return s.fetchState(through)
+}
+
+// Restore implements startup.Instance.
+func (s *starter) Restore(snapshot peer.Snapshot, source string, at time.Time) {
+	s.restoreState(snapshot, source, at)
+}
+
+// Load implements startup.Instance.
+func (s *starter) Load() { s.load() }
+
+// Loaded implements startup.Instance.
+func (s *starter) Loaded() bool { return s.loaded() }
+
+// HasJoined implements startup.Instance.
+func (s *starter) HasJoined() bool { return s.hasJoined.Load() }
+
+// Ready implements startup.Instance.
+func (s *starter) Ready() bool { return s.ready() }
+
+// Notify implements startup.Instance.
+func (s *starter) Notify(notice peer.StartNotice, to []netip.AddrPort, wait func(size int) bool) {
+	s.mesh.Notify(notice, to, wait)
+}
+
+// List implements startup.Instance. It greets the registered instances, so that this one
+// can join through them if they are ready.
+func (s *starter) List(ctx context.Context) (map[string][]netip.AddrPort, error) {
+	listing, err := s.registrar.List(ctx)
+	if err != nil {
+		return nil, err
 	}
+	s.mesh.SendHello()
+	return listing.Peers, nil
 }
 
 // join makes this instance join the others and keeps it registered while it must be.
 // It calls startFollowers when the state was read from another instance or must be
 // read from the store.
 func (d *Daemon) join(ctx context.Context, startFollowers func()) error {
-	var registration errgroup.Group
-	stateFromStore := false
-	d.newJoiner().run(ctx, func() {
+	var background errgroup.Group
+	stateFromStore, joined := false, make(chan struct{})
+	d.starter.load = func() {
 		stateFromStore = true
 		startFollowers()
-		registration.Go(func() error {
-			d.registerAtStart(ctx)
+		background.Go(func() error {
+			d.registerAtStart(ctx, joined)
 			return d.registrar.Run(ctx) // an instance may be alone, and then never joins another one
 		})
+	}
+	background.Go(func() error {
+		d.joiner.Notify(ctx)
+		return nil
 	})
+	d.joiner.Run(ctx)
+	close(joined)
 	startFollowers()
-	if stateFromStore {
-		return registration.Wait()
+	if !stateFromStore {
+		background.Go(func() error { return d.registrar.Run(ctx) })
 	}
-	return d.registrar.Run(ctx)
+	return background.Wait()
 }
 
-// countInstances returns the number of instances in the deployment as far as the
-// registered ones tell, or 0 if these cannot be listed. It greets them, so that this
-// instance can join through them.
-func (d *Daemon) countInstances(ctx context.Context) int {
-	size, err := d.registrar.List(ctx)
-	if err != nil {
-		d.logger.WithError(err).Warn("registered instances cannot be listed")
-		return 0
-	}
-	d.mesh.SendHello()
-	return size
-}
+// registerDelay is how long an instance that has read the store waits for others, that
+// join through it or through which it joins, before it registers. If there are others,
+// the first ones of each zone are registered, and all need not write to the store at
+// once. They are then known to each other.
+const registerDelay = 1500 * time.Millisecond
 
 // registerAtStart registers the instance in the store, which also lists the other
 // registered instances. As these determine the read order, it then makes the
-// followers check their position again.
-func (d *Daemon) registerAtStart(ctx context.Context) {
+// followers check their position again. With seeds it does so after registerDelay, and
+// not if it has joined the others by then.
+func (d *Daemon) registerAtStart(ctx context.Context, joined <-chan struct{}) {
+	if len(d.settings.Peers.Seeds) > 0 {
+		timer := time.NewTimer(registerDelay)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+			return
+		case <-joined:
+			return
+		case <-timer.C:
+		}
+		if d.hasJoined.Load() {
+			return
+		}
+	}
 	d.registrar.Register(ctx)
 	d.targetFollower.Wake()
 	d.configFollower.Wake()
@@ -102,10 +159,14 @@
 	if err != nil {
 		return peer.Snapshot{}, err
 	}
+	snapshot, err := peer.DecodeSnapshot(state)
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return peer.Snapshot{}, fmt.Errorf("%w: status %d", errJoinRefused, resp.StatusCode())
+		if err == nil {
+			d.members.AddSightings(snapshot.Instances)
+		}
+		return peer.Snapshot{}, fmt.Errorf("%w: status %d", startup.ErrJoinRefused, resp.StatusCode())
 	}
-	return peer.DecodeSnapshot(state)
+	return snapshot, err
 }
 
 // restoreState takes over the state of another instance. The ages in it refer to the
@@ -121,7 +182,8 @@
 }
 
 // Join returns the encoded state for an instance that starts, and tells the others
-// of that instance. It is called with the request of the instance.
+// of that instance. It is called with the request of the instance. If the error wraps
+// startup.ErrJoinRefused, the state has only other instances that it can join through.
 func (d *Daemon) Join(request []byte) ([]byte, error) {
 	in, err := peer.DecodeInstance(request)
 	if err != nil {
@@ -132,12 +194,12 @@
 	}
 	if d.joining.Add(1) > maxConcurrentJoins || !d.ready() {
 		d.joining.Add(-1)
-		return nil, errJoinRefused
+		return d.refuseJoin(in)
 	}
 	defer d.joining.Add(-1)
 	targets, ok := d.targetFollower.State()
 	if !ok {
-		return nil, errJoinRefused
+		return d.refuseJoin(in)
 	}
 	d.hasJoined.Store(true)
 	d.members.AddSightings([]membership.Sighting{{Instance: in}})
@@ -147,3 +209,8 @@
 		Blocked: d.crashes.Blocked(peer.MaxSnapshotCrashRecords),
 	})
 }
+
+func (d *Daemon) refuseJoin(in membership.Instance) ([]byte, error) {
+	others, err := peer.EncodeSnapshot(peer.Snapshot{Instances: startup.SampleReady(d.members, in)})
+	return others, errors.Join(startup.ErrJoinRefused, err)
+}
--- a/daemon/throttle.go
+++ b/daemon/throttle.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -52,3 +53,12 @@
 		t.run()
 	}
 }
+
+func sleepContext(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -3,6 +3,7 @@
 package membership
 
 import (
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -212,6 +213,22 @@
 	return peers
 }
 
+// ZonePeers returns the addresses at which the known instances of the local zone, this
+// one included, receive packets.
+func (d *Directory) ZonePeers() []netip.AddrPort {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	addresses := []netip.AddrPort{d.self.PeerAddress}
+	for _, m := range d.members {
+		if m.instance.Zone == d.self.Zone {
+			addresses = append(addresses, m.instance.PeerAddress)
+		}
+	}
+	addresses = slices.DeleteFunc(addresses, func(address netip.AddrPort) bool { return !address.IsValid() })
+	slices.SortFunc(addresses, netip.AddrPort.Compare)
+	return slices.Compact(addresses)
+}
+
 // Count returns the number of instances that may hold a share of a budget: this
 // one and all others that were not removed yet.
 func (d *Directory) Count() int {
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -25,24 +25,6 @@
 	return instanceFromWire(&m)
 }
 
-// EncodeRegistration encodes the registration of an instance in the store.
-// zoneInstances is the number of instances of its zone that it knows.
-func EncodeRegistration(in membership.Instance, zoneInstances int) ([]byte, error) {
-	m := instanceToWire(in)
-	m.ZoneInstances = int32(zoneInstances)
-	return proto.Marshal(m)
-}
-
-// DecodeRegistration decodes a registration. The error wraps ErrMalformed.
-func DecodeRegistration(data []byte) (in membership.Instance, zoneInstances int, err error) {
-	var m peerpb.Instance
-	if err := proto.Unmarshal(data, &m); err != nil {
-		return membership.Instance{}, 0, fmt.Errorf("%w: %w", ErrMalformed, err)
-	}
-	in, err = instanceFromWire(&m)
-	return in, int(m.GetZoneInstances()), err
-}
-
 // instanceToWire converts an instance with all its fields. The states on the wire
 // are the values of membership.State plus one, because 0 is STATE_UNSPECIFIED.
 func instanceToWire(in membership.Instance) *peerpb.Instance {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -62,7 +62,9 @@
 	onStatements func([]targets.Statement)
 	seeds        []netip.AddrPort
 	active       func() bool
-	crashes      CrashLedger // nil for none
+	// onStartNotice receives the notices of instances that have read the store.
+	onStartNotice func(sender membership.Instance, notice StartNotice)
+	crashes       CrashLedger // nil for none
 
 	mu   sync.Mutex   // guards the fields below
 	conn *net.UDPConn // nil before Run
@@ -101,7 +103,7 @@
 	m := &Mesh{
 		directory: directory, clock: clock, logger: log.Log, onUpdate: func(TargetUpdate) {}, active: func() bool { return true },
 		joinedSignal: make(chan struct{}, 1), crashSignal: make(chan struct{}, 1), statementSignal: make(chan struct{}, 1),
-		onStatements: func([]targets.Statement) {},
+		onStatements: func([]targets.Statement) {}, onStartNotice: func(membership.Instance, StartNotice) {},
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -241,6 +243,7 @@
 	if err := m.handleStatements(&packet); err != nil {
 		return err
 	}
+	m.handleStartNotice(sender, &packet)
 	if packet.GetPassOn() {
 		m.forward(&packet)
 	}
--- a/registry/registrar.go
+++ b/registry/registrar.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +44,7 @@
 	// registeredCount is the number of instances of the zone in the registration, 0 if
 	// there is none.
 	registeredCount atomic.Int64
+	peers           peerList
 	// storeEra returns the era of the store, 0 if it is not known. The store states the
 	// era in which it has registered or removed this instance.
 	storeEra                  func() int64
@@ -99,10 +101,12 @@
 }
 
 // outdated reports whether this instance is not registered, or with at most half or at
-// least twice the number of instances of the zone that it knows.
+// least twice the number of instances of the zone that it knows, or without some that it
+// has known for a while.
 func (r *Registrar) outdated() bool {
 	registered, known := r.registeredCount.Load(), int64(r.directory.ZoneCount())
-	return known >= 2*registered || 2*known <= registered || r.storeEra() > r.registeredEra.Load()
+	return known >= 2*registered || 2*known <= registered || r.storeEra() > r.registeredEra.Load() ||
+		r.peers.outdated(r.directory.ZonePeers())
 }
 
 // registerAgain registers this instance. If the store was restored since it was
@@ -144,7 +148,8 @@
 // register registers this instance.
 func (r *Registrar) register(ctx context.Context) error {
 	self, known := r.directory.Self(), r.directory.ZoneCount()
-	value, err := peer.EncodeRegistration(self, known)
+	peers := r.peers.merge(r.directory.ZonePeers())
+	value, err := peer.EncodeRegistration(self, known, peers...)
 	if err != nil {
 		return err
 	}
@@ -159,39 +164,54 @@
 	// The era that was known may be wrong, if another instance has reported it.
 	r.registeredEra.Store(max(era, end.Era))
 	r.registeredCount.Store(int64(known))
+	r.peers.setRegistered(peers)
 	return nil
 }
 
-// List adds all registered instances to the directory. It returns the number of
-// instances in the deployment as far as the registrations tell: the sum over the zones
-// of the highest number that a registration of the zone states.
-func (r *Registrar) List(ctx context.Context) (size int, err error) {
+// Listing is what the registrations tell of the deployment.
+type Listing struct {
+	// Size is the number of instances: the sum over the zones of the highest number that
+	// a registration of the zone states.
+	Size int
+	// Peers are the addresses at which the instances receive packets, by zone. This
+	// instance is not among them.
+	Peers map[string][]netip.AddrPort
+}
+
+// List adds all registered instances to the directory and returns what the registrations
+// tell.
+func (r *Registrar) List(ctx context.Context) (Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	batch, err := r.store.Newest(ctx, platform.InstanceTopic)
 	if err != nil {
-		return 0, err
+		return Listing{}, err
 	}
-	zoneSizes := map[string]int{}
+	self := r.directory.Self()
+	zoneSizes, listing := map[string]int{}, Listing{Peers: map[string][]netip.AddrPort{}}
 	for _, record := range batch.Records {
 		if record.Value == nil {
 			continue
 		}
-		instance, zoneInstances, err := peer.DecodeRegistration(record.Value)
+		registration, err := peer.DecodeRegistration(record.Value)
 		if err != nil {
 			r.logger.WithError(err).WithField("key", record.Key).Warn("registration of another instance is invalid and ignored")
 			continue
 		}
-		zoneSizes[instance.Zone] = max(zoneSizes[instance.Zone], zoneInstances)
-		if record.Key != r.directory.Self().ID {
-			r.directory.AddRegistered(instance)
+		in := registration.Instance
+		zoneSizes[in.Zone] = max(zoneSizes[in.Zone], registration.ZoneInstances)
+		listing.Peers[in.Zone] = append(append(listing.Peers[in.Zone], registration.ZonePeers...), in.PeerAddress)
+		if record.Key != self.ID {
+			r.directory.AddRegistered(in)
 		}
 	}
 	r.directory.SetListed()
-	for _, n := range zoneSizes {
-		size += n
+	for zone, n := range zoneSizes {
+		listing.Size += n
+		listing.Peers[zone] = uniqueAddresses(listing.Peers[zone], self.PeerAddress)
 	}
-	return size, nil
+	r.peers.setListed(listing.Peers[self.Zone])
+	return listing, nil
 }
 
 // Deregister removes the registration of this instance, if it may have one. If that
--- a/registry/registrar_test.go
+++ b/registry/registrar_test.go
@@ -69,9 +69,9 @@
 		running.Go(func() { assert.Check(t, registrar.Run(ctx)) })
 		for i, want := range []int{1, 2, 2, 4, 4, 4, 4, 8} {
 			time.Sleep(10 * time.Second)
-			size, err := registrar.List(ctx)
+			listing, err := registrar.List(ctx)
 			assert.NilError(t, err)
-			assert.Equal(t, size, want, "with %d instances", i+1)
+			assert.Equal(t, listing.Size, want, "with %d instances", i+1)
 			d.RecordPacket(membership.Instance{ID: fmt.Sprint("a-", i), Zone: "a", PeerAddress: address}, time.Hour)
 		}
 		assert.Equal(t, store.appendCount(), 4)
@@ -94,9 +94,9 @@
 		store.put(platform.InstanceTopic, r.id, string(value))
 	}
 	directory := membership.NewDirectory(membership.Instance{ID: "a-3", Zone: "a"})
-	size, err := NewRegistrar(store, directory, discardLogger).List(context.Background())
+	listing, err := NewRegistrar(store, directory, discardLogger).List(context.Background())
 	assert.NilError(t, err)
-	assert.Equal(t, size, 20+30+25)
+	assert.Equal(t, listing.Size, 20+30+25)
 	assert.Equal(t, directory.Count(), 1+5)
 }
 
