startup: hold requests while the instance has no state

Cause: a request at a starting instance waits 0.15 s and is then refused with "instance has no configuration yet" and a Retry-After of 0.2 s, whatever the start takes.

Change: startup.Gate holds requests until the state is there, for half of the caller's timeout and 0.5 s at most, 512 requests and 8 MiB; it refuses at once those that it does not expect to serve in time, with the estimated rest of the start as Retry-After. Held requests are released over 0.1 s, those with the longest timeouts first.

Measurement: TestGate, TestGateReleases and relay TestStartGate.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -65,6 +65,7 @@
 	joining   atomic.Int64
 	hasJoined atomic.Bool
 	joiner    *startup.Joiner
+	startGate *startup.Gate
 	starter   starter
 }
 
@@ -107,7 +108,8 @@
 	}, d.fetchConfig, logger, d.applyConfig)
 	d.registrar = registry.NewRegistrar(store, d.members, logger, registry.WithStoreEra(d.targetFollower.Era))
 	d.freshness = newFreshness(d.targetFollower, d.configFollower, s.Budgets.DrainDelay, d.recordSuspension)
-	d.relay = relay.NewServer(d.configFollower, d.table, relay.WithRecorder(d.recorder), relay.WithLogger(logger),
+	d.startGate = startup.NewGate()
+	d.relay = relay.NewServer(d.configFollower, d.table, relay.WithStartGate(d.startGate), relay.WithRecorder(d.recorder), relay.WithLogger(logger),
 		relay.WithFreshness(d.freshness), relay.WithMaxConnections(s.Callers.MaxConnections), relay.WithCrashLedger(d.crashes), relay.WithPeers(d.selector),
 		relay.WithMemory(newMemory(s, requestMemoryFraction), newMemory(s, responseMemoryFraction)))
 	d.entryServer = relay.NewEntryServer(d.selector, s.Callers.EntryTTL, d.ready, logger)
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -161,6 +161,7 @@
 		case <-ticker.C:
 		}
 	}
+	d.startGate.Open()
 	d.fetchNewestKnownConfig(stopCtx)
 	return stopCtx.Err() == nil
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -175,6 +175,9 @@
 
 // resolveRoute determines the route, the service and the deadline of a request.
 func (s *Server) resolveRoute(req *fasthttp.Request, c *call) (f *failure) {
+	if f = s.awaitStart(req, c); f != nil {
+		return f
+	}
 	if c.document, f = s.recentDocument(); f != nil {
 		return f
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -83,6 +83,7 @@
 	config        ConfigSource
 	dispatchers   Dispatchers
 	freshness     Freshness
+	startGate     StartGate // nil for none
 	recorder      Recorder
 	logger        log.Interface
 	trafficSplits trafficSplits
