scenario: kill all instances, start the seeds last

Eight instances with two seeds are killed together and started again, the seeds 2 s later. The scenario waits until the registrations state all instances, prints the times from the first listening process to the first and the last success, and fails if none serves before the seeds start.

--- a/scenario/processes_test.go
+++ b/scenario/processes_test.go
@@ -18,6 +18,7 @@
 type processes struct {
 	network string
 	dir     string
+	seeds   []string // of the instances that startSeeded starts
 	running map[string]*process
 	calls   map[string]chan string
 	watches map[string]*watch
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -72,6 +72,10 @@
 			"peakrss":  peakRSS,
 			"never":    never,
 			"held":     held,
+
+			"seeded":     startSeededInstances,
+			"restartall": restartAll,
+			"listed":     listed,
 		},
 	})
 }
