--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"rhubarbrelay/relay"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/settings"
+	"rhubarbrelay/startup"
 	"rhubarbrelay/targets"
 	"rhubarbrelay/timeline"
 	"rhubarbrelay/upstream"
@@ -69,6 +70,9 @@
 	// whether any has.
 	joining   atomic.Int64
 	hasJoined atomic.Bool
+	joiner    *startup.Joiner
+	startGate *startup.Gate
+	starter   starter
 }
 
 // Option configures a Daemon.
@@ -108,7 +112,10 @@
 	d.quotas, d.quotasChanged = limits.NewQuotas(quotaLimits(s), time.Now), make(chan struct{}, 1)
 	d.crashes = crashes.NewLedger(crashes.WithOnChange(d.onCrashRecord))
 	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger), peer.WithCrashLedger(d.crashes), peer.WithEvacuations(d.evacuations), peer.WithOnStatements(d.table.ApplyStatements),
-		peer.WithOnTargetUpdate(d.onTargetUpdate), peer.WithOnDemands(d.quotas.Record), peer.WithSeeds(seedAddresses(s)), peer.WithActive(d.selector.IsActive))
+		peer.WithOnTargetUpdate(d.onTargetUpdate), peer.WithOnDemands(d.quotas.Record), peer.WithSeeds(seedAddresses(s)), peer.WithActive(d.selector.IsActive),
+		peer.WithOnStartNotice(d.onStartNotice))
+	d.starter.Daemon = d
+	d.joiner = d.newJoiner()
 	d.targetFollower = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, d.members.ReadOrder, d.recordTargetChange,
 		d.onRegistryRecovered, logger, registry.WithOnRestored(d.onStoreRestored))
 	d.configFollower = registry.NewConfigFollower(store, registry.ReadRole{
@@ -116,7 +123,8 @@
 	}, d.fetchConfig, logger, d.applyConfig, registry.WithEvacuations(d.evacuations))
 	d.registrar = registry.NewRegistrar(store, d.members, logger, registry.WithStoreEra(d.targetFollower.Era))
 	d.freshness = newFreshness(d.targetFollower, d.configFollower, s.Budgets.DrainDelay, d.recordSuspension)
-	d.relay = relay.NewServer(d.configFollower, d.table, relay.WithRecorder(d.recorder), relay.WithLogger(logger),
+	d.startGate = startup.NewGate()
+	d.relay = relay.NewServer(d.configFollower, d.table, relay.WithStartGate(d.startGate), relay.WithRecorder(d.recorder), relay.WithLogger(logger),
 		relay.WithFreshness(d.freshness), relay.WithConnectionLimits(d.limits.callers, d.limits.peers), relay.WithCrashLedger(d.crashes), relay.WithPeers(d.selector), relay.WithQuotas(d.quotas),
 		relay.WithMemory(newMemory(s, requestMemoryFraction), newMemory(s, responseMemoryFraction)))
 	d.entryServer = relay.NewEntryServer(d.selector, s.Callers.EntryTTL, d.ready, logger)
@@ -230,6 +238,11 @@
 	d.configFollower.RecordPeerVersion(update.ConfigVersion)
 }
 
+// onStartNotice receives a notice of an instance that reads its state from the store.
+func (d *Daemon) onStartNotice(sender membership.Instance, notice peer.StartNotice) {
+	d.joiner.RecordNotice(sender, notice)
+}
+
 // ready reports whether the instance accepts callers.
 func (d *Daemon) ready() bool { return d.members.Self().State == membership.Ready }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -61,6 +61,8 @@
 	onUpdate  func(TargetUpdate)
 	// onStatements receives the statements of targets that other instances have heard.
 	onStatements func([]targets.Statement)
+	// onStartNotice receives the notices of instances that have read the store.
+	onStartNotice func(sender membership.Instance, notice StartNotice)
 	// onDemands receives the demands that other instances report.
 	onDemands   func(limits.DemandReport)
 	seeds       []netip.AddrPort
@@ -109,6 +111,7 @@
 		joinedSignal: make(chan struct{}, 1), crashSignal: make(chan struct{}, 1), statementSignal: make(chan struct{}, 1),
 		evacuationSignal: make(chan struct{}, 1),
 		onStatements:     func([]targets.Statement) {}, onDemands: func(limits.DemandReport) {},
+		onStartNotice: func(membership.Instance, StartNotice) {},
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -250,6 +253,7 @@
 	if err := errors.Join(m.handleCrashes(&packet), m.handleStatements(&packet), m.handleEvacuations(&packet, from), m.handleDemands(&packet, sender)); err != nil {
 		return err
 	}
+	m.handleStartNotice(sender, &packet)
 	if packet.GetPassOn() {
 		m.forward(&packet)
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -225,6 +225,9 @@
 	if s.drained() { // recentDocument could wait for longer than there is time
 		return drainingFailure("instance shuts down")
 	}
+	if f = s.awaitStart(req, c); f != nil {
+		return f
+	}
 	if c.document, f = s.recentDocument(); f != nil {
 		return f
 	}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -82,6 +82,10 @@
 			"flooded":     endFlood,
 			"ran":         waitForRuns,
 			"withinquota": withinQuota,
+
+			"seeded":     startSeededInstances,
+			"restartall": restartAll,
+			"listed":     listed,
 		},
 	})
 }
