limits: charge no first reports to an instance that has just started

Cause: to such an instance all reports are first ones. Change: first reports are subtracted from 3 s after the start on only.

--- a/limits/demand_report.go
+++ b/limits/demand_report.go
@@ -62,9 +62,11 @@
 			t.endOther(report.Instance, now)
 		}
 	}
+	// All are new to an instance that has just started.
+	countFirst := !recount && now.Sub(q.startedAt) >= enableTime
 	for _, d := range report.Demands {
 		if t := q.byID[d.Tenant]; t != nil {
-			t.setOther(report.Instance, d, recount, now)
+			t.setOther(report.Instance, d, countFirst, now)
 		}
 	}
 }
--- a/limits/pooled_bucket.go
+++ b/limits/pooled_bucket.go
@@ -98,10 +98,10 @@
 }
 
 // setOther subtracts what another instance has admitted since its last report. A first
-// report with a few requests comes from one that has not had any before. If recount is
-// set, they are not subtracted.
-func (b *pooledBucket) setOther(id string, admitted uint32, recount bool) {
-	if last, ok := b.others[id]; !recount && (ok || admitted <= maxFirstCount) {
+// report with a few requests comes from one that has not had any before, if countFirst is
+// set.
+func (b *pooledBucket) setOther(id string, admitted uint32, countFirst bool) {
+	if last, ok := b.others[id]; ok || countFirst && admitted <= maxFirstCount {
 		b.tokens = min(b.size, b.tokens-float64(int32(admitted-last)))
 	}
 	b.others[id] = admitted
--- a/limits/quota.go
+++ b/limits/quota.go
@@ -171,11 +171,11 @@
 }
 
 // setOther records the demand of another instance.
-func (q *quota) setOther(id string, d TenantDemand, recount bool, now time.Time) {
+func (q *quota) setOther(id string, d TenantDemand, countFirst bool, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.refill(now)
-	q.pooled.setOther(id, d.Admitted, recount)
+	q.pooled.setOther(id, d.Admitted, countFirst)
 	if d.PerSecond > 0 {
 		q.others[id] = otherDemand{d.PerSecond, now}
 	} else {
