--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -37,6 +37,19 @@
 	mu         sync.Mutex
 	updates    []TargetUpdate
 	statements []targets.Statement
+	notices    []StartNotice
+}
+
+func (in *testInstance) addNotice(_ membership.Instance, notice StartNotice) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.notices = append(in.notices, notice)
+}
+
+func (in *testInstance) receivedNotices() []StartNotice {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return append([]StartNotice(nil), in.notices...)
 }
 
 func (in *testInstance) addStatements(statements []targets.Statement) {
@@ -69,7 +82,7 @@
 	in.directory = membership.NewDirectory(membership.Instance{
 		ID: id, Zone: zone, Incarnation: 1, State: membership.Ready, PeerAddress: in.address, CallerAddress: in.address, AdminAddress: in.address,
 	}, membership.WithClock(clock))
-	in.mesh = NewMesh(in.directory, timeline.NewClock(time.Now), WithSeeds(seeds), WithActive(func() bool { return !in.inactive.Load() }), WithCrashLedger(in.crashes), WithOnStatements(in.addStatements), WithOnTargetUpdate(func(update TargetUpdate) {
+	in.mesh = NewMesh(in.directory, timeline.NewClock(time.Now), WithSeeds(seeds), WithActive(func() bool { return !in.inactive.Load() }), WithCrashLedger(in.crashes), WithOnStatements(in.addStatements), WithOnStartNotice(in.addNotice), WithOnTargetUpdate(func(update TargetUpdate) {
 		in.mu.Lock()
 		defer in.mu.Unlock()
 		in.updates = append(in.updates, update)
