startup: wait longer for the seeds at the first start

Cause: TestHerdStart took 210 store calls for 60 instances beside other load (7 cores, load average 26): an instance that had heard a seed read the state itself 0.3 s later.

--- a/startup/decision.go
+++ b/startup/decision.go
@@ -33,6 +33,9 @@
 	// registered, up to twice as long at random. It is the first start of a deployment,
 	// or the registrations are lost: it could not notify the others.
 	contactTimeout = 400 * time.Millisecond
+	// At the first start, loadTimeout replaces contactTimeout once another instance is
+	// known to run, which reads the state or waits for it like this one.
+	loadTimeout = 1200 * time.Millisecond
 	// If the registrations cannot be listed, the store fails or is slow, and calls of all
 	// would make that worse. The instances then read it between retryDelay and
 	// retryDelay+retryPeriod after their start, only a few of many in the first half.
@@ -149,6 +152,9 @@
 	if due.After(d.due) {
 		d.due = due
 	}
+	if d.role.FirstStart {
+		d.delayUntil(d.spread(loadTimeout))
+	}
 }
 
 // RecordListing records the result of the listing at the given time: the number of other
--- a/startup/start_test.go
+++ b/startup/start_test.go
@@ -71,7 +71,7 @@
 					d := newSimulatedDeploymentOf(3, n, false)
 					tt.setup(d)
 					d.setRandomDelays()
-					r := d.start(t, 8*time.Second)
+					r := d.start(t, 4*time.Second)
 					want := n
 					if d.seedsDown {
 						want -= 3
