peer, membership: starting instances exchange the instances that they know

Cause: after a start of all, instances join through several that have read the store, each of which knows only those that joined through it: 37 to 74 of 126 were known five seconds after a power failure, so that the zones' active instances differed from view to view, and budgets and quotas were divided by too few. Change: for ten seconds after its start an instance states how many instances it knows and a digest of those of its zone; one whose digest differs asks for the list.

--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -74,6 +74,7 @@
 func (m *Mesh) periodicHeartbeat(interval time.Duration) *peerpb.Packet {
 	packet := m.heartbeat(interval)
 	m.addEvacuations(packet)
+	m.addMembers(packet)
 	return packet
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -16,6 +16,7 @@
 
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
 	"rhubarbrelay/crashes"
@@ -82,6 +83,10 @@
 	joinedSignal, crashSignal, statementSignal chan struct{}
 	// evacuationSignal receives a value when the set of evacuated zones must be sent.
 	evacuationSignal chan struct{}
+	// startedAt is when Run was called.
+	startedAt time.Time
+	// memberRequests limits the requests for the instances that others know.
+	memberRequests *rate.Limiter
 
 	packetsIn, packetsOut, bytesIn, bytesOut, malformed, sendErrors atomic.Uint64
 }
@@ -109,8 +114,8 @@
 	m := &Mesh{
 		directory: directory, clock: clock, logger: log.Log, onUpdate: func(TargetUpdate) {}, active: func() bool { return true },
 		joinedSignal: make(chan struct{}, 1), crashSignal: make(chan struct{}, 1), statementSignal: make(chan struct{}, 1),
-		evacuationSignal: make(chan struct{}, 1),
-		onStatements:     func([]targets.Statement) {}, onDemands: func(limits.DemandReport) {},
+		evacuationSignal: make(chan struct{}, 1), memberRequests: rate.NewLimiter(rate.Every(memberRequestInterval), 1),
+		onStatements: func([]targets.Statement) {}, onDemands: func(limits.DemandReport) {},
 		onStartNotice: func(membership.Instance, StartNotice) {},
 	}
 	for _, opt := range opts {
@@ -122,7 +127,7 @@
 // Run exchanges datagrams on the socket until the context ends, and closes it.
 func (m *Mesh) Run(ctx context.Context, conn *net.UDPConn) error {
 	m.mu.Lock()
-	m.conn = conn
+	m.conn, m.startedAt = conn, time.Now()
 	m.mu.Unlock()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return m.receive(ctx, conn) })
@@ -178,6 +183,7 @@
 			packet.Crashes = crashesToWire(m.crashes.Blocked(maxCrashRecords))
 		}
 		m.addEvacuations(packet)
+		m.addMembers(packet)
 	}
 	packet.Clock = uint64(m.clock.Now())
 	data, err := proto.Marshal(packet)
@@ -263,6 +269,7 @@
 	if starts {
 		m.sendBlocked(from)
 	}
+	m.handleMembers(&packet, sender, from)
 	if packet.GetHello() || !known {
 		m.send(&peerpb.Packet{Hello: !known}, from)
 	}
