limits: the rate of a tenant that is divided includes its burst

Cause: the bound counts windows of 5 s, in which a tenant may use its burst each time; a tenant that sends steadily beyond its rate got none of it after the first second. Change: the divided rate is the rate and the burst divided by the window; the buckets hold the slack and the rest of the overage. Measurement: the model-based tests of limits, with the bound as it was, pass.

--- a/limits/quota_limits.go
+++ b/limits/quota_limits.go
@@ -21,9 +21,10 @@
 	Slack   float64
 }
 
-// dividedRate returns the rate that the instances divide.
+// dividedRate returns the rate that the instances divide. It includes the burst, which a
+// tenant may use in each window: one that sends steadily would never get it otherwise.
 func (l QuotaLimits) dividedRate(t TenantQuota, instances int) float64 {
-	perSecond := t.PerSecond * (1 + overageFraction*l.Overage)
+	perSecond := (t.PerSecond + t.Burst/l.Window.Seconds()) * (1 + overageFraction*l.Overage)
 	return max(t.PerSecond/2, min(perSecond, (l.bound(t)-float64(instances))/l.Window.Seconds()))
 }
 
@@ -35,10 +36,10 @@
 	return max(float64(instances), min(spare, l.maxBurst(t)))
 }
 
-// maxBurst returns the most tokens that all instances together hold: half of the burst,
-// the slack, and the part of the overage that the divided rate does not use.
+// maxBurst returns the most tokens that all instances together hold: the slack, and the
+// part of the overage that the divided rate does not use.
 func (l QuotaLimits) maxBurst(t TenantQuota) float64 {
-	return t.Burst/2 + l.Slack + (1-overageFraction)*l.Overage*t.PerSecond*l.Window.Seconds()
+	return l.Slack + (1-overageFraction)*l.Overage*(t.PerSecond*l.Window.Seconds()+t.Burst)
 }
 
 // bound returns the number of requests in a window that all instances may admit together.
