routing: a health response of a target with a cold limit counts for a second

Cause: within 0.3 s an instance of a large deployment probes a target once at most under load, so that warm targets counted as cold. Change: one second. TestOldHealthResponse uses an instance that shares no cold limit, since after a second the share of the only sharer allows a request without a probe.

--- a/routing/cold.go
+++ b/routing/cold.go
@@ -11,8 +11,9 @@
 const (
 	// coldFreshness is the age of a health response up to which a target that was warm
 	// then is assumed to be. A target may become cold at any time, and gets as many
-	// requests as a warm one until that is noticed.
-	coldFreshness = 300 * time.Millisecond
+	// requests as a warm one until that is noticed. An instance's share of the probes
+	// allows several within this time, also under load.
+	coldFreshness = time.Second
 	// coldRecheckInterval is the time between two probes of a target that is known to be
 	// cold by an instance that may not send it requests.
 	coldRecheckInterval = 2 * time.Second
