--- a/checks/finding.go
+++ b/checks/finding.go
@@ -31,11 +31,7 @@
 
 // Check returns the findings of a valid document, sorted by section.
 func Check(d *config.Document) []Finding {
-	var findings []Finding
-	findings = append(findings, checkRoutes(d)...)
-	findings = append(findings, checkServices(d)...)
-	findings = append(findings, checkTenants(d)...)
-	findings = append(findings, checkLimits(d.Limits)...)
+	findings := slices.Concat(checkRoutes(d), checkServices(d), checkTenants(d), checkLimits(d.Limits))
 	slices.SortStableFunc(findings, func(a, b Finding) int { return cmp.Compare(a.Section, b.Section) })
 	return findings
 }
