--- a/admin/server.go
+++ b/admin/server.go
@@ -36,7 +36,8 @@
 // Instance provides the state that the API serves.
 type Instance interface {
 	Status() Status
-	// RawConfig returns the active configuration as it was published.
+	// RawConfig returns the active configuration as it was published, with digests in
+	// place of API keys.
 	RawConfig() []byte
 	// CompressedConfig returns the active configuration compressed with gzip.
 	CompressedConfig() []byte
@@ -136,8 +137,7 @@
 	state, err := s.instance.Join(ctx.PostBody())
 	if err != nil {
 		s.logger.WithError(err).WithField("from", ctx.RemoteAddr().String()).Debug("join request refused")
-		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
-		return
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 	ctx.SetContentType("application/x-protobuf")
 	ctx.SetBody(state)
--- a/cmd/rhubarbrelay/main.go
+++ b/cmd/rhubarbrelay/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/alexflint/go-arg"
@@ -28,6 +29,9 @@
 	exitAppendedToRestored = 5
 )
 
+// maxKeyInput limits the bytes that are read of an API key.
+const maxKeyInput = 4096
+
 // commandTimeout limits the run time of a command.
 const commandTimeout = 10 * time.Second
 
@@ -39,6 +43,15 @@
 	Zone string `arg:"positional,required" help:"name of the zone"`
 }
 
+type addKeyArgs struct {
+	Tenant string `arg:"positional,required" help:"name of the tenant"`
+}
+
+type revokeKeyArgs struct {
+	Tenant string `arg:"positional,required" help:"name of the tenant"`
+	Digest string `arg:"positional,required" help:"digest of the key, or the beginning of it"`
+}
+
 type instanceArgs struct {
 	Admin []netip.AddrPort `arg:"--admin,required,env:RHUBARBRELAY_ADMIN" help:"administration addresses of the instances"`
 	Token string           `arg:"--token,env:RHUBARBRELAY_TOKEN" help:"bearer token for the administration API"`
@@ -62,6 +75,9 @@
 	Evacuate    *zoneArgs      `arg:"subcommand:evacuate" help:"stop sending requests to the targets of a zone"`
 	Restore     *zoneArgs      `arg:"subcommand:restore" help:"end the evacuation of a zone"`
 	Evacuations *struct{}      `arg:"subcommand:evacuations" help:"list the evacuated zones"`
+	Tenants     *struct{}      `arg:"subcommand:tenants" help:"print the published tenants with the digests of their API keys"`
+	AddKey      *addKeyArgs    `arg:"subcommand:add-key" help:"add the API key that is read from the standard input to a tenant"`
+	RevokeKey   *revokeKeyArgs `arg:"subcommand:revoke-key" help:"remove an API key from a tenant"`
 	Store       netip.AddrPort `arg:"--store,env:RHUBARBRELAY_STORE" help:"address of the store (for all commands but check, status and timeline)"`
 }
 
@@ -79,7 +95,7 @@
 	if parser.Subcommand() == nil {
 		parser.Fail("missing command")
 	}
-	if err := run(&a, os.Stdout); err != nil {
+	if err := run(&a, os.Stdin, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "rhubarbrelay:", err)
 		os.Exit(exitCode(err))
 	}
@@ -101,7 +117,7 @@
 
 var errNoStore = errors.New("no store address: set --store or RHUBARBRELAY_STORE")
 
-func run(a *args, out io.Writer) error {
+func run(a *args, in io.Reader, out io.Writer) error {
 	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
 	defer cancel()
 	switch {
@@ -112,17 +128,17 @@
 		filter := timeline.Filter{Request: t.Request, Service: t.Service, Target: t.Target, Limit: t.Limit}
 		return queries.Client{Token: t.Token}.Timeline(ctx, t.Admin, filter, out)
 	case a.Check != nil:
-		d, err := loadDocument(a.Check.File)
+		d, _, err := loadDocument(a.Check.File)
 		if err != nil {
 			return err
 		}
 		return queries.PrintRoutes(d, out)
 	}
-	return runStore(ctx, a, out)
+	return runStore(ctx, a, in, out)
 }
 
 // runStore runs the commands that use the store.
-func runStore(ctx context.Context, a *args, out io.Writer) error {
+func runStore(ctx context.Context, a *args, in io.Reader, out io.Writer) error {
 	if !a.Store.IsValid() {
 		return errNoStore
 	}
@@ -134,20 +150,27 @@
 		return commands.EndEvacuation(ctx, store, a.Restore.Zone, out)
 	case a.Evacuations != nil:
 		return commands.ListEvacuations(ctx, store, out)
-	}
-	if a.Publish != nil {
-		d, err := loadDocument(a.Publish.File)
+	case a.Publish != nil:
+		d, keys, err := loadDocument(a.Publish.File)
 		if err != nil {
 			return err
 		}
-		return commands.Publish(ctx, store, d, out)
+		return commands.Publish(ctx, store, d, keys, out)
+	case a.AddKey != nil:
+		key, err := io.ReadAll(io.LimitReader(in, maxKeyInput))
+		if err != nil {
+			return err
+		}
+		return commands.AddKey(ctx, store, a.AddKey.Tenant, strings.TrimSpace(string(key)), out)
+	case a.RevokeKey != nil:
+		return commands.RevokeKey(ctx, store, a.RevokeKey.Tenant, a.RevokeKey.Digest, out)
 	}
 	published, _, err := commands.LatestConfig(ctx, store)
 	if err != nil {
 		return err
 	}
 	if a.Diff != nil {
-		d, err := loadDocument(a.Diff.File)
+		d, _, err := loadDocument(a.Diff.File)
 		if err != nil {
 			return err
 		}
@@ -156,17 +179,20 @@
 	if published == nil {
 		return errors.New("no configuration has been published yet")
 	}
+	if a.Tenants != nil {
+		return queries.PrintTenants(published, out)
+	}
 	return queries.Show(published, out)
 }
 
-func loadDocument(path string) (*config.Document, error) {
+func loadDocument(path string) (*config.Document, config.Keys, error) {
 	text, err := os.ReadFile(path) //nolint:gosec // The operator chooses the file.
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	d, err := config.Parse(text)
+	d, keys, err := config.ParseWithKeys(text)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
 	}
-	return d, nil
+	return d, keys, nil
 }
--- a/commands/publish.go
+++ b/commands/publish.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 
 	"rhubarbrelay/config"
 	"rhubarbrelay/platform"
@@ -26,20 +27,39 @@
 	AppendAt(ctx context.Context, topic platform.Topic, at platform.Position, key string, value []byte) (platform.Position, error)
 }
 
+// published is the newest published configuration.
+type published struct {
+	document *config.Document // nil if there is none
+	text     []byte
+	keys     config.Keys
+	at       platform.Position // where the next version must be appended
+}
+
 // LatestConfig returns the newest published configuration, or nil if there is
 // none, and the position at which the next version must be appended.
 func LatestConfig(ctx context.Context, store Store) (*config.Document, platform.Position, error) {
+	p, err := latest(ctx, store)
+	return p.document, p.at, err
+}
+
+func latest(ctx context.Context, store Store) (published, error) {
 	batch, err := store.Newest(ctx, platform.ConfigTopic)
 	if err != nil {
-		return nil, platform.Position{}, err
+		return published{}, err
 	}
+	p := published{at: batch.Next}
 	for _, r := range batch.Records {
-		if r.Key == platform.ConfigKey && r.Value != nil {
-			d, err := platform.DecodeDocument(r.Value)
-			return d, batch.Next, err
+		if r.Key != platform.ConfigKey || r.Value == nil {
+			continue
 		}
+		if p.document, err = platform.DecodeDocument(r.Value); err != nil {
+			return p, err
+		}
+		p.text = r.Value
+		p.keys, err = platform.DocumentKeys(r.Value)
+		return p, err
 	}
-	return nil, batch.Next, nil
+	return p, nil
 }
 
 // Publish publishes the document as the next version, unless it is the same as the
@@ -47,36 +67,44 @@
 // concurrently, all but one get platform.ErrConflict. The error wraps
 // ErrOutcomeUnknown if the store did not respond to the append, and
 // ErrAppendedToRestored if the store was restored since it was read but its end is the
-// same.
-func Publish(ctx context.Context, store Store, d *config.Document, out io.Writer) error {
-	latest, at, err := LatestConfig(ctx, store)
+// same. keys has the API keys of the document that the latest one does not have.
+func Publish(ctx context.Context, store Store, d *config.Document, keys config.Keys, out io.Writer) error {
+	p, err := latest(ctx, store)
 	if err != nil {
 		return err
 	}
 	baseVersion := int64(0)
-	if latest != nil {
-		baseVersion = latest.Version
-		if string(config.Format(latest)) == string(config.Format(d)) {
+	all := maps.Clone(keys)
+	if p.document != nil {
+		baseVersion = p.document.Version
+		all = maps.Clone(p.keys)
+		maps.Copy(all, keys)
+		if string(config.Format(p.document)) == string(config.Format(d)) {
 			_, err := fmt.Fprintf(out, "unchanged at version %d\n", baseVersion)
 			return err
 		}
 	}
 	next := *d
 	next.Version = baseVersion + 1
-	text, err := platform.EncodeDocument(&next, baseVersion)
+	text, err := platform.EncodeDocument(&next, baseVersion, all)
 	if err != nil {
 		return err
 	}
-	end, err := store.AppendAt(ctx, platform.ConfigTopic, at, platform.ConfigKey, text)
+	return p.replace(ctx, store, text, next.Version, out)
+}
+
+// replace appends the text of the next version, and prints its number.
+func (p published) replace(ctx context.Context, store Store, text []byte, version int64, out io.Writer) error {
+	end, err := store.AppendAt(ctx, platform.ConfigTopic, p.at, platform.ConfigKey, text)
 	switch {
 	case err != nil && isRejection(err):
 		return err
 	case err != nil:
 		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
-	case end.Era != at.Era:
-		return fmt.Errorf("%w: version %d, era %d after era %d: %w", ErrAppendedToRestored, next.Version, end.Era, at.Era, platform.ErrRestored)
+	case end.Era != p.at.Era:
+		return fmt.Errorf("%w: version %d, era %d after era %d: %w", ErrAppendedToRestored, version, end.Era, p.at.Era, platform.ErrRestored)
 	}
-	_, err = fmt.Fprintf(out, "published version %d\n", next.Version)
+	_, err = fmt.Fprintf(out, "published version %d\n", version)
 	return err
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"rhubarbrelay/relay"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/settings"
+	"rhubarbrelay/startup"
 	"rhubarbrelay/targets"
 	"rhubarbrelay/timeline"
 	"rhubarbrelay/upstream"
@@ -55,9 +56,13 @@
 	freshness      *freshness
 	crashes        *crashes.Ledger
 	evacuations    *evacuation.Set
+	quotas         *limits.Quotas
+	quotasChanged  chan struct{}
 	relay          *relay.Server
 	entryServer    *relay.EntryServer
 	admin          *admin.Server
+	limits         connectionLimits
+	pauses         *pauses
 	targetDial     upstream.DialFunc // nil for the default
 	// peerClient calls the administration API of other instances.
 	peerClient *fasthttp.Client
@@ -65,6 +70,9 @@
 	// whether any has.
 	joining   atomic.Int64
 	hasJoined atomic.Bool
+	joiner    *startup.Joiner
+	startGate *startup.Gate
+	starter   starter
 }
 
 // Option configures a Daemon.
@@ -83,20 +91,31 @@
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.pauses = newPauses(bootTime)
+	d.limits = newConnectionLimits(fileLimit(), s.Callers.MaxConnections)
+	if d.limits.callers < s.Callers.MaxConnections {
+		logger.WithField("max_connections", s.Callers.MaxConnections).WithField("limit", d.limits.callers).
+			Warn("fewer connections are accepted than configured, as file descriptors are limited")
+	}
 	d.peerClient = &fasthttp.Client{MaxResponseBodySize: maxPeerResponse, NoDefaultUserAgentHeader: true}
 	d.members = membership.NewDirectory(membership.Instance{
 		ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: time.Now().UnixMilli(),
 		CallerAddress: s.Callers.Listen, PeerAddress: s.Peers.Listen, AdminAddress: s.Admin.Listen,
 	}, membership.WithOnChange(d.onMembersChanged))
-	d.selector = entry.NewSelector(d.members)
+	d.selector = entry.NewSelector(d.members, entry.WithSilence(d.members.Silence))
 	d.targets = targets.NewDirectory(targets.WithOnChange(d.onTargetsChanged))
 	d.table = routing.NewTable(d.routingSettings(s), d.targets, routing.WithLogger(logger), routing.WithPoolFactory(d.newTargetPool),
 		routing.WithLimitSharing(entry.NewLimitSharing(d.members, time.Now)),
+		routing.WithColdSharing(entry.NewColdSharing(d.members, time.Now)),
 		routing.WithOnStatement(func(s targets.Statement) { d.mesh.BroadcastStatement(s) }))
 	d.evacuations = evacuation.NewSet(evacuation.WithOnChange(d.onEvacuation))
+	d.quotas, d.quotasChanged = limits.NewQuotas(quotaLimits(s), time.Now), make(chan struct{}, 1)
 	d.crashes = crashes.NewLedger(crashes.WithOnChange(d.onCrashRecord))
 	d.mesh = peer.NewMesh(d.members, clock, peer.WithLogger(logger), peer.WithCrashLedger(d.crashes), peer.WithEvacuations(d.evacuations), peer.WithOnStatements(d.table.ApplyStatements),
-		peer.WithOnTargetUpdate(d.onTargetUpdate), peer.WithSeeds(seedAddresses(s)), peer.WithActive(d.selector.IsActive))
+		peer.WithOnTargetUpdate(d.onTargetUpdate), peer.WithOnDemands(d.quotas.Record), peer.WithSeeds(seedAddresses(s)), peer.WithActive(d.selector.IsActive),
+		peer.WithOnStartNotice(d.onStartNotice))
+	d.starter.Daemon = d
+	d.joiner = d.newJoiner()
 	d.targetFollower = registry.NewTargetFollower(store, d.targets, d.mesh, d.members.Rank, d.members.ReadOrder, d.recordTargetChange,
 		d.onRegistryRecovered, logger, registry.WithOnRestored(d.onStoreRestored))
 	d.configFollower = registry.NewConfigFollower(store, registry.ReadRole{
@@ -104,8 +123,9 @@
 	}, d.fetchConfig, logger, d.applyConfig, registry.WithEvacuations(d.evacuations))
 	d.registrar = registry.NewRegistrar(store, d.members, logger, registry.WithStoreEra(d.targetFollower.Era))
 	d.freshness = newFreshness(d.targetFollower, d.configFollower, s.Budgets.DrainDelay, d.recordSuspension)
-	d.relay = relay.NewServer(d.configFollower, d.table, relay.WithRecorder(d.recorder), relay.WithLogger(logger),
-		relay.WithFreshness(d.freshness), relay.WithMaxConnections(s.Callers.MaxConnections), relay.WithCrashLedger(d.crashes), relay.WithPeers(d.selector),
+	d.startGate = startup.NewGate()
+	d.relay = relay.NewServer(d.configFollower, d.table, relay.WithStartGate(d.startGate), relay.WithRecorder(d.recorder), relay.WithLogger(logger),
+		relay.WithFreshness(d.freshness), relay.WithConnectionLimits(d.limits.callers, d.limits.peers), relay.WithCrashLedger(d.crashes), relay.WithPeers(d.selector), relay.WithQuotas(d.quotas),
 		relay.WithMemory(newMemory(s, requestMemoryFraction), newMemory(s, responseMemoryFraction)))
 	d.entryServer = relay.NewEntryServer(d.selector, s.Callers.EntryTTL, d.ready, logger)
 	d.admin = admin.NewServer(d, d.recorder, s.Admin.Token, logger)
@@ -125,6 +145,7 @@
 		Retries: limits.RetryLimits{
 			Ratio: s.Budgets.RetryRatio, Slack: s.Budgets.RetrySlack, Window: s.Budgets.RetryWindow, Since: d.startedAt,
 		},
+		Cold:            routing.ColdLimits{Overage: s.Budgets.ColdOverage, Slack: s.Budgets.ColdSlack},
 		ProbesPerSecond: s.Budgets.ProbesPerSecond,
 	}
 }
@@ -149,6 +170,7 @@
 // zones, and any other active instance announces it to the local zone.
 func (d *Daemon) applyConfig(document *config.Document) {
 	d.table.Update(document.Services)
+	d.setQuotas(document)
 	d.relay.ResetTrafficSplits()
 	d.relay.LogUnmetLimits(document)
 	d.members.SetConfigVersion(document.Version)
@@ -216,6 +238,11 @@
 	d.configFollower.RecordPeerVersion(update.ConfigVersion)
 }
 
+// onStartNotice receives a notice of an instance that reads its state from the store.
+func (d *Daemon) onStartNotice(sender membership.Instance, notice peer.StartNotice) {
+	d.joiner.RecordNotice(sender, notice)
+}
+
 // ready reports whether the instance accepts callers.
 func (d *Daemon) ready() bool { return d.members.Self().State == membership.Ready }
 
@@ -233,6 +260,7 @@
 	if document := d.configFollower.Current(); document != nil {
 		status.ConfigVersion = document.Version
 	}
+	status.Tenants = d.tenantStatus()
 	for _, in := range d.members.Ready() {
 		status.Instances = append(status.Instances, in.ID)
 	}
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -3,6 +3,7 @@
 package membership
 
 import (
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -182,6 +183,17 @@
 	return !m.lastPacket.IsZero() && d.clock().Sub(m.lastPacket) < time.Duration(missedHeartbeats*float64(m.interval))
 }
 
+// Silence returns the time since the last packet of another instance that is known, 0 for
+// this one.
+func (d *Directory) Silence(id string) time.Duration {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if m := d.members[id]; m != nil {
+		return d.clock().Sub(m.lastPacket)
+	}
+	return 0
+}
+
 // Ready returns the instances that accept callers, this one included, by ID.
 func (d *Directory) Ready() []Instance {
 	d.mu.RLock()
@@ -212,6 +224,22 @@
 	return peers
 }
 
+// ZonePeers returns the addresses at which the known instances of the local zone, this
+// one included, receive packets.
+func (d *Directory) ZonePeers() []netip.AddrPort {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	addresses := []netip.AddrPort{d.self.PeerAddress}
+	for _, m := range d.members {
+		if m.instance.Zone == d.self.Zone {
+			addresses = append(addresses, m.instance.PeerAddress)
+		}
+	}
+	addresses = slices.DeleteFunc(addresses, func(address netip.AddrPort) bool { return !address.IsValid() })
+	slices.SortFunc(addresses, netip.AddrPort.Compare)
+	return slices.Compact(addresses)
+}
+
 // Count returns the number of instances that may hold a share of a budget: this
 // one and all others that were not removed yet.
 func (d *Directory) Count() int {
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -153,18 +154,27 @@
 }
 
 // acquire acquires a target, unless copies of the request have ended too many targets.
-// It checks that again after the wait, in which others may have ended.
+// It checks that again after the wait, in which others may have ended, and that the API
+// key of the request was not revoked meanwhile.
 func (r *dispatchState) acquire(isRetry bool) (*routing.Lease, error) {
 	c := r.call
 	ended := r.server.crashCount(r.req)
 	if ended >= crashes.MaxCrashes {
 		return nil, errEndsTargets
 	}
-	lease, err := c.dispatcher.Acquire(r.caller, &routing.Request{
+	ctx, leave := r.server.sends.enter(r.caller)
+	defer leave()
+	lease, err := c.dispatcher.Acquire(ctx, &routing.Request{
 		Route: c.route.Key(), Arrival: c.arrival, PriorElapsed: c.priorElapsed, Deadline: c.deadline, Objective: c.route.Objective,
-		Priority: c.route.Priority, Exclude: c.triedTargets, Retry: isRetry, Suspect: ended > 0,
+		Priority: c.priority(), Exclude: c.triedTargets, Retry: isRetry, Suspect: ended > 0,
 		Elsewhere: c.elsewhere && !isRetry,
 	})
+	if errors.Is(context.Cause(ctx), errDraining) {
+		if lease != nil {
+			lease.Release(routing.Inconclusive, platform.ResponseInfo{})
+		}
+		return nil, errDraining
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -172,6 +182,10 @@
 		lease.Release(routing.Inconclusive, platform.ResponseInfo{})
 		return nil, errEndsTargets
 	}
+	if r.server.isRevoked(c) {
+		lease.Release(routing.Inconclusive, platform.ResponseInfo{})
+		return nil, errKeyRevoked
+	}
 	return lease, nil
 }
 
@@ -186,7 +200,7 @@
 	c.triedTargets = append(c.triedTargets, lease.Target().Incarnation())
 	t := &try{
 		lease: lease, req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(),
-		deadline: c.deadline, started: time.Now(), number: c.sentTries, crashes: r.server.crashes,
+		deadline: c.deadline, started: time.Now(), number: c.sentTries, crashes: r.server.crashes, sends: r.server.sends,
 		reservation: bodies.NewReservation(r.server.responseMemory, 1),
 	}
 	r.req.CopyTo(t.req)
--- a/relay/header.go
+++ b/relay/header.go
@@ -40,6 +40,7 @@
 	hasTransferEncoding bool
 	controlsSeen        uint // bit set, by index in platform.ControlHeaders
 	hasTrailer          bool
+	credentials         credentials
 	fieldsBuf           [inlineFields]headerField
 }
 
@@ -83,6 +84,7 @@
 	}
 	var buf [maxKnownName]byte
 	lower := appendLower(buf[:0], name)
+	in.credentials.inspect(string(lower), name, bytes.Trim(line[colon+1:], " \t"))
 	if isInternalOrHopByHop(lower) {
 		in.removed = append(in.removed, name)
 	}
@@ -107,6 +109,12 @@
 	return in.checkControl(lower)
 }
 
+// isBodyHidden reports whether configureBodyRead has hidden the body that the raw header
+// announces. It is still to be received then.
+func (in *headerInspection) isBodyHidden(req *fasthttp.Request) bool {
+	return (in.contentLength > 0 || in.hasTransferEncoding) && req.Header.ContentLength() == 0
+}
+
 func appendLower(dst, name []byte) []byte {
 	for _, c := range name {
 		if 'A' <= c && c <= 'Z' {
@@ -126,7 +134,7 @@
 // hop-by-hop header, Expect, or a header that only instances set.
 func isInternalOrHopByHop(lower []byte) bool {
 	switch string(lower) {
-	case "connection", "keep-alive", "te", "upgrade", "expect":
+	case "connection", "keep-alive", "te", "upgrade", "expect", keyDigestName:
 		return true
 	}
 	return platform.IsInternalRequestHeader(string(lower))
@@ -180,14 +188,9 @@
 	}
 	// fasthttp may already have reordered the parsed headers while reading the body;
 	// only the raw header still has the order in which they were received.
-	repeats := repeatedFields(in.parseFields(h.RawHeaders()))
-	if in.hasTrailer {
-		names := h.PeekTrailerKeys()
-		h.Del(fasthttp.HeaderTrailer)
-		for _, name := range names {
-			h.DelBytes(name)
-		}
-	}
+	fields := in.parseFields(h.RawHeaders())
+	repeats := repeatedFields(fields)
+	in.stripTrailers(h, fields)
 	h.Del(fasthttp.HeaderTransferEncoding)
 	for _, name := range in.removed {
 		h.DelBytes(name)
@@ -200,6 +203,24 @@
 	}
 }
 
+// stripTrailers removes the trailers, whether announced or not. fasthttp would take a
+// header that is set later for a trailer if it has the name of one, and not send it.
+func (in *headerInspection) stripTrailers(h *fasthttp.RequestHeader, fields []headerField) {
+	names := h.PeekTrailerKeys()
+	if !in.hasTrailer && len(names) == 0 {
+		return
+	}
+	h.Del(fasthttp.HeaderTrailer)
+	for _, name := range names {
+		h.DelBytes(name)
+		for _, f := range fields { // the headers of the same name
+			if bytes.EqualFold(f.name, name) {
+				h.AddBytesKV(f.name, f.value)
+			}
+		}
+	}
+}
+
 // stripResponse removes hop-by-hop headers, proxy headers and trailers.
 func (in *headerInspection) stripResponse(h *fasthttp.ResponseHeader) {
 	for _, name := range h.PeekTrailerKeys() {
--- a/relay/request.go
+++ b/relay/request.go
@@ -33,6 +33,8 @@
 	document   *config.Document
 	route      *config.Route
 	service    string
+	tenant     *config.Tenant // nil if the request needs no API key
+	keyDigest  config.KeyDigest
 	dispatcher *routing.Dispatcher
 	arrival    time.Time
 	// priorElapsed is the estimated duration of the caller's earlier attempts.
@@ -52,8 +54,10 @@
 	lastTry      *try
 	// elsewhere is set while another instance may run the request.
 	elsewhere bool
-	fromPeer  bool           // whether another instance has passed the request on
-	peer      netip.AddrPort // the instance that the request was passed on to last
+	// holdsToken is set while a token of the tenant's quota is taken for the request.
+	holdsToken bool
+	fromPeer   bool           // whether another instance has passed the request on
+	peer       netip.AddrPort // the instance that the request was passed on to last
 }
 
 // reset clears the call for reuse. It keeps the body buffer unless it is large.
@@ -66,12 +70,13 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	arrival := time.Now()
 	s.inProgress.Add(1)
 	defer s.inProgress.Add(-1)
 	ctx.Response.ReleaseBody(maxPooledBody)
 	c := s.calls.Get().(*call) //nolint:errcheck,forcetypeassert // The pool holds nothing else.
 	c.reservation = bodies.NewReservation(s.requestMemory, requestCopies)
-	c.arrival = time.Now()
+	c.arrival = arrival
 	c.input = newInput(ctx.Conn(), ctx.ConnRequestNum())
 	if c.fromPeer = c.input.fromPeer(); c.fromPeer {
 		s.counters.takenOver.Add(1)
@@ -94,21 +99,21 @@
 		cancelAhead(ctx)
 	}
 	if !besideOthers {
-		// A deadline that the handler sets makes fasthttp send the response at once. Otherwise
-		// it waits for the response to a further request that it has read already.
-		_ = ctx.SetWriteDeadline(time.Now().Add(s.http.WriteTimeout)) // fails only if the connection is closed
+		// A deadline that the handler sets, if only to none, makes fasthttp send the response
+		// at once. Otherwise it waits for the response to a further request that it has read.
+		_ = ctx.SetWriteDeadline(time.Time{}) // fails only if the connection is closed
 	}
 }
 
 // handleExpect responds to a request with an Expect header. It responds with 100
 // Continue, after which the caller sends the body, only if the request passes
-// admission.
+// the checks; it is admitted when its body has arrived.
 func (s *Server) handleExpect(ctx *fasthttp.RequestCtx) (status int) {
 	c := call{arrival: time.Now(), input: newInput(ctx.Conn(), ctx.ConnRequestNum()+1)}
 	c.fromPeer = c.input.fromPeer()
 	status = fasthttp.StatusInternalServerError // after a panic
 	defer s.recoverPanic(&ctx.Response, &c)
-	f := s.admit(&ctx.Request, &c)
+	f := s.check(&ctx.Request, &c)
 	if f == nil {
 		return fasthttp.StatusContinue
 	}
@@ -123,9 +128,16 @@
 	resp.SkipBody = req.Header.IsHead()
 	f := s.readBody(req, c)
 	if f == nil {
+		c.input.conn.Received()
 		f = s.admit(req, c)
 	}
+	if f == nil {
+		f = s.takeToken(c)
+	}
 	if f != nil {
+		if c.header.isBodyHidden(req) {
+			f = f.withConnectionClose()
+		}
 		s.fail(resp, c, f)
 		return
 	}
@@ -135,8 +147,29 @@
 	s.dispatch(watch, req, resp, c)
 }
 
-// admit validates a request and fills in the call, whose arrival is set.
+// admit checks a request and chooses its service. It counts the request for the traffic split
+// and the timeouts of its route, and must be called once.
 func (s *Server) admit(req *fasthttp.Request, c *call) *failure {
+	if f := s.check(req, c); f != nil {
+		return f
+	}
+	if timeout, ok := platform.CallerTimeout(&req.Header); ok {
+		if c.fromPeer {
+			c.priorElapsed = statedElapsed(&req.Header)
+		} else {
+			c.priorElapsed = s.timeouts.recordTimeout(c.route.Key(), timeout)
+		}
+	}
+	c.service = s.trafficSplits.next(c.route)
+	c.dispatcher = s.dispatchers.Dispatcher(c.service)
+	if c.dispatcher == nil {
+		return unavailableFailure(refusedNoTarget, "service is not known", notReadyRetryAfter)
+	}
+	return nil
+}
+
+// check validates a request and fills in the call, whose arrival is set, but for the service.
+func (s *Server) check(req *fasthttp.Request, c *call) *failure {
 	if err := c.header.inspect(req.Header.RawHeaders()); err != nil {
 		c.input.endIn(stageHeader, err)
 		return notRunFailure(refusedMalformed, fasthttp.StatusBadRequest, err.Error()).withConnectionClose()
@@ -187,8 +220,14 @@
 	return document, nil
 }
 
-// resolveRoute determines the route, the service and the deadline of a request.
+// resolveRoute determines the route and the deadline of a request.
 func (s *Server) resolveRoute(req *fasthttp.Request, c *call) (f *failure) {
+	if s.drained() { // recentDocument could wait for longer than there is time
+		return drainingFailure("instance shuts down")
+	}
+	if f = s.awaitStart(req, c); f != nil {
+		return f
+	}
 	if c.document, f = s.recentDocument(); f != nil {
 		return f
 	}
@@ -196,50 +235,27 @@
 		c.input.limit, c.input.declared, c.input.read = limit, req.Header.ContentLength(), len(c.body)
 		return s.bodyTooLargeFailure(len(c.body))
 	}
-	host, path := string(req.Host()), requestPath(req)
+	host, path := string(req.Host()), requestPath(req.Header.RequestURI())
 	c.route = c.document.Match(host, path)
 	if c.route == nil {
 		c.input.host, c.input.path = host, path
 		return notRunFailure(refusedNoRoute, fasthttp.StatusNotFound, "no route matches")
 	}
+	if f := c.setTenant(req); f != nil {
+		return f
+	}
 	c.deadline = c.arrival.Add(c.route.Timeout)
-	if timeout, ok := platform.CallerTimeout(&req.Header); ok {
+	timeout, ok := platform.CallerTimeout(&req.Header)
+	c.input.conn.SetSendDeadline(c.arrival.Add(min(max(timeout, c.route.Timeout), maxSendTime)))
+	if ok {
 		if timeout == 0 {
 			return unavailableFailure(refusedDeadline, "deadline has passed", notReadyRetryAfter)
 		}
 		if d := c.arrival.Add(timeout); d.Before(c.deadline) {
 			c.deadline = d
 		}
-		if c.fromPeer {
-			c.priorElapsed = statedElapsed(&req.Header)
-		} else {
-			c.priorElapsed = s.timeouts.recordTimeout(c.route.Key(), timeout)
-		}
-	}
-	if f := s.limitToDrainEnd(c); f != nil {
-		return f
 	}
-	c.service = s.trafficSplits.next(c.route)
-	c.dispatcher = s.dispatchers.Dispatcher(c.service)
-	if c.dispatcher == nil {
-		return unavailableFailure(refusedNoTarget, "service is not known", notReadyRetryAfter)
-	}
-	return nil
-}
-
-// limitToDrainEnd refuses a request that may be in progress when the server has drained,
-// or shortens its deadline. A request that must not run twice would end with an unknown
-// outcome.
-func (s *Server) limitToDrainEnd(c *call) *failure {
-	end := s.drainEnd.Load()
-	if end == nil || !c.deadline.After(*end) {
-		return nil
-	}
-	if !c.route.Idempotent || time.Until(*end) < c.route.Objective {
-		return unavailableFailure(refusedDraining, "instance shuts down before the deadline", notReadyRetryAfter)
-	}
-	c.deadline = *end
-	return nil
+	return s.limitToDrainEnd(c)
 }
 
 const (
@@ -251,8 +267,8 @@
 )
 
 // requestPath returns the path of the HTTP request-target as sent, not normalized.
-func requestPath(req *fasthttp.Request) string {
-	uri := originForm(req.Header.RequestURI())
+func requestPath(uri []byte) string {
+	uri = originForm(uri)
 	if end := bytes.IndexAny(uri, "?#"); end >= 0 {
 		uri = uri[:end]
 	}
@@ -262,8 +278,12 @@
 // prepareRequest turns the caller's request into the one that all tries send.
 func prepareRequest(req *fasthttp.Request, c *call) {
 	h := &req.Header
+	if c.document.HasTenants() {
+		c.header.removed = append(c.header.removed, c.header.credentials.names...)
+	}
 	c.header.stripRequest(h)
 	h.Del(elapsedHeader)
+	c.replaceCredentials(h)
 	h.SetProtocol("HTTP/1.1")
 	h.SetNoDefaultContentType(true)
 	h.SetRequestURIBytes(originForm(h.RequestURI()))
--- a/relay/response.go
+++ b/relay/response.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rhubarbrelay/bodies"
+	"rhubarbrelay/callers"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/routing"
 	"rhubarbrelay/timeline"
@@ -70,14 +71,21 @@
 			f.status, f.retryAfter = fasthttp.StatusBadGateway, 0
 		}
 	}
+	s.returnToken(c, f)
 	writeFailure(resp, f)
-	if f.closeConnection && f.notRun && c.input.conn != nil {
-		c.input.conn.lingers.Store(true)
+	if f.status == fasthttp.StatusUnauthorized {
+		platform.SetChallenge(&resp.Header)
+	}
+	if f.closeConnection && f.notRun {
+		c.input.conn.LingerOnClose()
 	}
 	if c.id != "" {
 		platform.SetRequestID(&resp.Header, []byte(c.id))
 	}
 	s.counters.countFailure(f)
+	if !s.mayLog(f) {
+		return
+	}
 	s.logFailure(c, f)
 	switch {
 	case !f.notRun:
@@ -87,6 +95,20 @@
 	}
 }
 
+// mayLog reports whether a failure is logged. Callers beyond their quota or without a valid
+// key may send many requests.
+func (s *Server) mayLog(f *failure) bool {
+	switch {
+	case !f.notRun:
+		return true
+	case f.cause == refusedUnauthorized:
+		return s.unauthorizedLogs.Allow()
+	case f.cause == refusedQuota:
+		return s.quotaLogs.Allow()
+	}
+	return true
+}
+
 func writeFailure(resp *fasthttp.Response, f *failure) {
 	skipBody := resp.SkipBody
 	resp.Reset()
@@ -175,11 +197,15 @@
 	switch {
 	case callerClosed:
 		s.fail(resp, c, callerClosedFailure(false))
+	case errors.Is(err, errDraining):
+		s.fail(resp, c, drainingFailure(err.Error()))
 	case errors.Is(err, bodies.ErrNoMemory):
 		s.fail(resp, c, readFailure(err, c.input.conn))
 	case errors.Is(err, errEndsTargets):
 		s.counters.blocked.Add(1)
 		s.fail(resp, c, unknownOutcomeFailure(fasthttp.StatusBadGateway, err.Error()))
+	case errors.Is(err, errKeyRevoked):
+		s.fail(resp, c, unauthorizedFailure())
 	case errors.As(err, &refusal):
 		cause := refusedNoCapacity
 		if errors.Is(err, routing.ErrNoTarget) {
@@ -205,15 +231,17 @@
 }
 
 // readFailure returns the failure of a request that could not be read.
-func readFailure(err error, conn *countedConn) *failure {
+func readFailure(err error, conn *callers.Conn) *failure {
 	switch {
+	case conn.Interrupted():
+		return drainingFailure("instance shuts down before the request has arrived")
 	case errors.Is(err, bodies.ErrNoMemory):
 		return unavailableFailure(refusedMemory, "instance has no memory for the request", memoryRetryAfter)
 	case errors.Is(err, bodies.ErrExceedsMemory), errors.Is(err, bodies.ErrTooFragmented):
 		return instanceLimitFailure("request body exceeds a limit of the instance")
-	case conn.readTimedOut():
+	case conn.ReadTimedOut():
 		return notRunFailure(refusedIncomplete, fasthttp.StatusRequestTimeout, "request did not arrive in time")
-	case conn.readFailed():
+	case conn.ReadErr() != nil:
 		return notRunFailure(refusedIncomplete, fasthttp.StatusRequestTimeout, "request did not arrive completely")
 	}
 	return notRunFailure(refusedMalformed, fasthttp.StatusBadRequest, "request is malformed")
@@ -235,6 +263,9 @@
 	if c.route != nil {
 		f["route"], f["service"], f["tries"] = c.route.Name, c.service, c.sentTries
 	}
+	if c.tenant != nil {
+		f["tenant"] = c.tenant.Name
+	}
 	if c.fromPeer {
 		f["from_peer"] = true
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"rhubarbrelay/bodies"
+	"rhubarbrelay/callers"
 	"rhubarbrelay/config"
 	"rhubarbrelay/crashes"
 	"rhubarbrelay/routing"
@@ -33,8 +34,11 @@
 	// callers do not hold memory.
 	DefaultReadTimeout = 10 * time.Second
 	// DefaultWriteTimeout limits the time for sending a response, for the same
-	// reason.
+	// reason, unless its caller reads it and has stated that it waits longer.
 	DefaultWriteTimeout = 10 * time.Second
+	// maxSendTime limits the time for sending a response whose caller states that it waits
+	// longer. It suffices for 16 MiB at 1.2 Mbit/s.
+	maxSendTime = 2 * time.Minute
 	// maxHeaderFields is the size in bytes of the header fields for which there is room
 	// in any case.
 	maxHeaderFields = 16 << 10
@@ -83,6 +87,7 @@
 	config        ConfigSource
 	dispatchers   Dispatchers
 	freshness     Freshness
+	startGate     StartGate // nil for none
 	recorder      Recorder
 	logger        log.Interface
 	trafficSplits trafficSplits
@@ -90,7 +95,9 @@
 	crashes       CrashLedger
 	refusalEvents *rate.Limiter
 	forwardLogs   *rate.Limiter
-	counters      counters
+	// unauthorizedLogs limits the log lines for requests without a valid API key.
+	unauthorizedLogs *rate.Limiter
+	counters         counters
 	// drainEnd is when the requests in progress must have ended, nil unless the server
 	// drains.
 	drainEnd   atomic.Pointer[time.Time]
@@ -98,13 +105,18 @@
 	// runningAhead is the number of requests that run before an earlier one of their
 	// connection is answered.
 	runningAhead atomic.Int64
+	conns        *callers.Set
+	sends        *sendGate
 	calls        sync.Pool // of *call
 	http         *fasthttp.Server
-	// maxConnections limits the number of connections from callers, and that of connections
-	// from other instances.
-	maxConnections int
-	peers          PeerSelector // nil for none
-	peerPools      *peerPools
+	// maxConnections limits the number of connections from callers, maxPeerConnections that
+	// of connections from other instances.
+	maxConnections, maxPeerConnections int
+	writeTimeout                       time.Duration
+	peers                              PeerSelector // nil for none
+	quotas                             Quotas       // nil for none
+	quotaLogs                          *rate.Limiter
+	peerPools                          *peerPools
 	// requestMemory and responseMemory limit the large bodies of all requests and all
 	// responses; nil means no limit. They are separate, so that requests that wait for
 	// their responses do not hold the memory that those need.
@@ -125,8 +137,15 @@
 	return func(s *Server) { s.freshness = freshness }
 }
 
-// WithMaxConnections limits the number of connections from callers.
-func WithMaxConnections(n int) Option { return func(s *Server) { s.maxConnections = n } }
+// WithMaxConnections limits the number of connections from callers, and that of connections
+// from other instances.
+func WithMaxConnections(n int) Option { return WithConnectionLimits(n, n) }
+
+// WithConnectionLimits limits the number of connections from callers and from other
+// instances.
+func WithConnectionLimits(callers, peers int) Option {
+	return func(s *Server) { s.maxConnections, s.maxPeerConnections = callers, peers }
+}
 
 // WithMemory limits the bytes that the large bodies of all requests and those of all
 // responses hold. A request that does not fit is refused.
@@ -146,17 +165,28 @@
 	return func(s *Server) { s.http.ReadTimeout = timeout }
 }
 
+// WithWriteTimeout limits the time for sending a response in which its caller reads nothing,
+// and the time in all, unless the caller has stated that it waits longer.
+func WithWriteTimeout(timeout time.Duration) Option {
+	return func(s *Server) { s.writeTimeout = timeout }
+}
+
 // NewServer returns a server for callers.
 func NewServer(config ConfigSource, dispatchers Dispatchers, opts ...Option) *Server {
 	s := &Server{
-		config: config, dispatchers: dispatchers, maxConnections: DefaultMaxConnections,
-		logger:        log.Log,
-		refusalEvents: rate.NewLimiter(refusalEventsPerSecond, refusalEventsPerSecond),
-		forwardLogs:   rate.NewLimiter(forwardLogsPerSecond, forwardLogsPerSecond),
-		calls:         sync.Pool{New: func() any { return &call{} }},
-		counters:      newCounters(),
-		crashes:       crashes.NewLedger(),
-		peerPools:     newPeerPools(),
+		config: config, dispatchers: dispatchers, maxConnections: DefaultMaxConnections, maxPeerConnections: DefaultMaxConnections,
+		logger:           log.Log,
+		refusalEvents:    rate.NewLimiter(refusalEventsPerSecond, refusalEventsPerSecond),
+		forwardLogs:      rate.NewLimiter(forwardLogsPerSecond, forwardLogsPerSecond),
+		quotaLogs:        rate.NewLimiter(quotaLogsPerSecond, quotaLogsPerSecond),
+		unauthorizedLogs: rate.NewLimiter(unauthorizedLogsPerSecond, unauthorizedLogsPerSecond),
+		calls:            sync.Pool{New: func() any { return &call{} }},
+		counters:         newCounters(),
+		crashes:          crashes.NewLedger(),
+		peerPools:        newPeerPools(),
+		conns:            callers.NewSet(),
+		writeTimeout:     DefaultWriteTimeout,
+		sends:            newSendGate(),
 	}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
@@ -166,7 +196,6 @@
 		MaxRequestBodySize:    DefaultMaxRequestBody,
 		ReadBufferSize:        maxRequestHeader,
 		ReadTimeout:           DefaultReadTimeout,
-		WriteTimeout:          DefaultWriteTimeout,
 		IdleTimeout:           DefaultIdleTimeout,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
@@ -184,7 +213,7 @@
 	// The two listeners, for callers and for other instances, enforce the limit. A
 	// fasthttp worker becomes free only shortly after its connection is closed, so there
 	// must be more workers than connections.
-	s.http.Concurrency = 2 * (2 * s.maxConnections)
+	s.http.Concurrency = 2 * (s.maxConnections + s.maxPeerConnections)
 	return s
 }
 
@@ -199,60 +228,14 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
-	return s.serve(&limitedListener{Listener: l, limit: int64(s.maxConnections), refuse: s.refuseConnection})
+	return s.serve(l, s.maxConnections)
 }
 
 // ServePeers accepts connections on which other instances pass requests on, until the
 // listener is closed.
 func (s *Server) ServePeers(l net.Listener) error {
-	return s.serve(&limitedListener{Listener: l, limit: int64(s.maxConnections), refuse: s.refuseConnection, fromPeers: true})
+	return s.serve(l, s.maxPeerConnections, callers.FromPeers())
 }
 
-func (s *Server) serve(limited *limitedListener) error {
-	defer limited.refusals.Wait()
-	return s.http.Serve(limited)
-}
-
-// StartDraining sets Connection: close in every further response, after which the
-// connection is closed. A further request whose deadline is after the end is refused
-// if it must not run twice; any other one gets the end as its deadline.
-func (s *Server) StartDraining(end time.Time) { s.drainEnd.Store(&end) }
-
 // InProgress returns the number of requests being handled.
 func (s *Server) InProgress() int64 { return s.inProgress.Load() }
-
-const (
-	// shutdownPollInterval is the time between two checks for requests in
-	// progress.
-	shutdownPollInterval = 20 * time.Millisecond
-	// flushDelay is the time without requests in progress after which Shutdown
-	// returns even if connections are open. It leaves time to write the last
-	// responses: a request ends before its response is written.
-	flushDelay = 100 * time.Millisecond
-)
-
-// Shutdown closes the listener and idle connections and waits for requests in
-// progress until the context is done. It does not wait for connections on which
-// no request was sent.
-func (s *Server) Shutdown(ctx context.Context) error {
-	defer s.peerPools.close()
-	closed := make(chan error, 1)
-	go func() { closed <- s.http.ShutdownWithContext(ctx) }()
-	ticker := time.NewTicker(shutdownPollInterval)
-	defer ticker.Stop()
-	var idle time.Duration
-	for {
-		select {
-		case err := <-closed:
-			return err
-		case <-ticker.C:
-		}
-		idle += shutdownPollInterval
-		if s.InProgress() > 0 {
-			idle = 0
-		}
-		if idle >= flushDelay {
-			return nil
-		}
-	}
-}
--- a/scenario/processes_test.go
+++ b/scenario/processes_test.go
@@ -18,9 +18,12 @@
 type processes struct {
 	network string
 	dir     string
+	seeds   []string // of the instances that startSeeded starts
 	running map[string]*process
 	calls   map[string]chan string
 	watches map[string]*watch
+	slow    map[string]*slowCall
+	floods  map[string]*flood
 }
 
 // process is one background process.
--- a/standin/target.go
+++ b/standin/target.go
@@ -41,6 +41,8 @@
 	headerEnd = "Standin-End"
 	// HeaderWork sets the processing time of the request in milliseconds.
 	HeaderWork = "Standin-Work-Ms"
+	// headerSize sets the least size of the response body in bytes.
+	headerSize = "Standin-Response-Bytes"
 	healthPath = "/healthz"
 )
 
@@ -59,6 +61,7 @@
 	state        atomic.Int32
 	http         *fasthttp.Server
 	probes       atomic.Int64
+	requests     atomic.Int64
 	// stateChanged receives a value when the state was set, so that it is registered.
 	stateChanged chan struct{}
 
@@ -66,9 +69,14 @@
 
 	mu            sync.Mutex
 	runs          map[string]int
+	tenants       map[string]string // of the requests that ran, by ID
+	credentials   int               // requests with an Authorization header
 	drainingSince time.Time
 	drainingRuns  []time.Time // when requests began to run since drainingSince
 	drainDelay    time.Duration
+
+	cold     coldTime
+	runTimes []time.Time // when requests began to run
 }
 
 // TargetOption configures a Target.
@@ -86,7 +94,7 @@
 // NewTarget returns a target with the given registration.
 func NewTarget(registration targets.Target, opts ...TargetOption) *Target {
 	t := &Target{
-		registration: registration, slots: make(chan struct{}, registration.Slots), queueLimit: 2 * int64(registration.Slots), runs: map[string]int{},
+		registration: registration, slots: make(chan struct{}, registration.Slots), queueLimit: 2 * int64(registration.Slots), runs: map[string]int{}, tenants: map[string]string{},
 		drainDelay: 2 * time.Second, stateChanged: make(chan struct{}, 1),
 	}
 	t.faults.Store(&TargetFaults{})
@@ -170,15 +178,25 @@
 	case healthPath:
 		t.probes.Add(1)
 		h.Set(headerTargetID, t.registration.ID)
+		t.setCold(h)
 		if faults.ReportUnhealthy || !faults.ReportHealthy && targets.State(t.state.Load()) == targets.Draining {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		}
 	case controlPrefix + "stats":
-		writeJSON(ctx, map[string]any{"runs": t.Runs(), "late": t.LateRequests(), "probes": t.Probes()})
+		peak, total := t.ColdPeak()
+		writeJSON(ctx, map[string]any{
+			"runs": t.Runs(), "late": t.LateRequests(), "probes": t.Probes(), "tenants": t.Tenants(), "credentials": t.Credentials(),
+			"cold_peak": peak, "cold_runs": total,
+		})
+	case controlPrefix + "cold":
+		args := ctx.QueryArgs()
+		t.SetCold(time.Duration(args.GetUintOrZero("ms"))*time.Millisecond, time.Duration(args.GetUintOrZero("notice_ms"))*time.Millisecond)
 	case controlPrefix + "faults":
 		t.handleFaults(ctx)
 	case controlPrefix + "drain":
 		t.SetState(targets.Draining)
+	case controlPrefix + "run-times":
+		writeJSON(ctx, t.RunTimes())
 	default:
 		t.handleRequest(ctx, faults)
 	}
@@ -199,6 +217,10 @@
 		ctx.Response.Header.Set(headerTargetID, t.registration.ID)
 		t.reject(ctx, fasthttp.StatusMisdirectedRequest)
 		return
+	}
+	t.requests.Add(1)
+	t.recordCold()
+	switch {
 	case faults.Shed:
 		t.reject(ctx, fasthttp.StatusServiceUnavailable)
 		return
@@ -216,6 +238,7 @@
 	}
 	defer t.releaseSlot()
 	t.recordRun(id)
+	t.recordTenant(id, &ctx.Request.Header)
 	t.simulateWork(ctx, faults)
 	t.respond(ctx, id, faults)
 }
@@ -261,11 +284,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.runs[id]++
+	t.runTimes = append(t.runTimes, time.Now())
 	if !t.drainingSince.IsZero() {
 		t.drainingRuns = append(t.drainingRuns, time.Now())
 	}
 }
 
+// RunTimes returns when requests began to run.
+func (t *Target) RunTimes() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.runTimes)
+}
+
 func (t *Target) simulateWork(ctx *fasthttp.RequestCtx, faults *TargetFaults) {
 	ms, err := strconv.Atoi(string(ctx.Request.Header.Peek(HeaderWork)))
 	if err != nil {
@@ -278,6 +309,9 @@
 // applies the faults of responses.
 func (t *Target) respond(ctx *fasthttp.RequestCtx, id string, faults *TargetFaults) {
 	body := fmt.Sprintf("%s %s %s %s\n%s", t.registration.ID, ctx.Method(), ctx.RequestURI(), id, ctx.PostBody())
+	if size, err := strconv.Atoi(string(ctx.Request.Header.Peek(headerSize))); err == nil && size > len(body) {
+		body += strings.Repeat("x", size-len(body))
+	}
 	ctx.Response.Header.Set(headerSeal, fmt.Sprintf("%s.%d.%08x", t.registration.ID, len(body), rand.Uint32()))
 	ctx.SetBodyString(body)
 	switch {
