commands: check finds likely mistakes and lists the differences

Cause: check printed the routes of a valid file only. Change: it prints the findings with their lines, as text or JSON, and compares with the published configuration; the exit status tells findings from invalid files.

--- a/checks/checks_test.go
+++ b/checks/checks_test.go
@@ -55,6 +55,9 @@
 		{"public without tenants", func(d *config.Document) { d.Routes[0].Public, d.Tenants = true, nil }, []Finding{
 			{Unused, "route a.example /x/", "the route is public, but without tenants no route needs an API key"},
 		}},
+		{"no key", func(d *config.Document) { d.Tenants[0].Keys = nil }, []Finding{
+			{Unused, "tenant t", "the tenant has no API key, so that no request belongs to it"},
+		}},
 		{"burst below one request", func(d *config.Document) { d.Tenants[0].Burst = 0.5 }, []Finding{
 			{Contradiction, "tenant t", "burst 0.5 is less than one request"},
 		}},
--- a/checks/finding.go
+++ b/checks/finding.go
@@ -102,6 +102,9 @@
 		if !keyNeeded {
 			add(Unused, "all routes are public")
 		}
+		if len(t.Keys) == 0 {
+			add(Unused, "the tenant has no API key, so that no request belongs to it")
+		}
 		if t.IsLimited() && t.Burst > 0 && t.Burst < 1 {
 			add(Contradiction, "burst %g is less than one request", t.Burst)
 		}
--- a/cmd/rhubarbrelay/main.go
+++ b/cmd/rhubarbrelay/main.go
@@ -39,6 +39,12 @@
 	File string `arg:"positional,required" help:"configuration file"`
 }
 
+type checkArgs struct {
+	fileArgs
+	Compare bool   `arg:"--compare" help:"also list the differences from the published configuration"`
+	Format  string `arg:"--format" default:"text" help:"text or json"`
+}
+
 type zoneArgs struct {
 	Zone string `arg:"positional,required" help:"name of the zone"`
 }
@@ -66,7 +72,7 @@
 }
 
 type args struct {
-	Check       *fileArgs      `arg:"subcommand:check" help:"validate a configuration file and print its routes"`
+	Check       *checkArgs     `arg:"subcommand:check" help:"validate a configuration file, print likely mistakes and its routes"`
 	Diff        *fileArgs      `arg:"subcommand:diff" help:"print the difference between the published configuration and a file"`
 	Publish     *fileArgs      `arg:"subcommand:publish" help:"publish a configuration file as the next version"`
 	Show        *struct{}      `arg:"subcommand:show" help:"print the published configuration"`
@@ -115,6 +121,9 @@
 	return exitFailure
 }
 
+// formatJSON is the value of --format for programs.
+const formatJSON = "json"
+
 var errNoStore = errors.New("no store address: set --store or RHUBARBRELAY_STORE")
 
 func run(a *args, in io.Reader, out io.Writer) error {
@@ -128,13 +137,44 @@
 		filter := timeline.Filter{Request: t.Request, Service: t.Service, Target: t.Target, Limit: t.Limit}
 		return queries.Client{Token: t.Token}.Timeline(ctx, t.Admin, filter, out)
 	case a.Check != nil:
-		d, _, err := loadDocument(a.Check.File)
-		if err != nil {
+		return check(ctx, a, out)
+	}
+	return runStore(ctx, a, in, out)
+}
+
+// errFindings means that a valid configuration has likely mistakes.
+var errFindings = errors.New("configuration has likely mistakes")
+
+// check prints the findings in a file and, if it has none and the format is text, its
+// routes.
+func check(ctx context.Context, a *args, out io.Writer) error {
+	text, err := os.ReadFile(a.Check.File)
+	if err != nil {
+		return err
+	}
+	d, _, err := loadDocument(a.Check.File)
+	if err != nil {
+		return err
+	}
+	opts := commands.CheckOptions{File: a.Check.File, Text: text, JSON: a.Check.Format == formatJSON}
+	if a.Check.Compare {
+		if !a.Store.IsValid() {
+			return errNoStore
+		}
+		if opts.InForce, _, err = commands.LatestConfig(ctx, platform.NewStore(a.Store)); err != nil {
 			return err
 		}
-		return queries.PrintRoutes(d, out)
 	}
-	return runStore(ctx, a, in, out)
+	n, err := commands.Check(d, opts, out)
+	switch {
+	case err != nil:
+		return err
+	case n > 0:
+		return fmt.Errorf("%s: %w: %d", a.Check.File, errFindings, n)
+	case opts.JSON:
+		return nil
+	}
+	return queries.PrintRoutes(d, out)
 }
 
 // runStore runs the commands that use the store.
