limits: an instance without demand that is not active takes no part in quotas

Cause: after a power failure of all instances, callers were sent to many for a moment. They stated that they had no demand any more, but those of remote zones stayed known as silent ones for a minute. Change: an instance that has stated that it is idle and is not active is removed; an idle report of an unknown one is ignored.

--- a/limits/demand_report.go
+++ b/limits/demand_report.go
@@ -30,6 +30,8 @@
 	defer q.mu.Unlock()
 	p := q.peers[report.Instance]
 	switch {
+	case p == nil && report.Idle:
+		return // it takes part once it has demand or is active
 	case p == nil:
 		p = &quotaPeer{}
 		q.peers[report.Instance] = p
--- a/limits/quota_peer.go
+++ b/limits/quota_peer.go
@@ -114,11 +114,13 @@
 )
 
 // state returns the state of another instance. All that callers are sent to report while
-// any of them has demand. When the first demand comes, they are unknown until they do.
+// any of them has demand. When the first demand comes, they are unknown until they do. One
+// that is not active takes part while it has demand. After a start of all, many are active
+// for a moment; if they stayed silent ones, the others would count as a minority.
 func (q *Quotas) state(p *quotaPeer, now time.Time) peerState {
 	quiet := p.idle || p.heardAt.IsZero()
 	switch recent := !p.heardAt.IsZero() && now.Sub(p.heardAt) < silenceLimit; {
-	case p.leaving && !recent, quiet && p.ready && !p.active, p.heardAt.IsZero() && !p.ready:
+	case p.leaving && !recent, quiet && !p.active && (p.ready || p.idle), p.heardAt.IsZero() && !p.ready:
 		return peerGone
 	case recent:
 		return peerHeard
