peer: bound the exchange of known instances

Cause: with 221 instances a list has 15 KB; all instances of a zone asked each other at once after a start, on links of 10 Mbit/s.

--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -85,8 +85,9 @@
 	evacuationSignal chan struct{}
 	// startedAt is when Run was called.
 	startedAt time.Time
-	// memberRequests limits the requests for the instances that others know.
-	memberRequests *rate.Limiter
+	// memberRequests limits the requests for the instances that others know, memberResponses
+	// the responses to such requests.
+	memberRequests, memberResponses *rate.Limiter
 
 	packetsIn, packetsOut, bytesIn, bytesOut, malformed, sendErrors atomic.Uint64
 }
@@ -115,7 +116,8 @@
 		directory: directory, clock: clock, logger: log.Log, onUpdate: func(TargetUpdate) {}, active: func() bool { return true },
 		joinedSignal: make(chan struct{}, 1), crashSignal: make(chan struct{}, 1), statementSignal: make(chan struct{}, 1),
 		evacuationSignal: make(chan struct{}, 1), memberRequests: rate.NewLimiter(rate.Every(memberRequestInterval), 1),
-		onStatements: func([]targets.Statement) {}, onDemands: func(limits.DemandReport) {},
+		memberResponses: rate.NewLimiter(rate.Every(memberResponseInterval), 1),
+		onStatements:    func([]targets.Statement) {}, onDemands: func(limits.DemandReport) {},
 		onStartNotice: func(membership.Instance, StartNotice) {},
 	}
 	for _, opt := range opts {
