limits, peer: small tenants have a token at each instance; known instances are exchanged faster

Cause: small and mid-size tenants use one bucket that all instances subtract from by their reports. After a start of all, with many instances that report, it admitted too little: 10 to 20 percent of the requests within the quotas were refused. The lists of known instances took ten seconds to become equal. Change: a request is admitted if the own bucket, of one token, has one as well; the common bucket is smaller by three quarters of these. Half of the burst instead of all of it belongs to the divided rate. Three requests a second for known instances, ten responses. Measurement: the tests of limits pass.

--- a/limits/pooled_bucket.go
+++ b/limits/pooled_bucket.go
@@ -14,6 +14,8 @@
 	maxUnseenPart = 0.7
 	// pooledReserve is the part of the tokens that is left for instances that are cut off.
 	pooledReserve = 0.4
+	// ownTokensPart is the part of the instances' own tokens that the bucket leaves out.
+	ownTokensPart = 0.75
 	// urgentPart is the part of the tokens that the others must be told of at once.
 	urgentPart = 0.25
 	// maxFirstCount is the largest number of requests that an instance admits before its
@@ -64,7 +66,9 @@
 	if own+others > 0 {
 		fraction = own / (own + others)
 	}
-	b.size = min(limits.maxBurst(t), spare-min((n-1)/2, pooledReserve*spare))
+	// Each instance also has a token of its own, which its share of the rate refills: what
+	// the others report may be late or uncertain, as after a start of all.
+	b.size = min(limits.maxBurst(t), spare-min(ownTokensPart*n, pooledReserve*spare))
 	// With fewer tokens than instances, each may use one, wherever the demand is.
 	byDemand := (1 - evenFraction) * min(1, max(0, b.size/n-1))
 	b.part, b.perSecond, b.othersDemand = (1-byDemand)/float64(view.heard)+byDemand*fraction, view.pool(rate), others
--- a/limits/quota.go
+++ b/limits/quota.go
@@ -85,7 +85,7 @@
 	}
 	q.meter.requests++
 	q.refill(now)
-	if q.pooled.allows() || !q.pooled.enabled && q.tokens >= 1 {
+	if q.tokens >= 1 || q.pooled.allows() {
 		q.tokens = max(0, q.tokens-1)
 		q.pooled.take()
 		q.admitted++
--- a/limits/quota_limits.go
+++ b/limits/quota_limits.go
@@ -7,6 +7,9 @@
 	// that of the tenant, so that differences between demands and their reports cost it
 	// nothing.
 	overageFraction = 0.2
+	// steadyBurst is the part of the burst that belongs to the divided rate. The rest is for
+	// requests that instances admit while their views of each other differ.
+	steadyBurst = 0.5
 	// transitFraction is the part of the requests of a second that instances may admit
 	// together while a report is on its way.
 	transitFraction = 0.2
@@ -21,10 +24,11 @@
 	Slack   float64
 }
 
-// dividedRate returns the rate that the instances divide. It includes the burst, which a
-// tenant may use in each window: one that sends steadily would never get it otherwise.
+// dividedRate returns the rate that the instances divide. It includes a part of the burst,
+// which a tenant may use in each window: one that sends steadily would never get it
+// otherwise.
 func (l QuotaLimits) dividedRate(t TenantQuota, instances int) float64 {
-	perSecond := (t.PerSecond + t.Burst/l.Window.Seconds()) * (1 + overageFraction*l.Overage)
+	perSecond := (t.PerSecond + steadyBurst*t.Burst/l.Window.Seconds()) * (1 + overageFraction*l.Overage)
 	return max(t.PerSecond/2, min(perSecond, (l.bound(t)-float64(instances))/l.Window.Seconds()))
 }
 
--- a/peer/members.go
+++ b/peer/members.go
@@ -20,8 +20,8 @@
 	// memberRequestInterval is the time between two requests for the instances that others
 	// know, and memberResponseInterval that between two responses, which have some 15 KB
 	// with 200 instances and must leave room on a link of 10 Mbit/s.
-	memberRequestInterval  = time.Second
-	memberResponseInterval = 200 * time.Millisecond
+	memberRequestInterval  = 300 * time.Millisecond
+	memberResponseInterval = 100 * time.Millisecond
 	// remoteMemberFraction is the fraction of the known instances by which an instance of a
 	// remote zone must know more to be asked. The instances of the local zone tell the rest.
 	remoteMemberFraction = 1.0 / 16
