--- a/registry/config_follower.go
+++ b/registry/config_follower.go
@@ -188,7 +188,8 @@
 	return f.raw
 }
 
-// Compressed returns the text of Raw compressed with gzip, or nil if there is none yet. It compresses each version once, as many
+// Compressed returns the text of Raw compressed with gzip, or nil if there is none yet. It
+// compresses each version once, as many
 // instances fetch a new version at the same time.
 func (f *ConfigFollower) Compressed() []byte {
 	f.mu.Lock()
