--- a/peer/members.go
+++ b/peer/members.go
@@ -13,7 +13,7 @@
 	// memberExchangePeriod is the time after its start for which an instance compares the
 	// instances that it knows with those that others know. When many start together, they
 	// join through several that have read the store, each of which knows only a part.
-	memberExchangePeriod = 10 * time.Second
+	memberExchangePeriod = 20 * time.Second
 	// memberExchangeDelay is the time after its start from which an instance does so. Before,
 	// introductions are on their way, and links are busy with the state for those that join.
 	memberExchangeDelay = time.Second
--- a/standin/store.go
+++ b/standin/store.go
@@ -52,7 +52,8 @@
 // Store is a stand-in for the platform's log store. It supports only keyed
 // topics of one partition, as the load balancer uses no others.
 type Store struct {
-	http *fasthttp.Server
+	http      *fasthttp.Server
+	listening listening
 
 	mu     sync.Mutex
 	topics map[string]*topic
@@ -76,7 +77,7 @@
 }
 
 // Serve serves calls until the listener is closed.
-func (s *Store) Serve(l net.Listener) error { return s.http.Serve(l) }
+func (s *Store) Serve(l net.Listener) error { return s.http.Serve(s.listening.begin(l)) }
 
 // Close ends the long polls and stops serving.
 func (s *Store) Close() error {
@@ -84,6 +85,7 @@
 	s.closed = true
 	s.notify()
 	s.mu.Unlock()
+	s.listening.end()
 	return s.http.Shutdown()
 }
 
--- a/standin/target.go
+++ b/standin/target.go
@@ -60,6 +60,7 @@
 	faults       atomic.Pointer[TargetFaults]
 	state        atomic.Int32
 	http         *fasthttp.Server
+	listening    listening
 	probes       atomic.Int64
 	requests     atomic.Int64
 	// stateChanged receives a value when the state was set, so that it is registered.
@@ -109,10 +110,13 @@
 }
 
 // Serve serves requests until the listener is closed.
-func (t *Target) Serve(l net.Listener) error { return t.http.Serve(l) }
+func (t *Target) Serve(l net.Listener) error { return t.http.Serve(t.listening.begin(l)) }
 
 // Close stops serving.
-func (t *Target) Close() error { return t.http.Shutdown() }
+func (t *Target) Close() error {
+	t.listening.end()
+	return t.http.Shutdown()
+}
 
 // SetFaults replaces the faults.
 func (t *Target) SetFaults(faults TargetFaults) { t.faults.Store(&faults) }
