--- a/queueing/queue.go
+++ b/queueing/queue.go
@@ -134,7 +134,7 @@
 		kind: groupOf(q.shares.kinds, r.Kind), tenant: groupOf(q.shares.tenants, r.Tenant),
 	}
 	w.kind.priority, w.kind.offset = r.Priority, w.place.Sub(r.Arrival)
-	w.boosted = w.kind.behind || w.tenant.behind
+	w.boosted = w.behind()
 	w.late = !w.boosted && !now.Before(w.lateAt)
 	w.startBy = w.limit.Sub(q.epoch).Seconds()
 	if !w.boosted && w.lateAt.Before(w.limit) {
@@ -193,8 +193,8 @@
 	scale := q.shares.scale(now)
 	q.leave(w)
 	for _, g := range []*group{w.kind, w.tenant, &q.shares.all} {
-		if w.refusal != nil {
-			g.refused = max(0, g.refused-scale)
+		if w.refusal == nil {
+			g.ended += w.weight() * scale
 		}
 		g.served += scale
 		g.usage += w.request.Work.Seconds() * scale
--- a/queueing/refusal.go
+++ b/queueing/refusal.go
@@ -115,7 +115,21 @@
 	return w.number > other.number
 }
 
-func (w *Waiter) behind() bool { return w.kind.behind || w.tenant.behind }
+// behind reports whether the request is exempt from refusals because its kind or tenant
+// is served less often than it must be. Repeated attempts are not, so that a flood of them
+// does not displace first ones.
+func (w *Waiter) behind() bool {
+	return (w.kind.behind || w.tenant.behind) && !w.request.repeated()
+}
+
+// weight returns the weight with which the end of the request counts: that of its call,
+// which begins with the first attempt.
+func (w *Waiter) weight() float64 {
+	if w.request.repeated() {
+		return 0
+	}
+	return 1
+}
 
 func (q *Queue) refuse(w *Waiter, now time.Time) {
 	refusal := q.RetryAfter(&w.request, now)
@@ -123,7 +137,7 @@
 	q.leave(w)
 	scale := q.shares.scale(now)
 	for _, g := range []*group{w.kind, w.tenant, &q.shares.all} {
-		g.refused += scale
+		g.ended += w.weight() * scale
 	}
 	w.signal()
 }
--- a/queueing/shares.go
+++ b/queueing/shares.go
@@ -9,13 +9,10 @@
 	// shareTimeConstant is the time constant of the counters by which kinds and tenants
 	// are compared. A tenant with few requests is compared by its last ones.
 	shareTimeConstant = 4 * time.Second
-	// minServedRatio is the lowest fraction of the requests of a kind or tenant that is
-	// served, relative to that of all requests. Callers need a quarter; the rest is the
+	// minServedRatio is the lowest fraction of the calls of a kind or tenant that is
+	// served, relative to that of all calls. Callers need a quarter; the rest is the
 	// margin for the delay of the counters.
 	minServedRatio = 0.4
-	// maxUrgencyDeficit is how far the served fraction of a kind may be below that of a
-	// less urgent one. Callers need 0.05.
-	maxUrgencyDeficit = 0.0
 	// proportionalShare is the part of a tenant's weight that follows its demand, as a
 	// multiple of the part that all tenants have alike. A tenant that sends much is
 	// served at least a third as often as all: proportionalShare / (1 + proportionalShare).
@@ -35,9 +32,11 @@
 	// offset is the time from the arrival of a request of the kind to its place, see
 	// Request.place. overtaking is the rate, in slots, at which requests of other kinds
 	// are served that are placed before it although they arrive later.
-	offset          time.Duration
-	overtaking      float64
-	served, refused float64
+	offset     time.Duration
+	overtaking float64
+	// served counts the served requests, ended the first attempts that were served or
+	// refused: a call with several attempts counts once.
+	served, ended float64
 	// usage is the work of the served requests, demand that of all first attempts.
 	usage, demand float64
 	// waitingWork is the work of the waiting requests in seconds, without a weight.
@@ -48,12 +47,12 @@
 	behind bool
 }
 
-// servedFraction returns the fraction of the requests that were served, 1 if unknown.
+// servedFraction returns the fraction of the calls that were served, 1 if unknown.
 func (g *group) servedFraction() float64 {
-	if g.served+g.refused <= 0 {
+	if g.ended <= 0 {
 		return 1
 	}
-	return g.served / (g.served + g.refused)
+	return min(1, g.served/g.ended)
 }
 
 // overuse returns how much of the service the tenant uses, relative to its weight.
@@ -86,7 +85,7 @@
 	for _, groups := range []map[string]*group{s.kinds, s.tenants} {
 		for name, g := range groups {
 			g.rescale(scale)
-			if g.waiting == 0 && g.served+g.refused < minCount {
+			if g.waiting == 0 && g.served+g.ended < minCount {
 				delete(groups, name)
 			}
 		}
@@ -97,7 +96,7 @@
 
 func (g *group) rescale(scale float64) {
 	g.served /= scale
-	g.refused /= scale
+	g.ended /= scale
 	g.usage /= scale
 	g.demand /= scale
 }
@@ -111,7 +110,9 @@
 	return g
 }
 
-// compare determines the weights of the tenants, and which kinds and tenants are behind.
+// compare determines the weights of the tenants, and which kinds and tenants are behind. An
+// urgent kind is behind as soon as it is served less often than a less urgent one: callers
+// accept a difference of 0.05, which remains as the margin for the delay of the counters.
 func (s *shares) compare(now time.Time) {
 	if now.Sub(s.comparedAt) < shareInterval {
 		return
@@ -124,7 +125,7 @@
 		k.behind = fraction < least
 		k.overtaking = 0
 		for _, other := range s.kinds {
-			if other.priority > k.priority && fraction < other.servedFraction()-maxUrgencyDeficit {
+			if other.priority > k.priority && fraction < other.servedFraction() {
 				k.behind = true
 			}
 			if other.offset < k.offset {
--- a/queueing/throughput.go
+++ b/queueing/throughput.go
@@ -49,12 +49,6 @@
 	t.waiting = waiting
 }
 
-// Scale multiplies the measured throughput, after the capacity has changed at once.
-func (t *Throughput) Scale(factor float64) {
-	t.slots *= factor
-	t.busyWork *= factor
-}
-
 // Rate returns the expected rate at which work is completed while requests wait. That is
 // the measured one. It is at least a fraction of the slots that the targets have now, and
 // a measurement of a former time counts for no more than these.
