--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -57,6 +57,7 @@
 // cases are the cases by name. Each returns an error if it could not run.
 var cases = map[string]func(*report, *system) error{
 	"early-reset": earlyReset,
+	"last-tenant": lastTenant,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -16,13 +16,24 @@
 	timeoutMS                   int
 }
 
-// publish writes the next version of the configuration, as the operator does.
-func (s *system) publish(routes ...route) time.Time {
+// tenant is a tenant of the configuration.
+type tenant struct {
+	Name string   `json:"name"`
+	Keys []string `json:"api-keys"`
+}
+
+// publish writes the next version of the configuration, without tenants, as the operator
+// does. It returns the time of the acknowledgement.
+func (s *system) publish(routes ...route) time.Time { return s.publishTenants(nil, routes...) }
+
+// publishTenants is like publish for a configuration that contains tenants, unless they are
+// nil.
+func (s *system) publishTenants(tenants []tenant, routes ...route) time.Time {
 	s.store.mu.Lock()
 	version := 7 + len(s.store.topic("keyed.op").records)
 	s.store.mu.Unlock()
 	type object = map[string]any
-	var rules, clusters []object
+	rules, clusters := []object{}, []object{}
 	seen := map[string]bool{}
 	for i, r := range routes {
 		rules = append(rules, object{
@@ -34,11 +45,15 @@
 		}
 		seen[r.service] = true
 	}
-	text, err := json.Marshal(object{
+	document := object{
 		"version": version, "base-version": version - 1,
 		"limits":    object{"max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 		"listeners": []object{{"host": host, "rules": rules}}, "clusters": clusters,
-	})
+	}
+	if tenants != nil {
+		document["tenants"] = tenants
+	}
+	text, err := json.Marshal(document)
 	if err != nil {
 		panic(err)
 	}
