--- a/review/standin-2/early_reset.go
+++ b/review/standin-2/early_reset.go
@@ -149,7 +149,7 @@
 		go v.serve(l)
 		s.register(v.id, "finishing", zones[i%3], address, 6)
 	}
-	s.publish(route{"settle-pay", "unsafe", "/pay/", "finishing", 2000})
+	s.publish(route{"settle-pay", "unsafe", "/pay/", "finishing", 2000, 0})
 	for _, zone := range zones {
 		s.addNode(zone)
 	}
--- a/review/standin-2/last_tenant.go
+++ b/review/standin-2/last_tenant.go
@@ -42,7 +42,7 @@
 		{{"cuka620", keys[:1]}},
 		{},
 	}
-	order := route{"order-place", "unsafe", "/order/", "finishing", 2000}
+	order := route{"order-place", "unsafe", "/order/", "finishing", 2000, 0}
 	s.publishTenants(versions[0], order)
 	r.log("version 1 has the tenants cuka620 and lizo114")
 	if err := s.start(); err != nil {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -56,8 +56,11 @@
 
 // cases are the cases by name. Each returns an error if it could not run.
 var cases = map[string]func(*report, *system) error{
-	"early-reset": earlyReset,
-	"last-tenant": lastTenant,
+	"early-reset":    earlyReset,
+	"last-tenant":    lastTenant,
+	"pipelined-stop": pipelinedStop,
+	"no-routes":      noRoutes,
+	"many-attempts":  manyAttempts,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -14,6 +15,7 @@
 type route struct {
 	name, kind, prefix, service string
 	timeoutMS                   int
+	attempts                    int // 0 for two
 }
 
 // tenant is a tenant of the configuration.
@@ -38,7 +40,7 @@
 	for i, r := range routes {
 		rules = append(rules, object{
 			"name": r.name, "kind": r.kind, "slo-ms": 500, "priority": i, "match": object{"path-prefix": r.prefix},
-			"action": object{"service": r.service, "timeout-ms": r.timeoutMS, "attempts": 2},
+			"action": object{"service": r.service, "timeout-ms": r.timeoutMS, "attempts": cmp.Or(r.attempts, 2)},
 		})
 		if !seen[r.service] {
 			clusters = append(clusters, object{"name": r.service, "health-path": "/healthz", "max-conns": 220, "protocol": "h1", "tls": false})
--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -38,6 +38,7 @@
 	zone, ip string
 	command  *exec.Cmd
 	exited   chan struct{}
+	ends     int // the times that the process ended by itself
 }
 
 // newSystem returns a system with a store on a loopback network that nothing uses.
