Review: case 10, a quota is exceeded after a machine has stood still

Done: a script in which a tenant sends beyond its quota while one of three machines stands still for 1.5 s, eight times.

--- a/review/standin-2/last_tenant.go
+++ b/review/standin-2/last_tenant.go
@@ -38,8 +38,8 @@
 	}
 	keys := []string{"key-of-cuka620", "key-of-lizo114", forgedKey}
 	versions := [][]tenant{
-		{{"cuka620", keys[:1]}, {"lizo114", keys[1:2]}},
-		{{"cuka620", keys[:1]}},
+		{{"cuka620", keys[:1], 0}, {"lizo114", keys[1:2], 0}},
+		{{"cuka620", keys[:1], 0}},
 		{},
 	}
 	order := route{"order-place", "unsafe", "/order/", "finishing", 2000, 0}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -59,7 +59,7 @@
 	"early-reset":    earlyReset,
 	"last-tenant":    lastTenant,
 	"pipelined-stop": pipelinedStop,
-	"no-routes":      noRoutes,
+	"quota-freeze":   quotaFreeze,
 	"many-attempts":  manyAttempts,
 }
 
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -20,8 +20,9 @@
 
 // tenant is a tenant of the configuration.
 type tenant struct {
-	Name string   `json:"name"`
-	Keys []string `json:"api-keys"`
+	Name      string   `json:"name"`
+	Keys      []string `json:"api-keys"`
+	PerSecond float64  `json:"rate-per-s,omitempty"`
 }
 
 // publish writes the next version of the configuration, without tenants, as the operator
--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -82,6 +82,7 @@
 		"platform":       map[string]any{"addr": fmt.Sprintf("%s.1:%d", n.system.network, portStore)},
 		"bounds": map[string]any{
 			"drain-ms": "2000", "grace-s": "6", "retry-budget": "0.2", "retry-slack": "58", "budget-window-s": "10", "probes-per-s": "60",
+			"quota-window-s": "5", "quota-overage": "0.1", "quota-slack": "20",
 		},
 	}
 }
