relay: a large number of attempts costs a request no memory

Cause: dispatch allocated a channel with room for all tries that the route allows, so that a try that ends after its request is not blocked. 8 bytes for each attempt, zeroed and scanned for each request.

TestManyAttempts failed before: bytes for a request with 16 million attempts, status 500 with the largest number.

Change: only tries in flight have yet to send, and there are two at most (a try and a hedge, or the retry of one). The channel has room for these, and the number is checked before each further try.

Ruled out: the lists of tries and of tried targets grow only with tries that are made, which the retry budget and the number of targets limit.

--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -22,6 +22,9 @@
 	// maxUnsentTries limits the retries of a request after tries in which nothing
 	// was sent. Such tries do not count towards the route's limit of tries.
 	maxUnsentTries = 4
+	// maxTriesInFlight is the number of tries of a request that are in flight at the same
+	// time: a try and a hedge, or the retry of one of them.
+	maxTriesInFlight = 2
 	// An idempotent request is sent to a second target (hedged) when the first
 	// try takes longer than hedgeDurationFactor times its expected duration and
 	// longer than the fraction hedgeObjectiveFraction of the route's objective.
@@ -49,7 +52,8 @@
 func (s *Server) dispatch(caller *callerWatch, req *fasthttp.Request, resp *fasthttp.Response, c *call) {
 	r := &dispatchState{
 		server: s, caller: caller, req: req, call: c,
-		finished: make(chan *try, c.route.MaxTries+maxUnsentTries+1),
+		// Only tries in flight have yet to send. None blocks after the request has ended.
+		finished: make(chan *try, maxTriesInFlight),
 	}
 	defer func() {
 		for _, t := range r.started {
@@ -142,7 +146,7 @@
 // its limit of tries, its deadline and the memory.
 func (r *dispatchState) allowsFurtherTry() bool {
 	c := r.call
-	return c.sentTries < c.route.MaxTries && time.Until(c.deadline) >= minTryTime && r.reserveCopy()
+	return len(r.inFlight) < maxTriesInFlight && c.sentTries < c.route.MaxTries && time.Until(c.deadline) >= minTryTime && r.reserveCopy()
 }
 
 // reserveCopy reserves the memory for the copy of a large request that a further try
