config, relay: weights may have any sum

Callers would see: a version whose weights of a route have a sum beyond 64 bits is not in force, and requests go on by the older one; or, with two large weights that are added at different times, services get other shares than stated.

Cause: the sum of the weights wraps around, in the validation and in the round robin.

Change: the validation needs one positive weight, and the round robin counts in floating point, which is exact for the weights in use. TestTrafficSplits, with the short runs of usual weights, is unchanged and passes.

--- a/config/validate.go
+++ b/config/validate.go
@@ -75,7 +75,11 @@
 	if r.Priority < 0 {
 		addProblem("route %q: priority %d is negative", r.Name, r.Priority)
 	}
-	total := 0
+	d.validateSplit(r, addProblem)
+}
+
+func (d *Document) validateSplit(r *Route, addProblem func(string, ...any)) {
+	hasWeight := false
 	for _, ws := range r.Split {
 		if d.Services[ws.Service] == nil {
 			addProblem("route %q: service %q is not defined", r.Name, ws.Service)
@@ -83,9 +87,9 @@
 		if ws.Weight < 0 {
 			addProblem("route %q: weight %d of service %q is negative", r.Name, ws.Weight, ws.Service)
 		}
-		total += ws.Weight
+		hasWeight = hasWeight || ws.Weight > 0
 	}
-	if total <= 0 {
-		addProblem("route %q: the sum of the weights is not positive", r.Name)
+	if !hasWeight {
+		addProblem("route %q: no service has a positive weight", r.Name)
 	}
 }
--- a/relay/trafficsplit.go
+++ b/relay/trafficsplit.go
@@ -11,7 +11,7 @@
 // over a short run, which random selection achieves only over many requests.
 type trafficSplits struct {
 	mu             sync.Mutex
-	currentWeights map[*config.Route][]int // in the order of Route.Split
+	currentWeights map[*config.Route][]float64 // in the order of Route.Split; no sum of weights overflows
 }
 
 // next returns the service for the next request of the route.
@@ -24,15 +24,16 @@
 	current := s.currentWeights[r]
 	if current == nil {
 		if s.currentWeights == nil {
-			s.currentWeights = map[*config.Route][]int{}
+			s.currentWeights = map[*config.Route][]float64{}
 		}
-		current = make([]int, len(r.Split))
+		current = make([]float64, len(r.Split))
 		s.currentWeights[r] = current
 	}
-	best, total := 0, 0
+	best, total := 0, 0.0
 	for i, ws := range r.Split {
-		current[i] += ws.Weight
-		total += ws.Weight
+		weight := float64(ws.Weight)
+		current[i] += weight
+		total += weight
 		if current[i] > current[best] {
 			best = i
 		}
--- a/relay/trafficsplit_test.go
+++ b/relay/trafficsplit_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"math"
+	"strconv"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -44,3 +46,35 @@
 	}
 	assert.DeepEqual(t, counts, map[int]int{200: 10, 503: 10})
 }
+
+// Guards against weights whose sum does not fit into a number: the service with the largest
+// one would get all requests, or the other one.
+func TestTrafficSplitWithLargeWeights(t *testing.T) {
+	const requests = 200
+	tests := []struct {
+		name    string
+		weights []int
+		want    []int // requests of each service
+	}{
+		{"two of the largest", []int{math.MaxInt, math.MaxInt}, []int{100, 100}},
+		{"a third of it", []int{math.MaxInt, math.MaxInt / 3}, []int{150, 50}},
+		{"beside none", []int{0, math.MaxInt, math.MaxInt}, []int{0, 100, 100}},
+		{"beside the smallest", []int{1, math.MaxInt}, []int{0, 200}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			route := &config.Route{}
+			for i, weight := range tt.weights {
+				route.Split = append(route.Split, config.WeightedService{Service: strconv.Itoa(i), Weight: weight})
+			}
+			var s trafficSplits
+			counts := make([]int, len(tt.weights))
+			for range requests {
+				i, err := strconv.Atoi(s.next(route))
+				assert.NilError(t, err)
+				counts[i]++
+			}
+			assert.DeepEqual(t, counts, tt.want)
+		})
+	}
+}
