routing, queueing: the largest priority number is the lowest rank

Callers would see: on a route with a very large priority number, which is the lowest rank, requests go before all others while targets are scarce.

Cause: a request is ranked by its arrival plus a delay for each step of its priority, and the product wraps around beyond 2^35.

Evidence: the new case of TestQueueOrder failed before in both packages ("wrong request at position 0").

Change: all numbers from 2^20 on rank alike. Their delay, 73 hours, is longer than any wait.

--- a/queueing/queue_test.go
+++ b/queueing/queue_test.go
@@ -1,6 +1,7 @@
 package queueing
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -26,6 +27,10 @@
 		r.PriorElapsed = time.Duration(ms) * time.Millisecond
 		return r
 	}
+	lowest := func(r Request) Request {
+		r.TenantPriority = math.MaxInt
+		return r
+	}
 	tests := []struct {
 		name    string
 		arrived []Request
@@ -36,6 +41,7 @@
 		{"high priority first", []Request{request(0, 2), request(5, 0), request(9, 1)}, 10, []int{1, 2, 0}},
 		{"low priority after a wait of more than one priority step", []Request{request(0, 1), request(260, 0)}, 260, []int{0, 1}},
 		{"earlier attempts give no precedence", []Request{request(0, 1), withPriorElapsed(request(5, 1), 100)}, 10, []int{0, 1}},
+		{"the largest numbers last", []Request{lowest(request(0, math.MaxInt)), request(5, 1)}, 10, []int{1, 0}},
 		{"late last, because of earlier attempts", []Request{withPriorElapsed(request(0, 0), 450), request(5, 1)}, 10, []int{1, 0}},
 		{"late last", []Request{request(0, 0), request(300, 1)}, 350, []int{1, 0}},
 	}
--- a/queueing/request.go
+++ b/queueing/request.go
@@ -18,6 +18,9 @@
 	// priorityStep is the time by which a request is placed behind others in the order
 	// for each step below the highest priority.
 	priorityStep = 250 * time.Millisecond
+	// maxPriority is the largest number by which requests are ranked. The delay of a
+	// request with a larger one would not fit into a time.Duration.
+	maxPriority = 1 << 20
 )
 
 // Request describes a request that waits for a service.
@@ -68,7 +71,8 @@
 	if useful <= 0 {
 		useful = time.Duration(waitFraction * float64(r.Deadline.Sub(r.Arrival)+r.PriorElapsed))
 	}
-	return r.Arrival.Add(useful - r.margin() + time.Duration(r.TenantPriority+r.Priority)*priorityStep)
+	rank := min(r.TenantPriority, maxPriority) + min(r.Priority, maxPriority)
+	return r.Arrival.Add(useful - r.margin() + time.Duration(rank)*priorityStep)
 }
 
 // value returns the value of serving the request, for each second of its work.
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -12,6 +12,10 @@
 // starvation.
 const priorityStep = 250 * time.Millisecond
 
+// maxPriority is the largest number by which requests are ranked. The delay of a request
+// with a larger one would not fit into a time.Duration.
+const maxPriority = 1 << 20
+
 // maxScanners is the number of waiting requests that may scan for a target at
 // the same time.
 const maxScanners = 3
@@ -31,7 +35,7 @@
 
 func newWaiter(r *Request, estimate time.Duration) *waiter {
 	w := &waiter{
-		effectiveArrival: r.Arrival.Add(time.Duration(r.Priority) * priorityStep),
+		effectiveArrival: r.Arrival.Add(time.Duration(min(r.Priority, maxPriority)) * priorityStep),
 		lateAt:           r.due().Add(-time.Duration(lateMargin * float64(estimate))),
 		wake:             make(chan struct{}, 1),
 	}
--- a/routing/queue_test.go
+++ b/routing/queue_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -39,6 +40,7 @@
 		{"order of arrival", []*Request{request(0, 1), request(1, 1), request(2, 1)}, 10, []int{0, 1, 2}},
 		{"high priority first", []*Request{request(0, 2), request(5, 0), request(9, 1)}, 10, []int{1, 2, 0}},
 		{"low priority after a wait of more than one priority step", []*Request{request(0, 1), request(260, 0)}, 260, []int{0, 1}},
+		{"the largest number last", []*Request{request(0, math.MaxInt), request(5, 1)}, 10, []int{1, 0}},
 		{"late last, because of earlier attempts", []*Request{withPriorElapsed(request(0, 0), 450), request(5, 1)}, 10, []int{1, 0}},
 		{"late last", []*Request{request(0, 0), request(300, 1)}, 350, []int{1, 0}},
 	}
