platform, config: long durations neither reject a version nor wrap around

Callers would see: after a version in which one route has a timeout or an objective of more than an hour, all routes go on by the older version; with a timeout of 2^63 ns and more it wraps around, for example to 1 ms, so that the route times out. A caller that states a timeout of that size is refused, as its deadline has passed.

Cause: the check for a wrong unit, which is for people who publish, also rejected documents that the store had accepted. Milliseconds were multiplied without a bound.

Change: ValidateStored checks what a document needs to take effect, Validate also what is likely to be a mistake; the tool uses Validate.

--- a/config/validate.go
+++ b/config/validate.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -12,13 +13,44 @@
 // a document that cannot be read completely is not validated.
 var ErrInvalid = errors.New("invalid configuration")
 
-// maxTimeout limits the timeouts and objectives of routes; a longer one is most
-// likely given in the wrong unit.
+// maxTimeout is the longest timeout or objective that may be published; a longer one is
+// most likely given in the wrong unit.
 const maxTimeout = time.Hour
 
-// Validate checks the document. The error wraps ErrInvalid and lists every
-// problem.
+// Validate checks a document that is to be published. The error wraps ErrInvalid and
+// lists every problem.
 func (d *Document) Validate() error {
+	return invalid(slices.Concat(d.problems(), d.likelyMistakes()))
+}
+
+// ValidateStored checks a document that the store has accepted. It accepts unusual values
+// that Validate does not: if instances rejected the document, an older one would stay in
+// force for all its routes. The error is that of Validate.
+func (d *Document) ValidateStored() error { return invalid(d.problems()) }
+
+func invalid(problems []error) error {
+	if len(problems) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%w: %w", ErrInvalid, errors.Join(problems...))
+}
+
+// likelyMistakes returns what could take effect, but hardly as it is meant.
+func (d *Document) likelyMistakes() []error {
+	var mistakes []error
+	for _, r := range d.Routes {
+		if r.Timeout > maxTimeout {
+			mistakes = append(mistakes, fmt.Errorf("route %q: timeout %s is longer than %s", r.Name, r.Timeout, maxTimeout))
+		}
+		if r.Objective > maxTimeout {
+			mistakes = append(mistakes, fmt.Errorf("route %q: objective %s is longer than %s", r.Name, r.Objective, maxTimeout))
+		}
+	}
+	return mistakes
+}
+
+// problems returns what keeps the document from taking effect.
+func (d *Document) problems() []error {
 	var problems []error
 	addProblem := func(format string, args ...any) {
 		problems = append(problems, fmt.Errorf(format, args...))
@@ -50,10 +82,7 @@
 		d.validateRoute(r, addProblem)
 	}
 	d.validateTenants(addProblem)
-	if len(problems) > 0 {
-		return fmt.Errorf("%w: %w", ErrInvalid, errors.Join(problems...))
-	}
-	return nil
+	return problems
 }
 
 func (d *Document) validateRoute(r *Route, addProblem func(string, ...any)) {
@@ -63,11 +92,11 @@
 	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
 		addProblem("route %q: prefix %q does not begin and end with a slash", r.Name, r.PathPrefix)
 	}
-	if r.Timeout <= 0 || r.Timeout > maxTimeout {
-		addProblem("route %q: timeout %s must be greater than 0 and at most %s", r.Name, r.Timeout, maxTimeout)
+	if r.Timeout <= 0 {
+		addProblem("route %q: timeout %s must be greater than 0", r.Name, r.Timeout)
 	}
-	if r.Objective < 0 || r.Objective > maxTimeout {
-		addProblem("route %q: objective %s is outside of 0 to %s", r.Name, r.Objective, maxTimeout)
+	if r.Objective < 0 {
+		addProblem("route %q: objective %s is negative", r.Name, r.Objective)
 	}
 	if r.MaxTries < 1 {
 		addProblem("route %q: attempts %d is below 1", r.Name, r.MaxTries)
--- a/relay/attempts_test.go
+++ b/relay/large_numbers_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"runtime"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
@@ -45,3 +46,19 @@
 		})
 	}
 }
+
+// Guards against a request that is refused or answered late because of sums with the
+// longest timeout of a route or of a caller.
+func TestLongestTimeout(t *testing.T) {
+	const year = 365 * 24 * time.Hour
+	h := newHarness(t, targetInfos(newScriptedTarget(t, "t-1", "a", echo)))
+	d := harnessDocument()
+	for _, r := range d.Routes {
+		r.Timeout, r.Objective = year, year
+	}
+	h.document.Store(d)
+	for _, path := range []string{"/safe/", "/once/"} {
+		assert.Equal(t, h.call(t, "POST", path, "body").status, fasthttp.StatusOK)
+		assert.Equal(t, h.call(t, "POST", path, "body", "Rhubarbrelay-Deadline-Ms: 9223372036854775807").status, fasthttp.StatusOK)
+	}
+}
