limits: a huge quota does not refuse all requests

Callers would see: 429 for each request of a tenant whose rate or burst is near the largest number, which means no limit; with a tiny rate, a Retry-After of 10 ms or of 62 years.

Cause: sums with the rate are infinite, and their differences no numbers, with which no comparison holds. The interval between two tokens of a tiny rate does not fit into a time.Duration.

Change: rates and bursts count as 1e12 at most, which no instance admits, and a refused caller is told to come back within an hour.

--- a/limits/quota.go
+++ b/limits/quota.go
@@ -9,6 +9,8 @@
 	// maxQuotaRetryAfter limits the delay after which a refused caller may retry, unless
 	// the next token takes longer.
 	maxQuotaRetryAfter = time.Second
+	// maxQuotaWait limits that delay, however low the rate is.
+	maxQuotaWait = time.Hour
 	// minQuotaRetryAfter is the precision of the Retry-After header.
 	minQuotaRetryAfter = 10 * time.Millisecond
 	// reportedChange is the fraction of its reported demand, or of an even part of the
@@ -27,6 +29,16 @@
 	Burst     float64
 }
 
+// maxQuotaRequests limits the rate and the burst of a quota. Larger ones mean the same, as
+// no instance admits so many requests, and their sums would not be finite.
+const maxQuotaRequests = 1e12
+
+// bounded returns the quota with finite sums.
+func (t TenantQuota) bounded() TenantQuota {
+	t.PerSecond, t.Burst = min(t.PerSecond, maxQuotaRequests), min(t.Burst, maxQuotaRequests)
+	return t
+}
+
 // QuotaStats describes a tenant at one instance. Share is in requests per second.
 type QuotaStats struct {
 	TenantQuota
@@ -70,7 +82,7 @@
 
 func newQuota(t TenantQuota, limits QuotaLimits, view *quotaView, now time.Time, random func() float64) *quota {
 	return &quota{
-		id: tenantID(t.Name), tenant: t, limits: limits, view: view, outdated: true, size: 1, tokens: 1, refilledAt: now,
+		id: tenantID(t.Name), tenant: t.bounded(), limits: limits, view: view, outdated: true, size: 1, tokens: 1, refilledAt: now,
 		others: map[string]otherDemand{}, pooled: newPooledBucket(random),
 	}
 }
@@ -132,7 +144,7 @@
 func (q *quota) retryAfter(now time.Time) time.Duration {
 	n := q.view.instances()
 	rate := max(q.share, q.view.pool(q.limits.dividedRate(q.tenant, n))/float64(n))
-	interval := time.Duration(float64(time.Second) / rate)
+	interval := time.Duration(min(1/rate, maxQuotaWait.Seconds()) * float64(time.Second))
 	wait := time.Duration((1 - q.tokens) * float64(interval))
 	if behind := q.promisedUntil.Sub(now) + interval; behind > wait && behind <= maxQuotaRetryAfter {
 		wait = behind
@@ -160,7 +172,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.refill(now)
-	q.tenant, q.limits, q.outdated = t, limits, true
+	q.tenant, q.limits, q.outdated = t.bounded(), limits, true
 }
 
 func (q *quota) setView(view *quotaView, now time.Time) {
