limits: no conversion of a huge cold rate to an integer

A service that tolerates 1e300 requests per second of a cold target: the number of requests in a window was converted to int, for which Go defines no result beyond its range. On arm64 it is the largest number, so that TestExtremeColdLimits passes without this change; on x86-64 it is the smallest one, the least interval would be 0 and the rate infinite. That was not run, as no x86-64 machine is at hand. math.Floor keeps the number in floating point.

--- a/limits/cold_limit.go
+++ b/limits/cold_limit.go
@@ -1,6 +1,9 @@
 package limits
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // maxColdSenders is the number of instances up to which the requests of any second to a
 // cold target stay within its limit: the sharers of both parts of a zone that was split.
@@ -41,8 +44,8 @@
 	}
 	// In any second, an instance sends one request more than intervals fit into it.
 	interval := float64(share.Sharers) / perSecond
-	if inWindow := int((perSecond + slack) / maxColdSenders); inWindow > 0 {
-		interval = max(interval, 1/float64(inWindow)+time.Millisecond.Seconds())
+	if inWindow := math.Floor((perSecond + slack) / maxColdSenders); inWindow > 0 {
+		interval = max(interval, 1/inWindow+time.Millisecond.Seconds())
 	}
 	if !share.Settled {
 		interval = max(interval, unsettledColdInterval.Seconds())
