config, platform: the removal of the last tenant admits no key

Callers saw: after a version with an empty list of tenants, requests ran with any key: removed ones and ones that no configuration ever held.

Cause: absent and empty were the same. Requests needed keys if the list of tenants was not empty, so that the removal of the last one turned off the check, the removal of credentials from what targets get, and the check of waiting requests.

Change: a document states whether requests need keys apart from its tenants: if the list is there, even empty. The statement is kept in what instances pass to each other, in what is published, and in files, where a section [tenants] has keys_required = true; the Java library writes it for an empty list. A missing field, and null, remain a configuration without tenants. check and diff state both cases.

--- a/checks/checks_test.go
+++ b/checks/checks_test.go
@@ -55,6 +55,9 @@
 		{"public without tenants", func(d *config.Document) { d.Routes[0].Public, d.Tenants = true, nil }, []Finding{
 			{Unused, "route a.example /x/", "the route is public, but without tenants no route needs an API key"},
 		}},
+		{"no tenant left", func(d *config.Document) { d.Tenants, d.KeysRequired = nil, true }, []Finding{
+			{Contradiction, "tenants", "requests need an API key, but there is no tenant: all of them are refused, but for those of public routes"},
+		}},
 		{"no key", func(d *config.Document) { d.Tenants[0].Keys = nil }, []Finding{
 			{Unused, "tenant t", "the tenant has no API key, so that no request belongs to it"},
 		}},
@@ -113,6 +116,10 @@
 			{"tenant t", "2 keys added"}, {"tenant t", "1 keys revoked"},
 		}},
 		{"quota", func(d *config.Document) { d.Tenants[0].RatePerSecond = 8 }, []Difference{{"tenant t", "requests per second changed from 10 to 8"}}},
+		{"last tenant removed", func(d *config.Document) { d.Tenants, d.KeysRequired = nil, true }, []Difference{{"tenant t", "removed, with its 2 keys"}}},
+		{"no tenants any more", func(d *config.Document) { d.Tenants = nil }, []Difference{
+			{"tenants", "requests need no API key any more"}, {"tenant t", "removed, with its 2 keys"},
+		}},
 		{"tenant replaced", func(d *config.Document) { d.Tenants[0].Name = "u" }, []Difference{
 			{"tenant t", "removed, with its 2 keys"}, {"tenant u", "added, with 2 keys"},
 		}},
--- a/checks/difference.go
+++ b/checks/difference.go
@@ -110,6 +110,9 @@
 }
 
 func (c *comparison) compareTenants(from, to *config.Document) {
+	if from.RequiresKeys() && !to.RequiresKeys() {
+		c.add(tenantsSection, "requests need no API key any more")
+	}
 	before, after := tenantsByName(from), tenantsByName(to)
 	for _, t := range from.Tenants {
 		if after[t.Name] == nil {
--- a/checks/finding.go
+++ b/checks/finding.go
@@ -40,7 +40,10 @@
 func serviceSection(s *config.Service) string { return "service " + s.Name }
 func tenantSection(t *config.Tenant) string   { return "tenant " + t.Name }
 
-const limitsSection = "limits"
+const (
+	limitsSection  = "limits"
+	tenantsSection = "tenants"
+)
 
 func checkRoutes(d *config.Document) []Finding {
 	var findings []Finding
@@ -59,7 +62,7 @@
 		if r.Objective > r.Timeout {
 			add(Contradiction, "objective %s is longer than timeout %s", r.Objective, r.Timeout)
 		}
-		if r.Public && !d.HasTenants() {
+		if r.Public && !d.RequiresKeys() {
 			add(Unused, "the route is public, but without tenants no route needs an API key")
 		}
 	}
@@ -94,6 +97,9 @@
 
 func checkTenants(d *config.Document) []Finding {
 	var findings []Finding
+	if d.RequiresKeys() && len(d.Tenants) == 0 {
+		findings = append(findings, Finding{Contradiction, tenantsSection, "requests need an API key, but there is no tenant: all of them are refused, but for those of public routes"})
+	}
 	keyNeeded := slices.ContainsFunc(d.Routes, func(r *config.Route) bool { return !r.Public })
 	for _, t := range d.Tenants {
 		add := func(kind Kind, format string, args ...any) {
--- a/config/document.go
+++ b/config/document.go
@@ -16,8 +16,11 @@
 	Limits   Limits
 	Routes   []*Route
 	Services map[string]*Service
-	// Tenants are the groups of callers. If there are none, requests need no API key.
+	// Tenants are the groups of callers.
 	Tenants []*Tenant
+	// KeysRequired is set if requests need an API key although there may be no tenant: the
+	// last one was removed. With tenants, they need one in any case.
+	KeysRequired bool
 
 	tenants map[KeyDigest]*Tenant
 	routes  map[routeKey]*Route
--- a/config/format.go
+++ b/config/format.go
@@ -97,10 +97,12 @@
 			Objective: r.duration("objective"), Timeout: r.duration("timeout"), MaxTries: r.integer("attempts", 1),
 			Priority: r.integer("priority", 0), Public: r.boolean("public"), Split: r.weightedServices("services"),
 		})
+	case len(words) == 1 && words[0] == tenantsSection:
+		r.readTenants(d)
 	case len(words) >= 2 && words[0] == tenantSection:
 		r.readTenant(d, strings.TrimSpace(strings.TrimPrefix(r.section.Name(), tenantSection)), keys)
 	default:
-		r.addProblem("", "", "unknown section; the sections are [limits], [tenant NAME], [service NAME] and [route HOST PREFIX]")
+		r.addProblem("", "", "unknown section; the sections are [limits], [tenants], [tenant NAME], [service NAME] and [route HOST PREFIX]")
 	}
 }
 
--- a/config/format_tenant.go
+++ b/config/format_tenant.go
@@ -9,8 +9,21 @@
 	"strings"
 )
 
-// tenantSection is the first word in the name of a tenant's section.
-const tenantSection = "tenant"
+const (
+	// tenantSection is the first word in the name of a tenant's section.
+	tenantSection = "tenant"
+	// tenantsSection is the name of the section on all tenants, which a file without any
+	// has if requests need API keys.
+	tenantsSection  = "tenants"
+	keysRequiredKey = "keys_required"
+)
+
+// readTenants reads the section on all tenants.
+func (r *sectionReader) readTenants(d *Document) {
+	if d.KeysRequired = r.boolean(keysRequiredKey); !d.KeysRequired {
+		r.addProblem(keysRequiredKey, "", "must be true; without the section, requests need API keys if there are tenants")
+	}
+}
 
 // readTenant reads a tenant's section. A file that is written by hand has the keys
 // themselves, one that Format wrote has their digests; it may have both.
@@ -73,6 +86,9 @@
 
 // formatTenants formats the tenants without their keys.
 func formatTenants(b *bytes.Buffer, d *Document) {
+	if d.RequiresKeys() && len(d.Tenants) == 0 {
+		fmt.Fprintf(b, "\n[%s]\n%s = true\n", tenantsSection, keysRequiredKey)
+	}
 	tenants := slices.SortedFunc(slices.Values(d.Tenants), func(a, b *Tenant) int { return cmp.Compare(a.Name, b.Name) })
 	for _, t := range tenants {
 		digests := make([]string, 0, len(t.Keys))
--- a/config/format_tenant_test.go
+++ b/config/format_tenant_test.go
@@ -38,6 +38,39 @@
 	assert.Equal(t, len(keys), 1)
 }
 
+// Guards against a file without tenants that is read as one that admits all requests, or as
+// one that admits none, against its section on all tenants.
+func TestFileWithoutTenants(t *testing.T) {
+	const file = "[service s]\nhealth_path = /h\n[route a.example /x/]\ntimeout = 1s\nservices = s\n"
+	tests := []struct {
+		name, section string
+		required      bool
+		problem       string
+	}{
+		{"no section", "", false, ""},
+		{"required", "[tenants]\nkeys_required = true\n", true, ""},
+		{"not required", "[tenants]\nkeys_required = false\n", false, `section "tenants", key "keys_required", value "": must be true`},
+		{"no value", "[tenants]\n", false, `section "tenants", key "keys_required", value "": must be true`},
+		{"other value", "[tenants]\nkeys_required = yes\n", false, `neither true nor false`},
+		{"with a tenant", "[tenants]\nkeys_required = true\n[tenant a]\napi_keys = k\n", true, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, err := Parse([]byte(file + tt.section))
+			if tt.problem != "" {
+				assert.ErrorIs(t, err, ErrInvalid)
+				assert.ErrorContains(t, err, tt.problem)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, d.RequiresKeys(), tt.required)
+			again, err := Parse(Format(d))
+			assert.NilError(t, err)
+			assert.Equal(t, again.RequiresKeys(), tt.required)
+		})
+	}
+}
+
 // Guards against a key in an error, wherever the mistake in the file is, and against one
 // that does not state the place.
 func TestProblemsOfTenantsContainNoKey(t *testing.T) {
--- a/config/format_test.go
+++ b/config/format_test.go
@@ -11,7 +11,7 @@
 // Guards against Format differing from the files that the Java library writes,
 // and against Parse rejecting them.
 func TestFormatMatchesJavaLibrary(t *testing.T) {
-	for _, name := range []string{"kessler", "hanbit"} {
+	for _, name := range []string{"kessler", "hanbit", "no_tenants"} {
 		text, err := os.ReadFile("../java/testdata/" + name + ".ini")
 		assert.NilError(t, err)
 		d, err := Parse(text)
--- a/config/tenant.go
+++ b/config/tenant.go
@@ -32,9 +32,9 @@
 // none.
 func (d *Document) TenantOf(digest KeyDigest) *Tenant { return d.tenants[digest] }
 
-// HasTenants reports whether requests need an API key, other than those of public
-// routes.
-func (d *Document) HasTenants() bool { return len(d.Tenants) > 0 }
+// RequiresKeys reports whether requests need an API key, other than those of public
+// routes. Without any tenant, no key is valid.
+func (d *Document) RequiresKeys() bool { return d.KeysRequired || len(d.Tenants) > 0 }
 
 // IsLimited reports whether the tenant has a quota.
 func (t *Tenant) IsLimited() bool { return t.RatePerSecond > 0 }
--- a/java/src/org/rhubarbrelay/config/Document.java
+++ b/java/src/org/rhubarbrelay/config/Document.java
@@ -20,8 +20,11 @@
     private final List<Service> services;
     private final List<Route> routes;
 
-    private Document(Limits limits, List<Tenant> tenants, List<Service> services, List<Route> routes) {
+    private final boolean keysRequired;
+
+    private Document(Limits limits, boolean keysRequired, List<Tenant> tenants, List<Service> services, List<Route> routes) {
         this.limits = limits;
+        this.keysRequired = keysRequired;
         this.tenants = tenants;
         this.services = services;
         this.routes = routes;
@@ -47,13 +50,13 @@
                         + ": at least one is needed, and all of them must be defined");
             }
         }
-        return new Document(limits, List.of(), services.stream().sorted(Comparator.comparing(Service::name)).toList(),
+        return new Document(limits, false, List.of(), services.stream().sorted(Comparator.comparing(Service::name)).toList(),
                 routes.stream().sorted(Comparator.comparing(Route::key)).toList());
     }
 
     /**
-     * Returns a copy with the given tenants, sorted by name. With tenants, requests of routes that are
-     * not public need an API key.
+     * Returns a copy with the given tenants, sorted by name. Requests of routes that are not public then
+     * need an API key. With an empty list, no key is valid.
      *
      * @throws IllegalArgumentException if a tenant occurs twice, or two tenants have the same key
      */
@@ -67,7 +70,7 @@
             }
             keys.addAll(tenant.keys());
         }
-        return new Document(limits, values.stream().sorted(Comparator.comparing(Tenant::name)).toList(), services,
+        return new Document(limits, true, values.stream().sorted(Comparator.comparing(Tenant::name)).toList(), services,
                 routes);
     }
 
@@ -85,6 +88,9 @@
     public String toString() {
         StringBuilder out = new StringBuilder();
         limits.print(out);
+        if (keysRequired && tenants.isEmpty()) {
+            out.append("\n[tenants]\nkeys_required = true\n");
+        }
         for (Tenant tenant : tenants) {
             tenant.print(out.append('\n'));
         }
--- a/java/test/ConfigTest.java
+++ b/java/test/ConfigTest.java
@@ -25,6 +25,7 @@
         compare(golden.resolve("kessler.ini"), document("kessler"));
         compare(golden.resolve("hanbit.ini"), document("hanbit"));
         compare(golden.resolve("tenants.ini"), document("tenants"));
+        compare(golden.resolve("no_tenants.ini"), document("no_tenants"));
         rejectsInvalidValues();
         routesAreImmutable();
         System.out.println("java: all tests passed");
@@ -34,6 +35,7 @@
         return switch (example) {
             case "kessler" -> kessler();
             case "hanbit" -> hanbit();
+            case "no_tenants" -> tenants().withTenants(List.of());
             default -> tenants();
         };
     }
--- a/relay/authorization.go
+++ b/relay/authorization.go
@@ -75,7 +75,7 @@
 // request needs no key. ok is false if the request must be refused. The route must be that
 // of the same document: another one may have made it public.
 func (cr *credentials) tenantOf(document *config.Document, route *config.Route, fromPeer bool) (tenant *config.Tenant, digest config.KeyDigest, ok bool) {
-	if !document.HasTenants() || route.Public {
+	if !document.RequiresKeys() || route.Public {
 		return nil, config.KeyDigest{}, true
 	}
 	if digest, ok = cr.keyDigest(fromPeer); !ok {
@@ -90,7 +90,7 @@
 // whether another instance sends the request: it accepts a valid digest in any case.
 func (s *Server) lacksKey(h *fasthttp.RequestHeader) bool {
 	document := s.config.Current()
-	if document == nil || !document.HasTenants() {
+	if document == nil || !document.RequiresKeys() {
 		return false
 	}
 	route := document.Match(string(h.Host()), requestPath(h.RequestURI()))
@@ -137,7 +137,7 @@
 		return false
 	}
 	document := s.config.Current()
-	return document != c.document && document.HasTenants() && document.TenantOf(c.keyDigest) == nil
+	return document != c.document && document.RequiresKeys() && document.TenantOf(c.keyDigest) == nil
 }
 
 // replaceCredentials removes the headers of callers that a target must not get, and sets
@@ -145,7 +145,7 @@
 // send.
 func (c *call) replaceCredentials(h *fasthttp.RequestHeader) {
 	h.Del(keyDigestHeader) // in a trailer
-	if !c.document.HasTenants() {
+	if !c.document.RequiresKeys() {
 		return
 	}
 	name := ""
--- a/relay/authorization_test.go
+++ b/relay/authorization_test.go
@@ -304,6 +304,20 @@
 // Guards against a request that is sent to a target after its key was revoked, as it has
 // waited for the target.
 func TestRevocationWhileQueued(t *testing.T) {
+	tests := []struct {
+		name  string
+		newer *config.Document
+	}{
+		{"tenant removed", withoutTenantA(tenantDocument())},
+		{"last tenant removed", withoutAnyTenant(tenantDocument())},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { checkRevocationWhileQueued(t, tt.newer) })
+	}
+}
+
+func checkRevocationWhileQueued(t *testing.T, newer *config.Document) {
+	t.Helper()
 	arrived, release := make(chan struct{}, 1), make(chan struct{})
 	target := newScriptedTarget(t, "t-1", "a", func(req *fasthttp.Request) (string, bool) {
 		arrived <- struct{}{}
@@ -318,13 +332,74 @@
 	<-arrived
 	waiting.send(rawRequest("POST", "/once/", "second", withKeyA))
 	waitFor(t, "the request waits", func() bool { return h.table.Dispatcher("spoolkeep").Stats().Waiting == 1 })
-	h.document.Store(withoutTenantA(tenantDocument()))
+	h.document.Store(newer)
 	close(release)
 	assert.Equal(t, running.mustReceive().status, 200)
 	assert.Equal(t, waiting.mustReceive().status, 401)
 	assert.Equal(t, len(target.receivedIDs()), 1)
 }
 
+// withoutAnyTenant returns the document after its last tenant was removed.
+func withoutAnyTenant(d *config.Document) *config.Document {
+	changed := *d
+	changed.Version++
+	changed.Tenants, changed.KeysRequired = nil, true
+	changed.Index()
+	return &changed
+}
+
+// Guards against the removal of the last tenant admitting every key, and against a target
+// that is shown a key after it.
+func TestRemovalOfLastTenant(t *testing.T) {
+	tests := []struct {
+		name, method, path, line string
+		status                   int
+		want                     string
+	}{
+		{"removed key", "POST", "/once/", withKeyA, 401, "request has no valid API key\n"},
+		{"removed key, idempotent", "GET", "/safe/", withKeyA, 401, "request has no valid API key\n"},
+		{"unknown key", "POST", "/once/", withUnknown, 401, "request has no valid API key\n"},
+		{"no key", "POST", "/once/", "X: y", 401, "request has no valid API key\n"},
+		{"public route", "POST", "/public/", withKeyA, 200, ""},
+		{"public route, forged tenant", "POST", "/public/", "Rhubarbrelay-Tenant: a", 200, ""},
+	}
+	h := newTenantHarness(t)
+	kept := h.connect(t)
+	kept.send(rawRequest("POST", "/once/", "body", withKeyA))
+	assert.Equal(t, kept.mustReceive().status, 200)
+	h.document.Store(withoutAnyTenant(tenantDocument()))
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			kept := h.connect(t)
+			for range 2 {
+				kept.send(rawRequest(tt.method, tt.path, "", tt.line))
+				got := kept.mustReceive()
+				assert.Equal(t, got.status, tt.status)
+				assert.Equal(t, got.body, tt.want)
+			}
+			got := h.call(t, "POST", tt.path, "body", tt.line)
+			assert.Equal(t, got.status, tt.status)
+		})
+	}
+	kept.send(rawRequest("POST", "/once/", "body", withKeyA))
+	assert.Equal(t, kept.mustReceive().status, 401)
+	h.document.Store(tenantDocument())
+	assert.Equal(t, h.call(t, "POST", "/once/", "body", withKeyA).body, "Rhubarbrelay-Tenant: a")
+}
+
+// Guards against another instance that runs a request although it has removed the last
+// tenant already.
+func TestPassingOnAfterRemovalOfLastTenant(t *testing.T) {
+	other := newTenantHarness(t)
+	other.document.Store(withoutAnyTenant(tenantDocument()))
+	h := newCutHarness(t, &peerList{[]netip.AddrPort{other.servePeers(t)}})
+	for _, document := range []*config.Document{tenantDocument(), harnessDocument()} {
+		h.document.Store(document)
+		assert.Equal(t, h.call(t, "POST", "/once/", "body", withKeyA).status, 503)
+	}
+	assert.Equal(t, other.relay.counters.takenOver.Load(), uint64(2))
+}
+
 // Guards against a second try that carries the key or no tenant.
 func TestTenantOfFurtherTries(t *testing.T) {
 	tests := []struct {
--- a/relay/request.go
+++ b/relay/request.go
@@ -278,7 +278,7 @@
 // prepareRequest turns the caller's request into the one that all tries send.
 func prepareRequest(req *fasthttp.Request, c *call) {
 	h := &req.Header
-	if c.document.HasTenants() {
+	if c.document.RequiresKeys() {
 		c.header.removed = append(c.header.removed, c.header.credentials.names...)
 	}
 	c.header.stripRequest(h)
