commands: publish refuses a file from which the last tenant was removed

Operators would see: after they remove the last [tenant] section from a file and publish it, every request is admitted, with any key or none.

Cause: a file without tenants was published as a document without the field, which is what a deployment without tenants has. Same class as the removal of the last tenant in the document: absent and empty were the same.

Evidence: TestPublishWithoutLastTenant; the former Publish has no error for it and published the file (read). The option and the error are new, so that the test does not compile without the change.

--- a/cmd/rhubarbrelay/main.go
+++ b/cmd/rhubarbrelay/main.go
@@ -45,6 +45,11 @@
 	Format  string `arg:"--format" default:"text" help:"text or json"`
 }
 
+type publishArgs struct {
+	fileArgs
+	WithoutKeys bool `arg:"--without-keys" help:"let requests need no API key any more"`
+}
+
 type zoneArgs struct {
 	Zone string `arg:"positional,required" help:"name of the zone"`
 }
@@ -74,7 +79,7 @@
 type args struct {
 	Check       *checkArgs     `arg:"subcommand:check" help:"validate a configuration file, print likely mistakes and its routes"`
 	Diff        *fileArgs      `arg:"subcommand:diff" help:"print the difference between the published configuration and a file"`
-	Publish     *fileArgs      `arg:"subcommand:publish" help:"publish a configuration file as the next version"`
+	Publish     *publishArgs   `arg:"subcommand:publish" help:"publish a configuration file as the next version"`
 	Show        *struct{}      `arg:"subcommand:show" help:"print the published configuration"`
 	Status      *instanceArgs  `arg:"subcommand:status" help:"print the status of instances"`
 	Timeline    *timelineArgs  `arg:"subcommand:timeline" help:"print the merged events of instances in chronological order"`
@@ -109,7 +114,7 @@
 
 func exitCode(err error) int {
 	switch {
-	case errors.Is(err, config.ErrInvalid), errors.Is(err, commands.ErrInvalidZone):
+	case errors.Is(err, config.ErrInvalid), errors.Is(err, commands.ErrInvalidZone), errors.Is(err, commands.ErrAdmitsWithoutKey):
 		return exitUsage
 	case errors.Is(err, platform.ErrConflict):
 		return exitConflict
@@ -191,11 +196,7 @@
 	case a.Evacuations != nil:
 		return commands.ListEvacuations(ctx, store, out)
 	case a.Publish != nil:
-		d, keys, err := loadDocument(a.Publish.File)
-		if err != nil {
-			return err
-		}
-		return commands.Publish(ctx, store, d, keys, out)
+		return publish(ctx, store, a.Publish, out)
 	case a.AddKey != nil:
 		key, err := io.ReadAll(io.LimitReader(in, maxKeyInput))
 		if err != nil {
@@ -225,6 +226,18 @@
 	return queries.Show(published, out)
 }
 
+func publish(ctx context.Context, store commands.Store, a *publishArgs, out io.Writer) error {
+	d, keys, err := loadDocument(a.File)
+	if err != nil {
+		return err
+	}
+	var opts []commands.PublishOption
+	if a.WithoutKeys {
+		opts = append(opts, commands.WithoutKeys())
+	}
+	return commands.Publish(ctx, store, d, keys, out, opts...)
+}
+
 func loadDocument(path string) (*config.Document, config.Keys, error) {
 	text, err := os.ReadFile(path) //nolint:gosec // The operator chooses the file.
 	if err != nil {
--- a/commands/keys_test.go
+++ b/commands/keys_test.go
@@ -128,3 +128,23 @@
 	assert.NilError(t, err)
 	assert.ErrorIs(t, Publish(ctx, s, d, keys, &bytes.Buffer{}), config.ErrInvalid)
 }
+
+// Guards against an operator who removes the last tenant from a file, and with it the need
+// for API keys.
+func TestPublishWithoutLastTenant(t *testing.T) {
+	ctx := context.Background()
+	s := &fakeStore{}
+	publishTenants(t, s)
+	var out bytes.Buffer
+	assert.ErrorIs(t, Publish(ctx, s, parse(t, "kessler"), nil, &out), ErrAdmitsWithoutKey)
+	assert.Equal(t, out.String(), "")
+	none := parse(t, "kessler")
+	none.KeysRequired = true
+	assert.NilError(t, Publish(ctx, s, none, nil, &out))
+	assert.Assert(t, strings.Contains(string(s.value), `"tenants":[]`), string(s.value))
+	assert.NilError(t, Publish(ctx, s, none, nil, &out))
+	assert.ErrorIs(t, Publish(ctx, s, parse(t, "kessler"), nil, &out), ErrAdmitsWithoutKey)
+	assert.NilError(t, Publish(ctx, s, parse(t, "kessler"), nil, &out, WithoutKeys()))
+	assert.Assert(t, !strings.Contains(string(s.value), "tenants"), string(s.value))
+	assert.Equal(t, out.String(), "published version 2\nunchanged at version 2\npublished version 3\n")
+}
--- a/commands/publish.go
+++ b/commands/publish.go
@@ -21,6 +21,19 @@
 // configuration that the operator has not seen, or have a version that is in use.
 var ErrAppendedToRestored = errors.New("the version was appended to a restored store, check the configuration in force")
 
+// ErrAdmitsWithoutKey means that the published configuration requires API keys and the one
+// to be published does not: with its last tenant removed, it would admit every key.
+var ErrAdmitsWithoutKey = errors.New("requests would need no API key any more: " +
+	"add a section [tenants] with keys_required = true, which admits nobody, or publish with --without-keys")
+
+// PublishOption changes what Publish accepts.
+type PublishOption func(*publishOptions)
+
+type publishOptions struct{ withoutKeys bool }
+
+// WithoutKeys lets requests need no API key any more.
+func WithoutKeys() PublishOption { return func(o *publishOptions) { o.withoutKeys = true } }
+
 // Store is the part of the platform's store that publishing uses.
 type Store interface {
 	Newest(ctx context.Context, topic platform.Topic) (platform.Batch, error)
@@ -67,8 +80,13 @@
 // concurrently, all but one get platform.ErrConflict. The error wraps
 // ErrOutcomeUnknown if the store did not respond to the append, and
 // ErrAppendedToRestored if the store was restored since it was read but its end is the
-// same. keys has the API keys of the document that the latest one does not have.
-func Publish(ctx context.Context, store Store, d *config.Document, keys config.Keys, out io.Writer) error {
+// same, and ErrAdmitsWithoutKey if the document must be published with WithoutKeys. keys
+// has the API keys of the document that the latest one does not have.
+func Publish(ctx context.Context, store Store, d *config.Document, keys config.Keys, out io.Writer, opts ...PublishOption) error {
+	var options publishOptions
+	for _, opt := range opts {
+		opt(&options)
+	}
 	p, err := latest(ctx, store)
 	if err != nil {
 		return err
@@ -83,6 +101,9 @@
 			_, err := fmt.Fprintf(out, "unchanged at version %d\n", baseVersion)
 			return err
 		}
+		if p.document.RequiresKeys() && !d.RequiresKeys() && !options.withoutKeys {
+			return ErrAdmitsWithoutKey
+		}
 	}
 	next := *d
 	next.Version = baseVersion + 1
