config, platform: a version without routes takes effect

Callers would see: after a version that removes the last route, requests go on running by the older version.

Cause: as for the last tenant, empty was taken for absent: a document without any route was rejected, though the store had accepted it.

Change: an empty list of routes takes effect, with 404 for each request, also on kept connections (TestRemovalOfLastRoute). The tool still refuses to publish a file without routes, as it is likely to be a mistake.

--- a/config/validate.go
+++ b/config/validate.go
@@ -38,6 +38,9 @@
 // likelyMistakes returns what could take effect, but hardly as it is meant.
 func (d *Document) likelyMistakes() []error {
 	var mistakes []error
+	if len(d.Routes) == 0 {
+		mistakes = append(mistakes, errors.New("no routes"))
+	}
 	for _, r := range d.Routes {
 		if r.Timeout > maxTimeout {
 			mistakes = append(mistakes, fmt.Errorf("route %q: timeout %s is longer than %s", r.Name, r.Timeout, maxTimeout))
@@ -58,9 +61,6 @@
 	if d.Version <= 0 {
 		addProblem("version %d is not positive", d.Version)
 	}
-	if len(d.Routes) == 0 {
-		addProblem("no routes")
-	}
 	for name, s := range d.Services {
 		if name == "" || s.Name != name {
 			addProblem("service %q: name %q is empty or differs from the key of the service", name, s.Name)
--- a/relay/proper_test.go
+++ b/relay/proper_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/config"
 )
 
 // fragmentingListener accepts connections whose reads end at chosen positions.
@@ -317,3 +319,23 @@
 	running.Wait()
 	assert.Equal(t, h.relay.Stats().Refused["malformed"]+h.relay.Stats().Refused["incomplete"], uint64(0))
 }
+
+// Guards against a request that runs on a route although the last one was removed, and
+// against one that is refused after routes have come back.
+func TestRemovalOfLastRoute(t *testing.T) {
+	h := newHarness(t, targetInfos(newScriptedTarget(t, "t-1", "a", echo)))
+	without := &config.Document{Version: 2, Services: map[string]*config.Service{}}
+	without.Index()
+	kept := h.connect(t)
+	for range 2 {
+		for _, step := range []struct {
+			document *config.Document
+			want     int
+		}{{harnessDocument(), 200}, {without, 404}} {
+			h.document.Store(step.document)
+			kept.send(rawRequest("POST", "/once/", "body"))
+			assert.Equal(t, kept.mustReceive().status, step.want)
+			assert.Equal(t, h.call(t, "GET", "/safe/", "").status, step.want)
+		}
+	}
+}
