relay, callers: a closing response awaits pipelined requests that were passed on

Cause: during a stop, each response closes its connection, and closing it canceled the requests that ran ahead of their turn. The same happened after a failure of the instance's own that closes the connection, such as a panic.

TestStopAnswersPipelinedRequests failed before in all five cases and TestFailureAwaitsPipelinedRequests failed, each at the first response.

Change: once a response would close a connection, no further request of it is begun, those that run are answered in order, and the last response closes it. A close by the caller still cancels all of them, now as soon as it is seen.

A request with Connection: close has none behind it that runs, as such a head ends what is run ahead.

--- a/callers/ahead.go
+++ b/callers/ahead.go
@@ -50,6 +50,27 @@
 	return first
 }
 
+// Len returns the number of requests.
+func (a *Ahead) Len() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.requests)
+}
+
+// Close makes Add take no more requests. Those that it has taken run on.
+func (a *Ahead) Close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed = true
+}
+
+// Closed reports whether Close or Cancel was called.
+func (a *Ahead) Closed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.closed
+}
+
 // Cancel cancels all requests and takes no more.
 func (a *Ahead) Cancel() {
 	a.mu.Lock()
--- a/relay/callerwatch.go
+++ b/relay/callerwatch.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"rhubarbrelay/callers"
 )
 
 // errCallerClosed is the cancellation cause when the caller closes its
@@ -20,7 +22,10 @@
 type callerWatch struct {
 	context.Context
 
-	conn    net.Conn
+	conn net.Conn
+	// ahead holds the requests behind the watched one that run already, nil for none. They
+	// are canceled when the caller closes its connection.
+	ahead   *callers.Ahead
 	cancel  context.CancelCauseFunc
 	watcher sync.WaitGroup
 	// receive takes what the caller sends meanwhile. It returns false if it takes no more
@@ -29,9 +34,9 @@
 }
 
 // watchCaller starts to watch the connection. The watch must be stopped before
-// the connection is read again. receive may be nil, see callerWatch.
-func watchCaller(conn net.Conn, receive func(fd int) bool) *callerWatch {
-	w := unwatchedCaller()
+// the connection is read again. ahead and receive may be nil, see callerWatch.
+func watchCaller(conn net.Conn, ahead *callers.Ahead, receive func(fd int) bool) *callerWatch {
+	w := unwatchedCaller(ahead)
 	w.conn, w.receive = conn, receive
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
@@ -43,7 +48,7 @@
 	}
 	// The read deadline of the request would end the watch.
 	if err := conn.SetReadDeadline(time.Time{}); err != nil {
-		w.cancel(errCallerClosed)
+		w.recordClose()
 		return w
 	}
 	w.watcher.Go(func() { w.watch(raw) })
@@ -51,9 +56,16 @@
 }
 
 // unwatchedCaller returns a watch without a connection, which only cancel ends.
-func unwatchedCaller() *callerWatch {
+func unwatchedCaller(ahead *callers.Ahead) *callerWatch {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	return &callerWatch{Context: ctx, cancel: cancel}
+	return &callerWatch{Context: ctx, cancel: cancel, ahead: ahead}
+}
+
+func (w *callerWatch) recordClose() {
+	w.cancel(errCallerClosed)
+	if w.ahead != nil {
+		w.ahead.Cancel()
+	}
 }
 
 // watch returns when the connection is closed or stop is called. It also returns
@@ -71,7 +83,7 @@
 		return closed || w.receive == nil || !w.receive(int(fd))
 	})
 	if closed || err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		w.cancel(errCallerClosed)
+		w.recordClose()
 	}
 }
 
--- a/relay/pipeline.go
+++ b/relay/pipeline.go
@@ -41,21 +41,34 @@
 	_ = r.resp.CloseBodyStream() // the stream is in memory; closing it does not fail
 }
 
-func cancelAhead(ctx *fasthttp.RequestCtx) {
-	if conn, ok := ctx.Conn().(*callers.Conn); ok {
-		conn.Ahead().Cancel()
+// deferClose leaves the close of a connection to the response to the last request that runs
+// ahead: targets may work on these requests, so that their callers must get the responses.
+// Once a response would have closed the connection, no further request is begun.
+func deferClose(ctx *fasthttp.RequestCtx) {
+	conn, ok := ctx.Conn().(*callers.Conn)
+	if !ok || !ctx.Response.ConnectionClose() && !conn.Ahead().Closed() {
+		return
+	}
+	conn.Ahead().Close()
+	if conn.Ahead().Len() > 0 {
+		ctx.Response.Header.ResetConnectionClose()
+		return
 	}
+	ctx.Response.SetConnectionClose()
 }
 
 // watchConn watches the connection of a request that was read. If others may run beside
 // it, further requests of the connection are received and run meanwhile.
 func (s *Server) watchConn(ctx *fasthttp.RequestCtx, besideOthers bool) *callerWatch {
+	conn, ok := ctx.Conn().(*callers.Conn)
+	if !ok {
+		return watchCaller(ctx.Conn(), nil, nil)
+	}
 	if !besideOthers {
-		return watchCaller(ctx.Conn(), nil)
+		return watchCaller(conn, conn.Ahead(), nil)
 	}
-	conn := ctx.Conn().(*callers.Conn) //nolint:errcheck,forcetypeassert // Only beginRequest permits others.
 	s.runAhead(conn)
-	return watchCaller(conn, func(fd int) bool { return s.receiveAhead(conn, fd) })
+	return watchCaller(conn, conn.Ahead(), func(fd int) bool { return s.receiveAhead(conn, fd) })
 }
 
 // beginRequest reports whether requests may follow the given one, of which the head was
@@ -98,7 +111,7 @@
 // wait until those before it are answered.
 func (s *Server) runAhead(conn *callers.Conn) {
 	for s.drainEnd.Load() == nil && conn.Ahead().HasRoom() {
-		r := &aheadRequest{done: make(chan struct{}), watch: unwatchedCaller()}
+		r := &aheadRequest{done: make(chan struct{}), watch: unwatchedCaller(conn.Ahead())}
 		if r.head = conn.Pipeline().NextHead(r.accept(s)); r.head == nil || !conn.Ahead().Add(r) {
 			return
 		}
@@ -152,7 +165,6 @@
 	case <-r.done:
 	case <-watch.Done():
 		r.watch.cancel(errCallerClosed)
-		conn.Ahead().Cancel()
 		<-r.done
 	}
 	conn.SetSendDeadline(r.deadline)
--- a/relay/pipeline_test.go
+++ b/relay/pipeline_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 )
@@ -38,6 +41,17 @@
 	return gates
 }
 
+// openGates opens the gates that are still closed, so that a test that fails ends.
+func openGates(gates []chan struct{}) {
+	for _, gate := range gates {
+		select {
+		case <-gate:
+		default:
+			close(gate)
+		}
+	}
+}
+
 // Guards against requests that wait for their targets until an earlier request of the same
 // connection was answered, and against responses out of order.
 func TestPipelinedRequestsRunConcurrently(t *testing.T) {
@@ -159,3 +173,91 @@
 		assert.Equal(t, c.mustReceive().headers["Rhubarbrelay-Attempt-Id"], fmt.Sprintf("id-%d", i))
 	}
 }
+
+// receiveInOrder receives the responses to the requests id-0 to id-n, and checks that the
+// last one, and no other, closes the connection.
+func (c *caller) receiveInOrder(statuses ...int) {
+	c.t.Helper()
+	for i, status := range statuses {
+		got := c.mustReceive()
+		assert.Equal(c.t, got.headers["Rhubarbrelay-Attempt-Id"], fmt.Sprintf("id-%d", i))
+		assert.Equal(c.t, got.status, status, "response %d", i)
+		assert.Equal(c.t, got.headers["Connection"] == "close", i == len(statuses)-1, "response %d closes the connection", i)
+	}
+	_, err := c.receive()
+	assert.ErrorIs(c.t, err, io.EOF)
+}
+
+// Guards against a stop whose first response closes the connection, so that requests behind
+// it are lost which targets work on: their callers cannot know whether they run. Guards
+// against a stop that begins requests which were sent later.
+func TestStopAnswersPipelinedRequests(t *testing.T) {
+	tests := []struct {
+		name  string
+		later string // sent after the stop
+	}{
+		{"alone", ""},
+		{"idempotent request later", pipelined("/safe/4", 4)},
+		{"request that must not run twice later", pipelined("/once/4", 4)},
+		{"body later", rawRequest("POST", "/once/4", "body", "Rhubarbrelay-Attempt-Id: id-4")},
+		{"incomplete request later", "GET /safe/4 HTTP/1.1\r\nHost:"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			gates := newGates(5)
+			defer openGates(gates)
+			target := gatedTarget(t, gates)
+			h := newHarness(t, targetInfos(target))
+			c := h.connect(t)
+			for i := range 4 {
+				c.send(pipelined(fmt.Sprintf("/safe/%d", i), i))
+			}
+			target.awaitRequests(t, 4)
+			h.relay.StartDraining(time.Now().Add(testTimeout))
+			c.send(tt.later)
+			ended := h.beginShutdown(t)
+			for i := len(gates) - 1; i > 0; i-- { // the first one ends last
+				close(gates[i])
+			}
+			assertRuns(t, ended)
+			close(gates[0])
+			c.receiveInOrder(200, 200, 200, 200)
+			assert.NilError(t, <-ended)
+			assert.Equal(t, len(target.receivedIDs()), 4)
+		})
+	}
+}
+
+// Guards against a failure that closes the connection and drops the responses to requests
+// that were passed on behind the failed one.
+func TestFailureAwaitsPipelinedRequests(t *testing.T) {
+	gates := newGates(3)
+	defer openGates(gates)
+	target := gatedTarget(t, gates)
+	panics := log.HandlerFunc(func(e *log.Entry) error {
+		if e.Message == "request answered" && e.Fields["request"] == "id-0" {
+			panic("handler fails")
+		}
+		return nil
+	})
+	h := newHarness(t, targetInfos(target), WithLogger(&log.Logger{Handler: panics, Level: log.InfoLevel}))
+	c := h.connect(t)
+	for i := range 3 {
+		c.send(pipelined(fmt.Sprintf("/safe/%d", i), i))
+	}
+	target.awaitRequests(t, 3)
+	close(gates[2])
+	close(gates[1])
+	close(gates[0])
+	got := c.mustReceive()
+	assert.Equal(t, got.status, 500)
+	assert.Equal(t, got.headers["Connection"], "")
+	got = c.mustReceive()
+	assert.Equal(t, got.headers["Rhubarbrelay-Attempt-Id"], "id-1")
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.headers["Connection"], "")
+	got = c.mustReceive()
+	assert.Equal(t, got.headers["Rhubarbrelay-Attempt-Id"], "id-2")
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.headers["Connection"], "close")
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -82,7 +82,6 @@
 		s.counters.takenOver.Add(1)
 	}
 	besideOthers := beginRequest(ctx)
-	closes := ctx.Request.Header.ConnectionClose()
 	if !s.takeAhead(ctx, besideOthers) {
 		s.relayRequest(&ctx.Request, &ctx.Response, c, func() *callerWatch {
 			return s.watchConn(ctx, besideOthers && c.route.Idempotent)
@@ -95,9 +94,7 @@
 	if s.drainEnd.Load() != nil {
 		ctx.Response.SetConnectionClose()
 	}
-	if closes || ctx.Response.ConnectionClose() {
-		cancelAhead(ctx)
-	}
+	deferClose(ctx)
 	if !besideOthers {
 		// A deadline that the handler sets, if only to none, makes fasthttp send the response
 		// at once. Otherwise it waits for the response to a further request that it has read.
