relay: a hanging target does not withhold pipelined responses at a stop

Callers would see: at a planned stop, a request whose target never responds, sent ahead of others on a connection; the connection ends with the process, and the others get no response, although their targets have responded.

Cause: responses leave in the order of the requests, and the first one was awaited until its own deadline or the end of the process.

One that delays no other is awaited as before, which the test checks too.

--- a/relay/callerwatch.go
+++ b/relay/callerwatch.go
@@ -68,6 +68,10 @@
 	}
 }
 
+// delaysOthers reports whether the connection has requests behind the watched one that run
+// already. Their responses have to wait for its own.
+func (w *callerWatch) delaysOthers() bool { return w.ahead != nil && w.ahead.Len() > 0 }
+
 // watch returns when the connection is closed or stop is called. It also returns
 // when bytes of a further request arrive that receive does not take, because a close
 // cannot be detected while they are unread.
--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -60,6 +60,7 @@
 			t.abandon()
 		}
 	}()
+	defer s.sends.beginExchange(caller)()
 	c.elsewhere = s.mayPassOn(c)
 	if c.dispatcher.Reach() == reachability.Lost {
 		if s.passOn(caller, req, resp, c) {
@@ -124,7 +125,7 @@
 			if r.call.route.Idempotent {
 				r.cancelInFlight(false)
 			}
-			return nil, errCallerClosed
+			return nil, context.Cause(r.caller)
 		case <-timeout.C:
 			r.cancelInFlight(false)
 			return nil, errTimeout
--- a/relay/passon.go
+++ b/relay/passon.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"net/netip"
 	"strconv"
@@ -92,7 +93,7 @@
 	case err = <-exchanged:
 	case <-caller.Done():
 		conn.Cancel()
-		err = errors.Join(errCallerClosed, <-exchanged)
+		err = errors.Join(context.Cause(caller), <-exchanged)
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		req.Header.Del(elapsedHeader)
--- a/relay/pipeline_test.go
+++ b/relay/pipeline_test.go
@@ -228,6 +228,29 @@
 	}
 }
 
+// Guards against a target that never responds to the first of several pipelined requests,
+// and with it withholds the responses to the others until the process ends.
+func TestStopAnswersRequestsBehindHangingTarget(t *testing.T) {
+	gates := newGates(4)
+	defer openGates(gates)
+	target := gatedTarget(t, gates)
+	h := newHarness(t, targetInfos(target))
+	c, alone := h.connect(t), h.connect(t)
+	for i := range 3 {
+		c.send(pipelined(fmt.Sprintf("/safe/%d", i), i))
+	}
+	alone.send(pipelined("/safe/3", 3))
+	target.awaitRequests(t, 4)
+	h.relay.StartDraining(time.Now().Add(200 * time.Millisecond))
+	ended := h.beginShutdown(t)
+	close(gates[2])
+	c.receiveInOrder(504, 504, 200)
+	assertRuns(t, ended) // one that withholds nothing is awaited
+	close(gates[3])
+	assert.Equal(t, alone.mustReceive().status, 200)
+	assert.NilError(t, <-ended)
+}
+
 // Guards against a failure that closes the connection and drops the responses to requests
 // that were passed on behind the failed one.
 func TestFailureAwaitsPipelinedRequests(t *testing.T) {
--- a/relay/shutdown.go
+++ b/relay/shutdown.go
@@ -76,10 +76,26 @@
 	mu      sync.Mutex
 	closed  bool
 	waiting map[*context.CancelCauseFunc]struct{}
+	// exchanges are the callers of requests that are in progress.
+	exchanges map[*callerWatch]struct{}
 }
 
 func newSendGate() *sendGate {
-	return &sendGate{waiting: map[*context.CancelCauseFunc]struct{}{}}
+	return &sendGate{waiting: map[*context.CancelCauseFunc]struct{}{}, exchanges: map[*callerWatch]struct{}{}}
+}
+
+// beginExchange ends a request when the gate closes if the responses to others have to wait
+// for its own: they could not be sent before the process ends. end must be called after the
+// request.
+func (g *sendGate) beginExchange(caller *callerWatch) (end func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.exchanges[caller] = struct{}{}
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.exchanges, caller)
+	}
 }
 
 // enter returns a context for the wait for a target, which is canceled with errDraining when
@@ -107,6 +123,11 @@
 	for cancel := range g.waiting {
 		(*cancel)(errDraining)
 	}
+	for caller := range g.exchanges {
+		if caller.delaysOthers() {
+			caller.cancel(errDraining)
+		}
+	}
 }
 
 // isClosed reports whether the gate is closed. No gate is never closed.
