relay: addresses of tests that nothing listens on stay so

TestResponsesOfOtherInstances failed once ("timed out waiting until the links are lost"). The address of the failed run is not known.

--- a/relay/listener_test.go
+++ b/relay/listener_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -12,13 +12,19 @@
 	"gotest.tools/v3/assert"
 )
 
-// unusedAddress returns an address that nothing listens on.
+// unusedAddress returns an address that nothing listens on until the test ends. The socket
+// that holds the port does not listen: an address that is merely free may be that of the
+// next listener.
 func unusedAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
+	t.Cleanup(func() { assert.Check(t, syscall.Close(fd)) })
+	assert.NilError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err := syscall.Getsockname(fd)
+	assert.NilError(t, err)
+	bound := name.(*syscall.SockaddrInet4) //nolint:errcheck,forcetypeassert // The socket is one of IPv4.
+	return netip.AddrPortFrom(netip.AddrFrom4(bound.Addr), uint16(bound.Port))
 }
 
 // Guards against refused connections without a response, and against closed
