routing, relay: a request waits for a free connection to a target

Callers saw: 503 with "target cannot be reached" although targets have capacity, when all connections that the instance may open to the chosen target are in use.

Cause: a target was granted without regard to its connections. The try failed with "no connection to the target is free", nothing was sent, and a retry, which does not wait, was refused at once when three other requests were scanning.

TestRequestWaitsForConnection failed before: the fourth request to a target with three connections did not wait.

Change: a target without a free connection has no capacity for a request that brings none. Where a probe takes the last connection between the grant and the try, the request waits in the queue again and is counted once.

--- a/relay/dispatch.go
+++ b/relay/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -12,7 +13,9 @@
 	"rhubarbrelay/platform"
 	"rhubarbrelay/reachability"
 	"rhubarbrelay/routing"
+	"rhubarbrelay/targets"
 	"rhubarbrelay/timeline"
+	"rhubarbrelay/upstream"
 )
 
 const (
@@ -35,6 +38,17 @@
 	minTryTime = 10 * time.Millisecond
 )
 
+// tryKind says how a target is acquired for a try.
+type tryKind int
+
+const (
+	firstTry tryKind = iota
+	// requeuedTry follows one in which nothing was sent, as no connection was free.
+	requeuedTry
+	// furtherTry is a retry or a hedge, which does not wait for a target.
+	furtherTry
+)
+
 // dispatchState is the state of a request that is sent to one or more targets.
 type dispatchState struct {
 	server      *Server
@@ -68,13 +82,13 @@
 		}
 		c.elsewhere = false
 	}
-	err := r.startTry(false)
+	err := r.startTry(firstTry)
 	if errors.Is(err, routing.ErrUnreachable) {
 		if s.passOn(caller, req, resp, c) {
 			return
 		}
 		c.elsewhere = false
-		err = r.startTry(false)
+		err = r.startTry(firstTry)
 	}
 	if err != nil {
 		s.refuseUndispatched(resp, c, err, caller.closed())
@@ -161,7 +175,7 @@
 // acquire acquires a target, unless copies of the request have ended too many targets.
 // It checks that again after the wait, in which others may have ended, and that the API
 // key of the request was not revoked meanwhile.
-func (r *dispatchState) acquire(isRetry bool) (*routing.Lease, error) {
+func (r *dispatchState) acquire(kind tryKind) (*routing.Lease, error) {
 	c := r.call
 	ended := r.server.crashCount(r.req)
 	if ended >= crashes.MaxCrashes {
@@ -171,8 +185,8 @@
 	defer leave()
 	lease, err := c.dispatcher.Acquire(ctx, &routing.Request{
 		Route: c.route.Key(), Arrival: c.arrival, PriorElapsed: c.priorElapsed, Deadline: c.deadline, Objective: c.route.Objective,
-		Priority: c.priority(), Exclude: c.triedTargets, Retry: isRetry, Suspect: ended > 0,
-		Elsewhere: c.elsewhere && !isRetry,
+		Priority: c.priority(), Exclude: c.triedTargets, Suspect: ended > 0,
+		Retry: kind == furtherTry, Requeued: kind == requeuedTry, Elsewhere: c.elsewhere && kind != furtherTry,
 	})
 	if errors.Is(context.Cause(ctx), errDraining) {
 		if lease != nil {
@@ -195,8 +209,8 @@
 }
 
 // startTry acquires a target and starts a try on it.
-func (r *dispatchState) startTry(isRetry bool) error {
-	lease, err := r.acquire(isRetry)
+func (r *dispatchState) startTry(kind tryKind) error {
+	lease, err := r.acquire(kind)
 	if err != nil {
 		return err
 	}
@@ -257,13 +271,24 @@
 	if !unsent && !c.dispatcher.AllowRetry() {
 		return false
 	}
-	if r.startTry(true) != nil {
+	if r.startTry(r.kindAfter(failed)) != nil {
 		return false // without a try in flight, respondWithLastTry uses the failed one
 	}
 	r.server.counters.retries.Add(1)
 	return true
 }
 
+// kindAfter returns the kind of the try after a failed one. A request whose target had no
+// free connection waits for one again, at that target or another one.
+func (r *dispatchState) kindAfter(failed *try) tryKind {
+	if !errors.Is(failed.err, upstream.ErrPoolExhausted) || len(r.inFlight) > 0 {
+		return furtherTry
+	}
+	target := failed.lease.Target().Incarnation()
+	r.call.triedTargets = slices.DeleteFunc(r.call.triedTargets, func(tried targets.Incarnation) bool { return tried == target })
+	return requeuedTry
+}
+
 // hedge sends an idempotent request to a second target while the first try is
 // still in flight, unless a target has ended while a copy of it was in flight there.
 func (r *dispatchState) hedge() {
@@ -271,7 +296,7 @@
 	if !c.route.Idempotent || len(r.inFlight) != 1 || r.server.crashCount(r.req) > 0 || !r.allowsFurtherTry() {
 		return
 	}
-	if !c.dispatcher.AllowRetry() || r.startTry(true) != nil {
+	if !c.dispatcher.AllowRetry() || r.startTry(furtherTry) != nil {
 		return
 	}
 	r.server.counters.hedges.Add(1)
--- a/relay/response_test.go
+++ b/relay/response_test.go
@@ -312,3 +312,34 @@
 		}
 	}
 }
+
+// Guards against a request that is refused although a target has capacity for it soon: all
+// connections that this instance may open to the target are in use.
+func TestRequestWaitsForConnection(t *testing.T) {
+	const connections = 3 // the least that an instance opens to a target
+	gates := newGates(connections + 1)
+	defer openGates(gates)
+	target := gatedTarget(t, gates)
+	h := newHarness(t, nil)
+	d := harnessDocument()
+	d.Services["spoolkeep"].MaxConnections, d.Services["spoolkeep"].HealthPath = 1, ""
+	h.document.Store(d)
+	h.table.Update(d.Services)
+	h.targets = targetInfos(target)
+	h.table.RefreshTargets("spoolkeep")
+	callers := make([]*caller, 0, connections+1)
+	for i := range connections + 1 {
+		c := h.connect(t)
+		c.send(rawRequest("POST", "/once/", "", fmt.Sprintf("Rhubarbrelay-Attempt-Id: id-%d", i)))
+		callers = append(callers, c)
+		if i < connections {
+			target.awaitRequests(t, i+1)
+		}
+	}
+	waitFor(t, "the last request waits", func() bool { return h.table.Dispatcher("spoolkeep").Stats().Waiting == 1 })
+	openGates(gates)
+	for _, c := range callers {
+		assert.Equal(t, c.mustReceive().status, fasthttp.StatusOK)
+	}
+	assert.Equal(t, h.relay.counters.retries.Load(), uint64(0))
+}
--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -67,7 +67,7 @@
 		err = ErrUnreachable
 	}
 	// A request that another instance runs counts there.
-	if !r.Retry && !errors.Is(err, ErrUnreachable) {
+	if !r.Retry && !r.Requeued && !errors.Is(err, ErrUnreachable) {
 		d.retryBudget.Deposit()
 	}
 	return lease, err
--- a/routing/request.go
+++ b/routing/request.go
@@ -45,6 +45,9 @@
 	Exclude []targets.Incarnation
 	// Retry marks a retry or a hedge, which does not wait.
 	Retry bool
+	// Requeued marks a request that had a target, but no connection to it was free. It waits
+	// like a new one, but has been counted.
+	Requeued bool
 	// Elsewhere marks a request that another instance may run: it does not wait for targets
 	// that this instance cannot reach.
 	Elsewhere bool
--- a/routing/scan.go
+++ b/routing/scan.go
@@ -93,14 +93,14 @@
 	return t.usable(now) && !t.isFull() && d.admits(t, now)
 }
 
-// grant returns a lease for the chosen target, or nil if another request has
-// taken its capacity in the meantime.
+// grant returns a lease for the chosen target, or nil if another request has taken its
+// capacity in the meantime or no connection to it is free.
 func (d *Dispatcher) grant(r *Request, c candidate, estimate time.Duration, probes int) *Lease {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock()
 	t := c.target
-	if !d.isUsableNow(t, now) || !t.admitsSuspicion(r) {
+	if !d.isUsableNow(t, now) || !t.admitsSuspicion(r) || c.conn == nil && t.pool.Exhausted() {
 		return nil
 	}
 	t.statements.share.Take(now)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -80,6 +80,13 @@
 	p.maxConns = maxConns
 }
 
+// Exhausted reports whether all connections that the limit allows are in use.
+func (p *Pool) Exhausted() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.closed && len(p.idle) == 0 && p.openConns >= p.maxConns
+}
+
 // SetReuse sets whether connections are kept for further requests. Without reuse, idle
 // connections are closed now, and those in use when they are released.
 func (p *Pool) SetReuse(reuse bool) {
