soak: callers pipeline requests

The soak did not detect that a stop cut off pipelined requests. Every third caller now sends four idempotent requests without waiting for the responses; one that ran behind a response that closes the connection is a violation, and one that did not run there does not count, as its caller sends it again.

--- a/soak/run.go
+++ b/soak/run.go
@@ -105,6 +105,10 @@
 	}
 	served := 0
 	for _, res := range results {
+		if res.behindClose {
+			r.checkBehindClose(res, runs[res.id])
+			continue
+		}
 		r.Requests++
 		if res.status == fasthttp.StatusOK {
 			served++
@@ -134,6 +138,13 @@
 	return late
 }
 
+// checkBehindClose checks a request without a response that its caller sends again.
+func (r *Result) checkBehindClose(res requestResult, runs int) {
+	if runs > 0 {
+		r.addViolation("request %s ran, although it was sent behind a response that closes the connection", res.id)
+	}
+}
+
 func (r *Result) checkResult(res requestResult, runs int) {
 	switch {
 	case res.notIdempotent && runs > 1:
