timeline: texts of events are limited

Cause: heads and bodies of responses are bounded, but the error about a malformed head quotes it, in escaped form up to 65 KB, and each failed try keeps it as the detail of an event in the timeline, which holds 8192 events.

Evidence: TestMalformedHeadersAreNotKept failed before: 6694296 bytes kept after 100 malformed heads, so that the timeline could hold some 500 MB.

Change: a stored event keeps 256 bytes of each text, as a copy: a part of a string would keep all of it. Now the test passes with its bound of 2 MB.

--- a/relay/memory_test.go
+++ b/relay/memory_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"rhubarbrelay/bodies"
 	"rhubarbrelay/config"
+	"rhubarbrelay/timeline"
 )
 
 // sealedLarge is like sealed, but the seal does not contain the body, which would not
@@ -158,3 +161,37 @@
 	assert.Equal(t, got.body, "instance has no memory for the request\n")
 	assert.DeepEqual(t, target.receivedIDs(), []string{"id-1"})
 }
+
+// Guards against what a faulty target sends in place of a header being kept for each try,
+// in the timeline or elsewhere, until the instance runs out of memory.
+func TestMalformedHeadersAreNotKept(t *testing.T) {
+	const requests, maxKept = 200, 2 << 20
+	garbage := "HTTP/1.1 " + strings.Repeat("\x01", 7000) + "\r\n\r\n"
+	var received atomic.Int64
+	target := newScriptedTarget(t, "t-1", "a", func(req *fasthttp.Request) (string, bool) {
+		if received.Add(1)%2 == 0 { // the others keep the target in use
+			return garbage, true
+		}
+		return echo(req)
+	})
+	recorder := timeline.NewRecorder("i-1", timeline.NewClock(time.Now))
+	h := newHarness(t, targetInfos(target), WithRecorder(recorder))
+	heap := func() uint64 {
+		runtime.GC()
+		runtime.GC() // the first one leaves what pools hold
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc
+	}
+	before := heap()
+	c := h.connect(t)
+	for range requests {
+		c.send(rawRequest("GET", "/single/", ""))
+		c.mustReceive()
+	}
+	tries := len(target.receivedIDs())
+	assert.Equal(t, tries, requests)
+	kept := int64(heap()) - int64(before) //nolint:gosec // The heap is smaller than the range.
+	assert.Assert(t, kept < maxKept, "%d bytes are kept after %d requests", kept, tries)
+	runtime.KeepAlive(recorder)
+}
--- a/standin/target.go
+++ b/standin/target.go
@@ -174,8 +174,7 @@
 	}
 	faults.setStatements(h)
 	path := string(ctx.Path())
-	if faults.Endless && !strings.HasPrefix(path, controlPrefix) {
-		respondEndlessly(ctx)
+	if faults.respondEndlessly(ctx, path) {
 		return
 	}
 	switch path {
--- a/standin/target_faults.go
+++ b/standin/target_faults.go
@@ -1,8 +1,10 @@
 package standin
 
 import (
+	"bytes"
 	"fmt"
 	"net"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 )
@@ -23,6 +25,9 @@
 	// Endless makes it respond to requests and probes with a body that ends only when
 	// the connection is closed.
 	Endless bool
+	// EndlessHeader makes it respond to requests with lines of control characters until the
+	// connection is closed.
+	EndlessHeader bool
 	// Limit is the text of the header in which the target names the requests per second
 	// that it takes, empty for none.
 	Limit string
@@ -51,20 +56,50 @@
 	args := ctx.QueryArgs()
 	t.SetFaults(TargetFaults{
 		Shed: args.Has("shed"), Hang: args.Has("mute"), DropResponses: args.Has("cut"), ServerError: args.Has("fail"),
-		ReportUnhealthy: args.Has("lie_ill"), ReportHealthy: args.Has("lie_well"), ExtraResponse: args.Has("second"), Endless: args.Has("endless"), SlowFactor: args.GetUintOrZero("slow"),
+		ReportUnhealthy: args.Has("lie_ill"), ReportHealthy: args.Has("lie_well"), ExtraResponse: args.Has("second"), Endless: args.Has("endless"), EndlessHeader: args.Has("endless_header"), SlowFactor: args.GetUintOrZero("slow"),
 		Limit: string(args.Peek("limit")), Leaving: args.Has("leaving"), RetryAfter: string(args.Peek("retry_after")),
 	})
 }
 
-// respondEndlessly sends a sealed success whose body goes on until the connection is
+// respondEndlessly responds without end if a fault says so. It returns false otherwise.
+func (f *TargetFaults) respondEndlessly(ctx *fasthttp.RequestCtx, path string) bool {
+	switch {
+	case strings.HasPrefix(path, controlPrefix):
+		return false
+	case f.Endless:
+		respondWithEndlessBody(ctx)
+	case f.EndlessHeader && path != healthPath:
+		respondWithEndlessHeader(ctx)
+	default:
+		return false
+	}
+	return true
+}
+
+// respondWithEndlessBody sends a sealed success whose body goes on until the connection is
 // closed.
-func respondEndlessly(ctx *fasthttp.RequestCtx) {
+func respondWithEndlessBody(ctx *fasthttp.RequestCtx) {
 	id := string(ctx.Request.Header.Peek(HeaderRequestID))
+	start := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: endless\r\n\r\n", HeaderRequestID, id, headerSeal)
+	sendEndlessly(ctx, []byte(start), make([]byte, 32<<10))
+}
+
+// endlessLineSize is the length in bytes of the lines that respondWithEndlessHeader sends.
+const endlessLineSize = 7000
+
+func respondWithEndlessHeader(ctx *fasthttp.RequestCtx) {
+	line := bytes.Repeat([]byte{1}, endlessLineSize)
+	sendEndlessly(ctx, []byte("HTTP/1.1 "), append(line, '\r', '\n'))
+}
+
+// sendEndlessly takes over the connection and repeats the part behind the start until the
+// connection is closed.
+func sendEndlessly(ctx *fasthttp.RequestCtx, start, part []byte) {
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(c net.Conn) {
-		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: endless\r\n\r\n", HeaderRequestID, id, headerSeal)
-		for block := make([]byte, 32<<10); err == nil; {
-			_, err = c.Write(block)
+		_, err := c.Write(start)
+		for err == nil {
+			_, err = c.Write(part)
 		}
 	})
 }
--- a/timeline/recorder.go
+++ b/timeline/recorder.go
@@ -2,11 +2,12 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 )
 
 // DefaultCapacity is the number of events that a process keeps by default. At
-// about 200 bytes per event they take some 2 MB.
+// about 200 bytes per event they take some 2 MB, and less than 12 MB with the longest texts.
 const DefaultCapacity = 8192
 
 // There are 16 shards, more than an instance has CPU cores, to keep lock
@@ -67,8 +68,17 @@
 // carry its timestamps, and it observes those that are received.
 func (r *Recorder) Clock() *Clock { return r.clock }
 
-// Record sets the time and the instance of the event and stores it.
+// maxTextBytes limits each text of a stored event, some of which quote what others send.
+const maxTextBytes = 256
+
+// Record sets the time and the instance of the event and stores it. It truncates texts of
+// more than maxTextBytes.
 func (r *Recorder) Record(e Event) {
+	for _, text := range []*string{&e.Service, &e.Target, &e.Request, &e.Peer, &e.Detail} {
+		if len(*text) > maxTextBytes {
+			*text = strings.Clone((*text)[:maxTextBytes]) // a part would keep the whole text
+		}
+	}
 	e.Time = r.clock.Now()
 	e.Instance = r.instance
 	r.shards[uint64(e.Time)*fibonacciMultiplier>>(64-shardBits)].add(e)
