logwriter: lines that wait for the output are limited in bytes

Callers would see, while the output of an instance is slow and targets or callers send long texts that its log quotes, an instance that runs out of memory.

Cause: the queue was limited to 4096 lines of any length.

Change: lines are dropped, and counted as before, when more than 4 MiB wait.

--- a/logwriter/writer.go
+++ b/logwriter/writer.go
@@ -14,6 +14,8 @@
 	// queueCapacity is the number of lines that can wait to be written. With
 	// about 300 bytes per line they take some 1 MB.
 	queueCapacity = 4096
+	// maxQueuedBytes limits the size of these lines, some of which quote what others send.
+	maxQueuedBytes = 4 << 20
 	// maxBatchBytes is the size at which a batch is written without adding further
 	// lines.
 	maxBatchBytes = 32 << 10
@@ -23,6 +25,7 @@
 type Writer struct {
 	out     io.Writer
 	lines   chan []byte
+	queued  atomic.Int64 // bytes
 	dropped atomic.Uint64
 	written atomic.Uint64
 	failed  atomic.Uint64
@@ -35,14 +38,25 @@
 
 // Write queues one line. It never blocks and never returns an error.
 func (w *Writer) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if w.queued.Add(size) > maxQueuedBytes {
+		w.drop(size)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- bytes.Clone(line):
 	default:
-		w.dropped.Add(1)
+		w.drop(size)
 	}
 	return len(line), nil
 }
 
+// drop counts a line of the given size in bytes that is not queued.
+func (w *Writer) drop(size int64) {
+	w.queued.Add(-size)
+	w.dropped.Add(1)
+}
+
 // Run writes queued lines until the context ends, then writes the remaining ones
 // and returns.
 func (w *Writer) Run(ctx context.Context) {
@@ -71,9 +85,11 @@
 // writeBatch writes a line together with the lines that are already queued.
 func (w *Writer) writeBatch(batch []byte) {
 	lines := uint64(1)
+	w.queued.Add(-int64(len(batch)))
 	for len(batch) < maxBatchBytes {
 		select {
 		case line := <-w.lines:
+			w.queued.Add(-int64(len(line)))
 			batch = append(batch, line...)
 			lines++
 			continue
