relay: entry queries have no large bodies

Callers would see an instance that runs out of memory when others send large bodies with entry queries, which have none: up to 4 MiB are read and kept for each connection.

Cause: the limit was the default of the HTTP library.

Change: a body beyond 4 KiB is refused at once, without being read.

--- a/relay/entryserver.go
+++ b/relay/entryserver.go
@@ -30,6 +30,9 @@
 	conns    *callers.Set
 }
 
+// maxEntryBody limits the body of an entry query in bytes. It is not used.
+const maxEntryBody = 4 << 10
+
 // NewEntryServer returns a server whose entry responses callers may cache for
 // ttl.
 func NewEntryServer(selector AddressSelector, ttl time.Duration, ready func() bool, logger log.Interface) *EntryServer {
@@ -37,7 +40,7 @@
 	s.SetTTL(ttl)
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: handleEntryError, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: discardLogger{},
-		ReadTimeout: DefaultReadTimeout, IdleTimeout: DefaultIdleTimeout,
+		ReadTimeout: DefaultReadTimeout, IdleTimeout: DefaultIdleTimeout, MaxRequestBodySize: maxEntryBody,
 	}
 	return s
 }
