routing: targets without a free connection are no candidates

A target that is preferred for its zone or its report was found again by each scan, and hid the others.

Evidence: TestRequestUsesTargetWithFreeConnection failed before with 503.

Change: a target whose connections are all in use is no candidate, is not probed, which would fail, and is left out among those that have reported lately. The check at the grant remains for requests that run at the same time.

--- a/relay/response_test.go
+++ b/relay/response_test.go
@@ -343,3 +343,27 @@
 	}
 	assert.Equal(t, h.relay.counters.retries.Load(), uint64(0))
 }
+
+// Guards against a request that waits for a connection to a preferred target although
+// another one has capacity and free connections.
+func TestRequestUsesTargetWithFreeConnection(t *testing.T) {
+	const connections = 3 // the least that an instance opens to a target
+	gates := newGates(connections)
+	defer openGates(gates)
+	preferred, other := gatedTarget(t, gates), newScriptedTarget(t, "t-2", "b", echo)
+	h := newHarness(t, nil)
+	d := harnessDocument()
+	d.Services["spoolkeep"].MaxConnections, d.Services["spoolkeep"].HealthPath = 1, ""
+	h.document.Store(d)
+	h.table.Update(d.Services)
+	h.targets = targetInfos(preferred)
+	h.table.RefreshTargets("spoolkeep")
+	for i := range connections {
+		h.connect(t).send(rawRequest("POST", "/once/", "", fmt.Sprintf("Rhubarbrelay-Attempt-Id: id-%d", i)))
+		preferred.awaitRequests(t, i+1)
+	}
+	h.targets = targetInfos(preferred, other)
+	h.table.RefreshTargets("spoolkeep")
+	assert.Equal(t, h.call(t, "POST", "/once/", "body").status, fasthttp.StatusOK)
+	assert.Equal(t, len(other.receivedIDs()), 1)
+}
--- a/routing/candidates.go
+++ b/routing/candidates.go
@@ -75,6 +75,9 @@
 // lastResortScore is the score from which a target is probed after all others.
 const lastResortScore = 2.5
 
+// lacksConnection reports whether there is no connection for a request to the target.
+func (c candidate) lacksConnection() bool { return c.conn == nil && c.target.pool.Exhausted() }
+
 func (c candidate) release() {
 	if c.conn != nil {
 		c.conn.Release()
@@ -93,7 +96,7 @@
 		if len(all) == sampleSize {
 			break
 		}
-		if !t.usable(now) || slices.Contains(r.Exclude, incarnation) || d.recentlyFull(t, now) {
+		if !t.usable(now) || slices.Contains(r.Exclude, incarnation) || d.recentlyFull(t, now) || t.pool.Exhausted() {
 			continue
 		}
 		if !d.admits(t, now) && !d.mayRecheck(t, now) || !t.admitsSuspicion(r) {
@@ -207,7 +210,7 @@
 	for _, c := range found {
 		c.score = d.score(c.target, now)
 		switch {
-		case !d.isUsableNow(c.target, now) || !d.mayUse(c.target):
+		case !d.isUsableNow(c.target, now) || !d.mayUse(c.target) || c.lacksConnection():
 			c.release()
 		case best.target == nil || c.score < best.score:
 			best.release()
--- a/routing/scan.go
+++ b/routing/scan.go
@@ -81,7 +81,7 @@
 	now := d.clock()
 	for _, t := range d.recent.targets {
 		if t != nil && t.reportedWithin(now, freshReportAge) && t.info.Zone == d.settings.Zone && d.isUsableNow(t, now) && d.isGoodLocked(t, now) && t.admitsSuspicion(r) &&
-			!slices.Contains(r.Exclude, t.info.Incarnation()) && d.targets[t.info.Incarnation()] == t {
+			!slices.Contains(r.Exclude, t.info.Incarnation()) && d.targets[t.info.Incarnation()] == t && !t.pool.Exhausted() {
 			return candidate{target: t}
 		}
 	}
@@ -100,7 +100,7 @@
 	defer d.mu.Unlock()
 	now := d.clock()
 	t := c.target
-	if !d.isUsableNow(t, now) || !t.admitsSuspicion(r) || c.conn == nil && t.pool.Exhausted() {
+	if !d.isUsableNow(t, now) || !t.admitsSuspicion(r) || c.lacksConnection() {
 		return nil
 	}
 	t.statements.share.Take(now)
