--- a/relay/response_test.go
+++ b/relay/response_test.go
@@ -313,26 +313,41 @@
 	}
 }
 
-// Guards against a request that is refused although a target has capacity for it soon: all
-// connections that this instance may open to the target are in use.
-func TestRequestWaitsForConnection(t *testing.T) {
-	const connections = 3 // the least that an instance opens to a target
-	gates := newGates(connections + 1)
-	defer openGates(gates)
-	target := gatedTarget(t, gates)
+// leastConnections is the number of connections that an instance opens to a target at least.
+const leastConnections = 3
+
+// newConnectionHarness returns a harness without targets that may open leastConnections to
+// each target and probes none.
+func newConnectionHarness(t *testing.T) *harness {
+	t.Helper()
 	h := newHarness(t, nil)
 	d := harnessDocument()
 	d.Services["spoolkeep"].MaxConnections, d.Services["spoolkeep"].HealthPath = 1, ""
 	h.document.Store(d)
 	h.table.Update(d.Services)
-	h.targets = targetInfos(target)
+	return h
+}
+
+// setTargets replaces the targets.
+func (h *harness) setTargets(all ...*scriptedTarget) {
+	h.targets = targetInfos(all...)
 	h.table.RefreshTargets("spoolkeep")
-	callers := make([]*caller, 0, connections+1)
-	for i := range connections + 1 {
+}
+
+// Guards against a request that is refused although a target has capacity for it soon: all
+// connections that this instance may open to the target are in use.
+func TestRequestWaitsForConnection(t *testing.T) {
+	gates := newGates(leastConnections + 1)
+	defer openGates(gates)
+	target := gatedTarget(t, gates)
+	h := newConnectionHarness(t)
+	h.setTargets(target)
+	callers := make([]*caller, 0, leastConnections+1)
+	for i := range leastConnections + 1 {
 		c := h.connect(t)
 		c.send(rawRequest("POST", "/once/", "", fmt.Sprintf("Rhubarbrelay-Attempt-Id: id-%d", i)))
 		callers = append(callers, c)
-		if i < connections {
+		if i < leastConnections {
 			target.awaitRequests(t, i+1)
 		}
 	}
@@ -347,23 +362,16 @@
 // Guards against a request that waits for a connection to a preferred target although
 // another one has capacity and free connections.
 func TestRequestUsesTargetWithFreeConnection(t *testing.T) {
-	const connections = 3 // the least that an instance opens to a target
-	gates := newGates(connections)
+	gates := newGates(leastConnections)
 	defer openGates(gates)
 	preferred, other := gatedTarget(t, gates), newScriptedTarget(t, "t-2", "b", echo)
-	h := newHarness(t, nil)
-	d := harnessDocument()
-	d.Services["spoolkeep"].MaxConnections, d.Services["spoolkeep"].HealthPath = 1, ""
-	h.document.Store(d)
-	h.table.Update(d.Services)
-	h.targets = targetInfos(preferred)
-	h.table.RefreshTargets("spoolkeep")
-	for i := range connections {
+	h := newConnectionHarness(t)
+	h.setTargets(preferred)
+	for i := range leastConnections {
 		h.connect(t).send(rawRequest("POST", "/once/", "", fmt.Sprintf("Rhubarbrelay-Attempt-Id: id-%d", i)))
 		preferred.awaitRequests(t, i+1)
 	}
-	h.targets = targetInfos(preferred, other)
-	h.table.RefreshTargets("spoolkeep")
+	h.setTargets(preferred, other)
 	assert.Equal(t, h.call(t, "POST", "/once/", "body").status, fasthttp.StatusOK)
 	assert.Equal(t, len(other.receivedIDs()), 1)
 }
