daemon: the stop test sends its requests at once

After the end of the listeners 0.5 s are left until requests that have arrived in part are refused, and the test sent the last byte of four requests one after the other, each after the response to the one before.

The test now sends all of them and then reads the responses, with the checks as they were.

--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -79,9 +79,11 @@
 				conn, err := net.Dial("tcp", ports[0].address)
 				return err != nil || conn.Close() != nil
 			})
-			for i, conn := range complete {
+			for i, conn := range complete { // at once: the refusals follow soon
 				_, err := io.WriteString(conn, rests[i])
 				assert.NilError(t, err)
+			}
+			for i, conn := range complete {
 				assert.Equal(t, statusOf(t, conn), ports[i].answer, ports[i].address)
 			}
 			for i, conn := range partial {
