relay: a caller that has left is noticed at once

Cause: the watch of a connection read ahead by one byte to detect a close. It ended as soon as bytes of a further request were unread, and it ran beside the request: a request that was read after its caller had closed the connection was sent before anything looked.

Ruled out by reading: a try that opens its connection late, as a connection is opened within 0.25 s.

Change: the socket is asked for the end of what its peer sends (POLLRDHUP), which does not depend on unread bytes; once before the request is passed on, and again after each event of the socket.

--- a/relay/callerwatch.go
+++ b/relay/callerwatch.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"rhubarbrelay/callers"
 )
 
@@ -18,7 +20,7 @@
 
 // callerWatch is a context that is canceled when the caller closes its
 // connection, which fasthttp does not detect while a request is in progress. It
-// does not poll: a goroutine waits for the socket to become readable.
+// does not poll: a goroutine waits for events of the socket.
 type callerWatch struct {
 	context.Context
 
@@ -33,8 +35,9 @@
 	receive func(fd int) bool
 }
 
-// watchCaller starts to watch the connection. The watch must be stopped before
-// the connection is read again. ahead and receive may be nil, see callerWatch.
+// watchCaller starts to watch the connection. If the caller has closed it already, the
+// watch is canceled when watchCaller returns. The watch must be stopped before the
+// connection is read again. ahead and receive may be nil, see callerWatch.
 func watchCaller(conn net.Conn, ahead *callers.Ahead, receive func(fd int) bool) *callerWatch {
 	w := unwatchedCaller(ahead)
 	w.conn, w.receive = conn, receive
@@ -47,7 +50,7 @@
 		return w // not a socket, cannot be watched
 	}
 	// The read deadline of the request would end the watch.
-	if err := conn.SetReadDeadline(time.Time{}); err != nil {
+	if err := conn.SetReadDeadline(time.Time{}); err != nil || hasClosed(raw) {
 		w.recordClose()
 		return w
 	}
@@ -72,19 +75,18 @@
 // already. Their responses have to wait for its own.
 func (w *callerWatch) delaysOthers() bool { return w.ahead != nil && w.ahead.Len() > 0 }
 
-// watch returns when the connection is closed or stop is called. It also returns
-// when bytes of a further request arrive that receive does not take, because a close
-// cannot be detected while they are unread.
+// watch returns when the connection is closed or stop is called.
 func (w *callerWatch) watch(raw syscall.RawConn) {
 	closed := false
+	// Read calls the function again after each event of the socket, also after a close
+	// behind unread bytes.
 	err := raw.Read(func(fd uintptr) bool {
-		var peek [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		if errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) {
-			return false
+		state := inspectSocket(int(fd))
+		for !state.closed && state.readable && w.receive != nil && w.receive(int(fd)) {
+			state = inspectSocket(int(fd))
 		}
-		closed = err != nil || n == 0
-		return closed || w.receive == nil || !w.receive(int(fd))
+		closed = state.closed
+		return closed
 	})
 	if closed || err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		w.recordClose()
@@ -105,3 +107,26 @@
 
 // closed reports whether the caller has closed its connection.
 func (w *callerWatch) closed() bool { return errors.Is(context.Cause(w), errCallerClosed) }
+
+// hasClosed reports whether the caller has closed the connection.
+func hasClosed(raw syscall.RawConn) bool {
+	closed := false
+	err := raw.Control(func(fd uintptr) { closed = inspectSocket(int(fd)).closed })
+	return closed || err != nil
+}
+
+// socketState is the state of the receiving side of a socket.
+type socketState struct {
+	readable bool
+	closed   bool // also if bytes that arrived before the close are unread
+}
+
+// inspectSocket returns the state of a socket without reading from it.
+func inspectSocket(fd int) socketState {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}} //nolint:gosec // File descriptors are small.
+	if n, err := unix.Poll(fds, 0); err != nil || n == 0 {
+		return socketState{}
+	}
+	events := fds[0].Revents
+	return socketState{readable: events&unix.POLLIN != 0, closed: events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0}
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -143,6 +143,10 @@
 	prepareRequest(req, c)
 	watch := watchCaller()
 	defer watch.stop()
+	if watch.closed() {
+		s.fail(resp, c, callerClosedFailure(false))
+		return
+	}
 	s.dispatch(watch, req, resp, c)
 }
 
