entry: callers are sent to the instances with the most processor time

Cause: the active instances of a zone, which all its callers connect to, were the first ones by ID, one for each 16. On this deployment four of the five have 0.112 of a core, while two others of the zone have 0.8 each. In a burst they lack processor time and read and write late.

TestSmallInstancesAreNotOverloaded fails without the change: it has no capacities. Ruled out: the limit of connections, which refuses at once, and the links.

Change: each instance states its processor capacity (settings cpu_share and cores) with its addresses. The active ones are those with the highest capacity, as few as have a sixteenth of the zone's if each does no more than the smallest of them, as callers spread evenly. Among equal instances that is the same number as before.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"math"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -83,6 +84,11 @@
 	return func(d *Daemon) { d.targetDial = dial }
 }
 
+// millicores returns the processor capacity of the instance in thousandths of a core.
+func millicores(in settings.Instance) int {
+	return int(math.Round(in.CPUShare * float64(in.Cores) * 1000))
+}
+
 // New returns an instance that has not been started.
 func New(s *settings.Settings, logger log.Interface, opts ...Option) *Daemon {
 	clock := timeline.NewClock(time.Now)
@@ -101,6 +107,7 @@
 	d.members = membership.NewDirectory(membership.Instance{
 		ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: time.Now().UnixMilli(),
 		CallerAddress: s.Callers.Listen, PeerAddress: s.Peers.Listen, AdminAddress: s.Admin.Listen,
+		Millicores: millicores(s.Instance),
 	}, membership.WithOnChange(d.onMembersChanged))
 	d.selector = entry.NewSelector(d.members, entry.WithSilence(d.members.Silence))
 	d.targets = targets.NewDirectory(targets.WithOnChange(d.onTargetsChanged))
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -18,22 +18,8 @@
 	// minLocalAddresses is the number of instances in the caller's zone below
 	// which the response includes instances of other zones.
 	minLocalAddresses = 2
-	// The active instances of a zone are those that its callers connect to: one
-	// per instancesPerActive ready instances, rounded up, as the load grows with
-	// the size of the zone, but at least minActive if that many are ready. There
-	// are no more, because with fewer active instances each has more recent load
-	// reports of the targets.
-	minActive          = 2
-	instancesPerActive = 16
 )
 
-// maxActiveInZone returns the maximum number of active instances of a zone with
-// the given number of ready instances. It exceeds that number in zones with
-// fewer than minActive instances.
-func maxActiveInZone(instances int) int {
-	return max(minActive, (instances+instancesPerActive-1)/instancesPerActive)
-}
-
 // eligible returns the ready instances that callers may be sent to: those that have not
 // lost their links to all targets or, if all have, every ready instance.
 func eligible(directory Directory) []membership.Instance {
@@ -44,21 +30,8 @@
 	return slices.DeleteFunc(ready, func(in membership.Instance) bool { return in.Isolated })
 }
 
-// activeByZone returns the active instances of each zone among the given ones.
-func activeByZone(instances []membership.Instance) map[string][]membership.Instance {
-	active := map[string][]membership.Instance{}
-	for _, in := range instances {
-		active[in.Zone] = append(active[in.Zone], in)
-	}
-	for zone, all := range active {
-		active[zone] = all[:min(len(all), maxActiveInZone(len(all)))]
-	}
-	return active
-}
-
 // Directory provides this instance and the instances that accept callers. Ready
-// returns them in the same order on every instance: the first ones of each zone
-// are its active instances.
+// returns them by ID.
 type Directory interface {
 	Ready() []membership.Instance
 	Self() membership.Instance
@@ -100,21 +73,19 @@
 // address of this instance. While this instance is starting, the result is then
 // empty, and the caller queries another instance.
 func (s *Selector) Select(zone string) []netip.AddrPort {
-	var local, remote []netip.AddrPort
+	var local, remote []membership.Instance
 	for _, in := range eligible(s.directory) {
-		if s.silence(in.ID) > maxNamedSilence {
-			continue
-		}
-		if in.Zone == zone {
-			local = append(local, in.CallerAddress)
-		} else {
-			remote = append(remote, in.CallerAddress)
+		switch {
+		case s.silence(in.ID) > maxNamedSilence:
+		case in.Zone == zone:
+			local = append(local, in)
+		default:
+			remote = append(remote, in)
 		}
 	}
-	local = local[:min(len(local), maxActiveInZone(len(local)))]
-	selected := local
-	if len(local) < minLocalAddresses {
-		selected = append(selected, remote...)
+	selected := addressesOf(activeOf(local))
+	if len(selected) < minLocalAddresses {
+		selected = append(selected, addressesOf(remote)...)
 	}
 	if self := s.directory.Self(); len(selected) == 0 && self.State != membership.Starting {
 		selected = append(selected, self.CallerAddress)
@@ -123,6 +94,15 @@
 	return selected[:min(len(selected), MaxAddresses)]
 }
 
+// addressesOf returns the addresses to which callers of the instances connect.
+func addressesOf(instances []membership.Instance) []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(instances))
+	for _, in := range instances {
+		addresses = append(addresses, in.CallerAddress)
+	}
+	return addresses
+}
+
 // SelectPeer returns the address at which another instance takes over requests for the
 // service, as this one cannot reach its targets: a random active instance that has not lost
 // its own links, of the local zone if there is one. ok is false if there is none but the
@@ -175,17 +155,6 @@
 // callers of its zone.
 func (s *Selector) IsActive() bool {
 	self := s.directory.Self()
-	preceding, inZone, ready := 0, 0, false
-	for _, in := range eligible(s.directory) {
-		if in.Zone != self.Zone {
-			continue
-		}
-		inZone++
-		if in.ID == self.ID {
-			ready = true
-		} else if !ready {
-			preceding++
-		}
-	}
-	return ready && preceding < maxActiveInZone(inZone)
+	local := slices.DeleteFunc(eligible(s.directory), func(in membership.Instance) bool { return in.Zone != self.Zone })
+	return slices.ContainsFunc(activeOf(local), func(in membership.Instance) bool { return in.ID == self.ID })
 }
--- a/entry/selector_test.go
+++ b/entry/selector_test.go
@@ -93,3 +93,36 @@
 		})
 	}
 }
+
+// withCapacities sets the processor capacities of instances.
+func withCapacities(all []membership.Instance, millicores ...int) []membership.Instance {
+	for i := range millicores {
+		all[i].Millicores = millicores[i]
+	}
+	return all
+}
+
+// Guards against callers of a zone that overload a few small instances beside larger ones.
+func TestSmallInstancesAreNotOverloaded(t *testing.T) {
+	zone := func(n int) []membership.Instance { return testInstances(slices.Repeat([]string{"a"}, n)...) }
+	tests := []struct {
+		name string
+		all  []membership.Instance
+		want string
+	}{
+		{"two large ones suffice", withCapacities(zone(72), append(slices.Repeat([]int{112}, 70), 800, 800)...), "n70 n71"},
+		{"a large one does not suffice", withCapacities(zone(72), append(slices.Repeat([]int{112}, 71), 800)...), "n71 n00 n01 n02 n03"},
+		{"all alike", withCapacities(zone(33), slices.Repeat([]int{320}, 33)...), "n00 n01 n02"},
+		{"unknown counts as the smallest", withCapacities(zone(4), 0, 0, 320, 320), "n02 n03"},
+		{"one instance", withCapacities(zone(1), 320), "n00"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var active []string
+			for _, in := range NewSelector(staticDirectory{ready: tt.all}).Active() {
+				active = append(active, in.ID)
+			}
+			assert.Equal(t, strings.Join(active, " "), tt.want)
+		})
+	}
+}
--- a/membership/instance.go
+++ b/membership/instance.go
@@ -25,6 +25,8 @@
 	CallerAddress netip.AddrPort
 	PeerAddress   netip.AddrPort
 	AdminAddress  netip.AddrPort
+	// Millicores is the processor capacity in thousandths of a core, 0 if it is not known.
+	Millicores    int
 	State         State
 	ConfigVersion int64
 	// Isolated is set while the instance has lost its network links to the targets of all
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -32,11 +32,12 @@
 		Id: in.ID, Zone: in.Zone, Incarnation: in.Incarnation,
 		CallerAddress: in.CallerAddress.String(), PeerAddress: in.PeerAddress.String(), AdminAddress: in.AdminAddress.String(),
 		State: peerpb.State(in.State + 1), ConfigVersion: in.ConfigVersion, Unreachable: in.Unreachable, Isolated: in.Isolated,
+		Millicores: uint32(in.Millicores), //nolint:gosec // The settings limit it.
 	}
 }
 
-// heartbeatToWire is like instanceToWire but omits the zone and the addresses,
-// which do not change within an incarnation.
+// heartbeatToWire is like instanceToWire but omits the zone, the addresses and the
+// capacity, which do not change within an incarnation.
 func heartbeatToWire(in membership.Instance) *peerpb.Instance {
 	return &peerpb.Instance{
 		Id: in.ID, Incarnation: in.Incarnation, State: peerpb.State(in.State + 1), ConfigVersion: in.ConfigVersion, Unreachable: in.Unreachable, Isolated: in.Isolated,
@@ -46,7 +47,7 @@
 func instanceFromWire(m *peerpb.Instance) (membership.Instance, error) {
 	in := membership.Instance{
 		ID: m.GetId(), Zone: m.GetZone(), Incarnation: m.GetIncarnation(), ConfigVersion: m.GetConfigVersion(),
-		Unreachable: m.GetUnreachable(), Isolated: m.GetIsolated(),
+		Unreachable: m.GetUnreachable(), Isolated: m.GetIsolated(), Millicores: int(m.GetMillicores()),
 	}
 	switch m.GetState() {
 	case peerpb.State_STATE_STARTING:
--- a/peer/reach_test.go
+++ b/peer/reach_test.go
@@ -3,10 +3,12 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"rhubarbrelay/membership"
+	"rhubarbrelay/peer/peerpb"
 )
 
 // Guards against instances that do not learn, by a complete packet or by a heartbeat, that
@@ -29,6 +31,22 @@
 	}
 }
 
+// Guards against instances that do not learn the capacity of another one, or forget it with
+// a heartbeat, and therefore send callers to others than the remaining instances do.
+func TestCapacityIsAnnounced(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	in := membership.Instance{
+		ID: "a", Zone: "z", Incarnation: 1, State: membership.Ready, CallerAddress: address, PeerAddress: address, AdminAddress: address, Millicores: 112,
+	}
+	directory := membership.NewDirectory(membership.Instance{ID: "b", Zone: "z"})
+	for _, m := range []*peerpb.Instance{instanceToWire(in), heartbeatToWire(in)} {
+		received, err := instanceFromWire(m)
+		assert.NilError(t, err)
+		assert.Assert(t, directory.RecordPacket(received, time.Second))
+		assert.Equal(t, directory.Ready()[0].Millicores, 112)
+	}
+}
+
 // Guards against a change of reach that only the local zone, or only remote zones, learn of.
 func TestReachIsAnnouncedToAllZones(t *testing.T) {
 	first := startInstanceInZone(t, "a", "a-1")
--- a/peer/registration_test.go
+++ b/peer/registration_test.go
@@ -15,7 +15,7 @@
 // rejected although it is truncated.
 func TestRegistrationCodec(t *testing.T) {
 	address := netip.MustParseAddrPort("10.0.0.1:80")
-	self := membership.Instance{ID: "a-1", Zone: "a", PeerAddress: address, CallerAddress: address, AdminAddress: address}
+	self := membership.Instance{ID: "a-1", Zone: "a", PeerAddress: address, CallerAddress: address, AdminAddress: address, Millicores: 112}
 	peers := []netip.AddrPort{self.PeerAddress, netip.MustParseAddrPort("[fd00::1]:81")}
 	data, err := EncodeRegistration(self, 2, peers...)
 	assert.NilError(t, err)
@@ -24,6 +24,7 @@
 	assert.Assert(t, slices.Equal(got.ZonePeers, peers), "%v", got.ZonePeers)
 	assert.Equal(t, got.ZoneInstances, 2)
 	assert.Equal(t, got.Instance.ID, self.ID)
+	assert.Equal(t, got.Instance.Millicores, self.Millicores)
 
 	many := make([]netip.AddrPort, 2*maxRegisteredPeers)
 	for i := range many {
--- a/settings/reader.go
+++ b/settings/reader.go
@@ -209,13 +209,18 @@
 
 // budget reads a non-negative number of the section budgets that may have a fraction.
 func (r *reader) budget(key string, fallback, highest float64) float64 {
-	text, ok := r.optional("budgets", key)
+	return r.number(setting{"budgets", key}, fallback, 0, highest)
+}
+
+// number reads a number that may have a fraction.
+func (r *reader) number(k setting, fallback, lowest, highest float64) float64 {
+	text, ok := r.optional(k.section, k.key)
 	if !ok {
 		return fallback
 	}
 	n, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(n >= 0 && n <= highest) {
-		r.addProblem(setting{"budgets", key}, text, fmt.Sprintf("not a number from 0 to %g", highest))
+	if err != nil || !(n >= lowest && n <= highest) {
+		r.addProblem(k, text, fmt.Sprintf("not a number from %g to %g", lowest, highest))
 		return fallback
 	}
 	return n
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,6 +32,8 @@
 	DefaultColdSlack       = 8.0
 	DefaultEvacuationDelay = 5 * time.Second
 	DefaultMemory          = 256 * mebibyte
+	DefaultCPUShare        = 1.0
+	DefaultCores           = 1
 	DefaultLogLevel        = "info"
 	DefaultLogFormat       = FormatText
 )
@@ -50,6 +52,8 @@
 	maxQuotaWindow    = time.Hour
 	minMemory         = 32 * mebibyte
 	maxMemory         = 1024 * gibibyte
+	minCPUShare       = 0.001
+	maxCores          = 4096
 	maxMaxConnections = 1_000_000
 	maxRatio          = 10
 	maxRate           = 1_000_000
@@ -82,6 +86,10 @@
 	Region string
 	// Memory is the memory limit of the process in bytes.
 	Memory int
+	// CPUShare is the part of the processor time of each core that the process gets, and
+	// Cores the number of cores.
+	CPUShare float64
+	Cores    int
 	// FirstStart is set if the whole system starts for the first time, so that no other
 	// instance has any state yet.
 	FirstStart bool
@@ -193,6 +201,8 @@
 		Instance: Instance{
 			ID: r.name("instance", "id"), Zone: r.name("instance", "zone"), Region: r.name("instance", "region"),
 			Memory:     r.size("instance", "memory", DefaultMemory, minMemory, maxMemory),
+			CPUShare:   r.number(setting{"instance", "cpu_share"}, DefaultCPUShare, minCPUShare, 1),
+			Cores:      r.integer("instance", "cores", DefaultCores, 1, maxCores),
 			FirstStart: r.flag("instance", "first_start"),
 		},
 		Callers: Callers{
