daemon: a lack of processor time is logged and measured

The delay with which goroutines get a processor is read from the runtime once a second; the log says when a tenth of them wait longer than 100 ms, and the metric scheduling_delay_us holds the delay.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -64,6 +64,7 @@
 	admin          *admin.Server
 	limits         connectionLimits
 	pauses         *pauses
+	scheduling     *schedulingDelay
 	targetDial     upstream.DialFunc // nil for the default
 	// peerClient calls the administration API of other instances.
 	peerClient *fasthttp.Client
@@ -98,6 +99,7 @@
 		opt(d)
 	}
 	d.pauses = newPauses(bootTime)
+	d.scheduling = newSchedulingDelay(logger)
 	d.limits = newConnectionLimits(fileLimit(), s.Callers.MaxConnections)
 	if d.limits.callers < s.Callers.MaxConnections {
 		logger.WithField("max_connections", s.Callers.MaxConnections).WithField("limit", d.limits.callers).
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -21,6 +21,8 @@
 	TargetAgeMS    int64 `json:"target_age_ms"`
 	StoreFailing   bool  `json:"store_failing"`
 	StoreEra       int64 `json:"store_era"`
+	// SchedulingDelayUS is how long goroutines wait for a processor.
+	SchedulingDelayUS int64 `json:"scheduling_delay_us"`
 	// BlockedRequests is the number of different requests.
 	BlockedRequests int `json:"blocked_requests"`
 	// EvacuatedZonesMS is the time for which each evacuated zone has been evacuated.
@@ -107,7 +109,8 @@
 		ConfigVersion: status.ConfigVersion, Ready: status.Ready, ReadyInstances: len(status.Instances),
 		KnownInstances: d.members.Count(), Targets: status.Targets, TargetAgeMS: status.TargetAge.Milliseconds(),
 		StoreFailing: status.StoreFailing, StoreEra: d.targetFollower.Era(), BlockedRequests: d.crashes.BlockedCount(),
-		EvacuatedZonesMS: newEvacuationMetrics(status.Evacuated), Callers: newCallerMetrics(d.relay.Stats(), status.InProgress),
+		SchedulingDelayUS: d.scheduling.Delay().Microseconds(),
+		EvacuatedZonesMS:  newEvacuationMetrics(status.Evacuated), Callers: newCallerMetrics(d.relay.Stats(), status.InProgress),
 		Services: map[string]serviceMetrics{}, Peers: newPeerMetrics(d.mesh.Stats()), Log: logMetrics(logStats),
 	}
 	m.Tenants = newTenantMetrics(d.quotas.Stats())
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -104,6 +104,7 @@
 	start("target follower", follow(d.targetFollower.Run))
 	start("membership", func() error { return d.join(ctx, startFollowers) })
 	start("pause detection", func() error { return d.pauses.run(ctx) })
+	start("scheduling delay", func() error { return d.scheduling.run(ctx) })
 	start("reachability checks", func() error { return d.watchReach(ctx) })
 	start("quota shares", func() error { return d.shareQuotas(ctx) })
 	start("configuration catch-up", func() error { return d.catchUpConfig(ctx) })
