entry: more active instances where the large ones are missing

Cause: the active instances had a sixteenth of the processor time of the zone. Two large ones have more than a quarter of that left over; small ones have none.

Change: an eighth. With two large instances nothing changes.

--- a/entry/active.go
+++ b/entry/active.go
@@ -11,12 +11,12 @@
 // highest processor capacity, and as few as have a fraction of that of the zone, as the load
 // grows with the size of the zone, but at least minActive if that many are ready. There are
 // no more, because with fewer active instances each has more recent load reports of the
-// targets.
+// targets. The fraction leaves room for bursts while the largest instances are missing.
 const (
 	minActive = 2
 	// capacityFraction is the capacity of the ready instances of a zone divided by that of
 	// its active ones.
-	capacityFraction = 16
+	capacityFraction = 8
 )
 
 // capacity returns the processor capacity of an instance in thousandths of a core. Instances
