--- a/routing/dispatcher.go
+++ b/routing/dispatcher.go
@@ -10,7 +10,6 @@
 
 	"rhubarbrelay/config"
 	"rhubarbrelay/limits"
-	"rhubarbrelay/platform"
 	"rhubarbrelay/reachability"
 	"rhubarbrelay/targets"
 	"rhubarbrelay/upstream"
@@ -68,42 +67,6 @@
 	stats              Stats
 }
 
-// Option configures a Dispatcher.
-type Option func(*Dispatcher)
-
-// WithClock sets the function that returns the current time.
-func WithClock(clock func() time.Time) Option { return func(d *Dispatcher) { d.clock = clock } }
-
-// WithPoolFactory sets the function that creates the connection pool of a
-// target with the given connection limit.
-func WithPoolFactory(newPool func(upstream.Destination, int) *upstream.Pool) Option {
-	return func(d *Dispatcher) { d.newPool = newPool }
-}
-
-// WithLimitSharing sets how the limits of targets are shared with the other instances.
-// By default there are none.
-func WithLimitSharing(sharing LimitSharing) Option {
-	return func(d *Dispatcher) { d.sharing = sharing }
-}
-
-// WithColdSharing sets how the limits of cold targets are shared with the other instances.
-// By default there are none.
-func WithColdSharing(sharing ColdSharing) Option {
-	return func(d *Dispatcher) { d.coldSharing = sharing }
-}
-
-// WithOnStatement sets a function that is called when a target has changed what it
-// states, as this instance has heard it. It must not call the dispatcher.
-func WithOnStatement(fn func(targets.Statement)) Option {
-	return func(d *Dispatcher) { d.onStatement = fn }
-}
-
-// WithLogger sets the logger. The default is the global one.
-func WithLogger(logger log.Interface) Option { return func(d *Dispatcher) { d.logger = logger } }
-
-// WithRandom sets the source of random numbers.
-func WithRandom(random *rand.Rand) Option { return func(d *Dispatcher) { d.random = random } }
-
 // NewDispatcher returns the dispatcher of a service, without targets.
 func NewDispatcher(service *config.Service, settings Settings, instances InstanceCounts, opts ...Option) *Dispatcher {
 	d := &Dispatcher{
@@ -246,89 +209,6 @@
 	}
 }
 
-func (d *Dispatcher) release(l *Lease, outcome Outcome, info platform.ResponseInfo) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if l.released {
-		return
-	}
-	l.released = true
-	now := d.clock()
-	t := l.target
-	t.removeLease(l)
-	switch {
-	case info.HasLoad:
-		d.recordReport(t, info.Load, now)
-	case t.sentSinceReport > 0 && !l.start.Before(t.loadAt):
-		t.sentSinceReport-- // the request was sent after the latest report and has ended
-	}
-	if outcome != Replaced {
-		d.recordStatements(t, info, l.start, now)
-	}
-	d.recordOutcome(l, outcome, now)
-	d.recordTryReach(t, outcome, info, now)
-	d.queue.wakeScanners()
-}
-
-// averageFailureWeight is the weight of one try in the average failure rate.
-const averageFailureWeight = 0.02
-
-// recentTargets is a ring buffer of the targets that reported their load most
-// recently.
-type recentTargets struct {
-	targets [maxRecentTargets]*target
-	next    int
-}
-
-// maxRecentTargets is the size of the ring buffer. More targets than this
-// rarely report within freshReportAge.
-const maxRecentTargets = 16
-
-func (d *Dispatcher) recordReport(t *target, load platform.Load, now time.Time) {
-	t.setReport(load, now)
-	d.recent.targets[d.recent.next] = t
-	d.recent.next = (d.recent.next + 1) % maxRecentTargets
-}
-
-func (d *Dispatcher) recordOutcome(l *Lease, outcome Outcome, now time.Time) {
-	t := l.target
-	switch outcome {
-	case Succeeded:
-		d.averageFailureRate -= averageFailureWeight * d.averageFailureRate
-		duration := now.Sub(l.start)
-		t.recordSuccess(now)
-		t.recordDuration(float64(duration)/(float64(l.estimate)*l.slowdown), now)
-		d.durations.record(l.route, l.estimate, time.Duration(float64(duration)/l.slowdown))
-		d.updateThroughput(now)
-	case Failed:
-		d.stats.Failures++
-		d.averageFailureRate += averageFailureWeight * (1 - d.averageFailureRate)
-		t.recordFailure(failureWeight, now)
-	case TimedOut:
-		d.stats.Failures++
-		t.recordFailure(failureWeight, now)
-		t.recordDuration(maxSlowdownRatio, now)
-	case Shed:
-		d.stats.Sheds++
-		d.averageFailureRate += averageFailureWeight * (1 - d.averageFailureRate)
-		t.recordFailure(shedWeight, now)
-	case Unreachable:
-		d.stats.Failures++
-		t.startBackoff(now)
-	case Superseded:
-		t.recordDuration(float64(now.Sub(l.start))/(float64(l.estimate)*l.slowdown), now)
-	case Replaced:
-		t.replaced = true
-	case Inconclusive:
-	}
-}
-
-// updateThroughput counts a successful try in the moving average.
-func (d *Dispatcher) updateThroughput(now time.Time) {
-	d.throughput = d.throughput*decay(now.Sub(d.throughputAt), throughputTimeConstant) + 1/throughputTimeConstant.Seconds()
-	d.throughputAt = now
-}
-
 // Service returns the current configuration of the service.
 func (d *Dispatcher) Service() *config.Service {
 	d.mu.Lock()
