--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -87,7 +87,7 @@
 
 // millicores returns the processor capacity of the instance in thousandths of a core.
 func millicores(in settings.Instance) int {
-	return int(math.Round(in.CPUShare * float64(in.Cores) * 1000))
+	return int(math.Round(in.CPUShare * in.Cores * 1000))
 }
 
 // New returns an instance that has not been started.
--- a/daemon/run_test.go
+++ b/daemon/run_test.go
@@ -58,6 +58,20 @@
 	return New(s, &log.Logger{Handler: lines, Level: log.InfoLevel}), lines, store
 }
 
+// Guards against instances that all state the same capacity, so that callers are sent to
+// small ones.
+func TestInstanceStatesItsCapacity(t *testing.T) {
+	tests := []struct {
+		share, cores float64
+		want         int
+	}{{1, 1, 1000}, {0.112, 1, 112}, {0.5, 4, 2000}, {0.001, 0.001, 0}, {1024, 1024, 1_048_576_000}}
+	for _, tt := range tests {
+		assert.Equal(t, millicores(settings.Instance{CPUShare: tt.share, Cores: tt.cores}), tt.want)
+	}
+	d, _ := newTestDaemon(t, "a-1")
+	assert.Equal(t, d.members.Self().Millicores, 1000)
+}
+
 // startTestDaemon runs an instance until the test ends.
 func startTestDaemon(t *testing.T, d *Daemon) {
 	t.Helper()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,7 +33,7 @@
 	DefaultEvacuationDelay = 5 * time.Second
 	DefaultMemory          = 256 * mebibyte
 	DefaultCPUShare        = 1.0
-	DefaultCores           = 1
+	DefaultCores           = 1.0
 	DefaultLogLevel        = "info"
 	DefaultLogFormat       = FormatText
 )
@@ -52,8 +52,8 @@
 	maxQuotaWindow    = time.Hour
 	minMemory         = 32 * mebibyte
 	maxMemory         = 1024 * gibibyte
-	minCPUShare       = 0.001
-	maxCores          = 4096
+	minCores          = 0.001
+	maxCores          = 1024
 	maxMaxConnections = 1_000_000
 	maxRatio          = 10
 	maxRate           = 1_000_000
@@ -88,8 +88,7 @@
 	Memory int
 	// CPUShare is the part of the processor time of each core that the process gets, and
 	// Cores the number of cores.
-	CPUShare float64
-	Cores    int
+	CPUShare, Cores float64
 	// FirstStart is set if the whole system starts for the first time, so that no other
 	// instance has any state yet.
 	FirstStart bool
@@ -201,8 +200,8 @@
 		Instance: Instance{
 			ID: r.name("instance", "id"), Zone: r.name("instance", "zone"), Region: r.name("instance", "region"),
 			Memory:     r.size("instance", "memory", DefaultMemory, minMemory, maxMemory),
-			CPUShare:   r.number(setting{"instance", "cpu_share"}, DefaultCPUShare, minCPUShare, 1),
-			Cores:      r.integer("instance", "cores", DefaultCores, 1, maxCores),
+			CPUShare:   r.number(setting{"instance", "cpu_share"}, DefaultCPUShare, minCores, maxCores),
+			Cores:      r.number(setting{"instance", "cores"}, DefaultCores, minCores, maxCores),
 			FirstStart: r.flag("instance", "first_start"),
 		},
 		Callers: Callers{
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -40,6 +40,8 @@
 	assert.Equal(t, s.Callers.EntryTTL, 2*time.Second)
 	assert.Equal(t, s.Callers.MaxConnections, 2000)
 	assert.Equal(t, s.Instance.Memory, 256<<20)
+	assert.Equal(t, s.Instance.CPUShare, 1.0)
+	assert.Equal(t, s.Instance.Cores, 1.0)
 	assert.Equal(t, s.Stop.Grace, 6*time.Second)
 	assert.Equal(t, s.Budgets, Budgets{
 		DrainDelay: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 20, RetryWindow: 10 * time.Second, ProbesPerSecond: 60,
@@ -124,6 +126,8 @@
 		{"size without unit", "[callers]", "memory = 1000\n[callers]", `key "memory", value "1000": not a size`},
 		{"size with a wrong unit", "[callers]", "memory = 8MB\n[callers]", `value "8MB": not a size`},
 		{"size out of range", "[callers]", "memory = 1MiB\n[callers]", `value "1MiB": outside of 32MiB to 1024GiB`},
+		{"no processor", "[callers]", "cpu_share = 0\n[callers]", `section "instance", key "cpu_share", value "0": not a number from 0.001 to 1024`},
+		{"cores with unit", "[callers]", "cores = 2x\n[callers]", `key "cores", value "2x": not a number`},
 		{"negative ratio", "[store]", "[budgets]\nretry_ratio = -1\n[store]", `section "budgets", key "retry_ratio", value "-1": not a number from 0 to 10`},
 		{"not a number", "[store]", "[budgets]\nprobes_per_second = NaN\n[store]", `value "NaN": not a number`},
 		{"bad seed", "[admin]", "seeds = 127.0.0.1:1,nowhere\n[admin]", `section "peers", key "seeds", value "nowhere": not an IP address`},
