entry: the load of a zone does not fall with its ready instances

Cause: the small instances are ready before the large ones, which are seeds and start last.

Change: the number of active instances follows the capacity of all known instances of the zone. While few are ready, all of them are active. Those that share limits of targets are still determined by the ready instances, on which all agree best, and are always among the active ones.

TestFewReadyInstancesAreAllActive fails without the change (2 of 5 and of 10 are active).

--- a/entry/active.go
+++ b/entry/active.go
@@ -14,47 +14,48 @@
 // targets. The fraction leaves room for bursts while the largest instances are missing.
 const (
 	minActive = 2
-	// capacityFraction is the capacity of the ready instances of a zone divided by that of
-	// its active ones.
+	// capacityFraction is the capacity of a zone divided by that of its active instances.
 	capacityFraction = 8
 )
 
-// capacity returns the processor capacity of an instance in thousandths of a core. Instances
-// that do not state theirs count as the smallest ones.
-func capacity(in membership.Instance) int { return max(1, in.Millicores) }
-
 // activeOf returns the active instances among the eligible ones of a zone, which are sorted
-// by ID.
-func activeOf(eligible []membership.Instance) []membership.Instance {
+// by ID. zoneCapacity is the capacity of the zone if it is higher than that of the eligible
+// instances: the load does not fall with the number of those that are ready.
+func activeOf(eligible []membership.Instance, zoneCapacity int) []membership.Instance {
 	sorted := slices.Clone(eligible)
-	slices.SortStableFunc(sorted, func(a, b membership.Instance) int { return cmp.Compare(capacity(b), capacity(a)) })
-	return sorted[:activeCount(sorted)]
+	slices.SortStableFunc(sorted, func(a, b membership.Instance) int { return cmp.Compare(b.Capacity(), a.Capacity()) })
+	return sorted[:activeCount(sorted, zoneCapacity)]
 }
 
 // activeCount returns the number of active instances among those of a zone, sorted by
 // falling capacity. Callers connect to all active ones alike, so that each can use no more
 // than the smallest one has.
-func activeCount(sorted []membership.Instance) int {
+func activeCount(sorted []membership.Instance, zoneCapacity int) int {
 	total := 0
 	for _, in := range sorted {
-		total += capacity(in)
+		total += in.Capacity()
 	}
+	total = max(total, zoneCapacity)
 	n := min(minActive, len(sorted))
-	for n < len(sorted) && n*capacity(sorted[n-1])*capacityFraction < total {
+	for n < len(sorted) && n*sorted[n-1].Capacity()*capacityFraction < total {
 		n++
 	}
 	return n
 }
 
 // activeByZone returns the active instances of each zone among the given ones, which are
-// sorted by ID.
-func activeByZone(instances []membership.Instance) map[string][]membership.Instance {
+// sorted by ID. zoneCapacity returns the capacity of a zone, see activeOf.
+func activeByZone(instances []membership.Instance, zoneCapacity func(zone string) int) map[string][]membership.Instance {
 	active := map[string][]membership.Instance{}
 	for _, in := range instances {
 		active[in.Zone] = append(active[in.Zone], in)
 	}
 	for zone, all := range active {
-		active[zone] = activeOf(all)
+		active[zone] = activeOf(all, zoneCapacity(zone))
 	}
 	return active
 }
+
+// readyCapacity is the zoneCapacity of those that share limits. All instances must agree on
+// them, and know the ready instances best. They are the first ones of the active instances.
+func readyCapacity(string) int { return 0 }
--- a/entry/cold_sharing.go
+++ b/entry/cold_sharing.go
@@ -100,7 +100,7 @@
 	s.updatedAt = now
 	self := s.directory.Self()
 	var active []string
-	for _, in := range activeByZone(eligible(s.directory))[self.Zone] {
+	for _, in := range activeByZone(eligible(s.directory), readyCapacity)[self.Zone] {
 		active = append(active, in.ID)
 	}
 	connected := s.isConnected(self, active, now)
--- a/entry/limit_sharing.go
+++ b/entry/limit_sharing.go
@@ -81,7 +81,7 @@
 	}
 	s.updatedAt = now
 	s.active = map[string][]string{}
-	for zone, instances := range activeByZone(eligible(s.directory)) {
+	for zone, instances := range activeByZone(eligible(s.directory), readyCapacity) {
 		for _, in := range instances {
 			s.active[zone] = append(s.active[zone], in.ID)
 		}
--- a/entry/limit_sharing_test.go
+++ b/entry/limit_sharing_test.go
@@ -76,7 +76,7 @@
 func TestLimitsAreSpreadOverInstances(t *testing.T) {
 	ready := readyInZones(100)
 	const limited = 1000
-	active := activeByZone(ready)["a"]
+	active := activeByZone(ready, readyCapacity)["a"]
 	for _, in := range ready[:len(active)] {
 		sharing := NewLimitSharing(sharingView{in, ready}, time.Now)
 		own := 0
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -37,10 +37,17 @@
 	Self() membership.Instance
 }
 
+// SelectorDirectory is the Directory that Selector uses. ZoneCapacity returns the processor
+// capacity, in thousandths of a core, of all known instances of a zone, whether ready or not.
+type SelectorDirectory interface {
+	Directory
+	ZoneCapacity(zone string) int
+}
+
 // Selector selects the addresses in entry responses. It is safe for concurrent
 // use.
 type Selector struct {
-	directory Directory
+	directory SelectorDirectory
 	silence   func(id string) time.Duration
 }
 
@@ -59,7 +66,7 @@
 const maxNamedSilence = 5 * time.Second
 
 // NewSelector returns a selector of the directory's instances.
-func NewSelector(directory Directory, opts ...SelectorOption) *Selector {
+func NewSelector(directory SelectorDirectory, opts ...SelectorOption) *Selector {
 	s := &Selector{directory: directory, silence: func(string) time.Duration { return 0 }}
 	for _, opt := range opts {
 		opt(s)
@@ -83,7 +90,7 @@
 			remote = append(remote, in)
 		}
 	}
-	selected := addressesOf(activeOf(local))
+	selected := addressesOf(activeOf(local, s.directory.ZoneCapacity(zone)))
 	if len(selected) < minLocalAddresses {
 		selected = append(selected, addressesOf(remote)...)
 	}
@@ -113,7 +120,7 @@
 		return in.ID == self.ID || !in.PeerAddress.IsValid() || !in.Reaches(service)
 	})
 	var local, remote []netip.AddrPort
-	for zone, instances := range activeByZone(candidates) {
+	for zone, instances := range activeByZone(candidates, s.directory.ZoneCapacity) {
 		for _, in := range instances {
 			switch {
 			case slices.Contains(exclude, in.PeerAddress):
@@ -136,7 +143,7 @@
 // Active returns the active instances of all zones.
 func (s *Selector) Active() []membership.Instance {
 	var active []membership.Instance
-	for _, instances := range activeByZone(eligible(s.directory)) {
+	for _, instances := range activeByZone(eligible(s.directory), s.directory.ZoneCapacity) {
 		active = append(active, instances...)
 	}
 	return active
@@ -145,7 +152,7 @@
 // ActiveCount returns the number of active instances in all zones, at least 1.
 func (s *Selector) ActiveCount() int {
 	active := 0
-	for _, instances := range activeByZone(eligible(s.directory)) {
+	for _, instances := range activeByZone(eligible(s.directory), s.directory.ZoneCapacity) {
 		active += len(instances)
 	}
 	return max(1, active)
@@ -156,5 +163,5 @@
 func (s *Selector) IsActive() bool {
 	self := s.directory.Self()
 	local := slices.DeleteFunc(eligible(s.directory), func(in membership.Instance) bool { return in.Zone != self.Zone })
-	return slices.ContainsFunc(activeOf(local), func(in membership.Instance) bool { return in.ID == self.ID })
+	return slices.ContainsFunc(activeOf(local, s.directory.ZoneCapacity(self.Zone)), func(in membership.Instance) bool { return in.ID == self.ID })
 }
--- a/entry/selector_test.go
+++ b/entry/selector_test.go
@@ -20,6 +20,15 @@
 
 func (d staticDirectory) Self() membership.Instance    { return d.self }
 func (d staticDirectory) Ready() []membership.Instance { return d.ready }
+func (d staticDirectory) ZoneCapacity(string) int      { return 0 }
+
+// partlyReady is a directory some of whose instances are not ready.
+type partlyReady struct {
+	staticDirectory
+	capacity int // of all instances of the zone
+}
+
+func (d partlyReady) ZoneCapacity(string) int { return d.capacity }
 
 func testInstances(zones ...string) []membership.Instance {
 	all := make([]membership.Instance, 0, len(zones))
@@ -126,3 +135,16 @@
 		})
 	}
 }
+
+// Guards against the callers of a whole zone being sent to the few small instances that are
+// ready first after a loss of power.
+func TestFewReadyInstancesAreAllActive(t *testing.T) {
+	const zoneCapacity = 70*112 + 2*800
+	tests := []struct{ ready, want int }{{1, 1}, {5, 5}, {10, 10}, {40, 11}}
+	for _, tt := range tests {
+		ready := withCapacities(testInstances(slices.Repeat([]string{"a"}, tt.ready)...), slices.Repeat([]int{112}, tt.ready)...)
+		directory := partlyReady{staticDirectory{ready: ready}, zoneCapacity}
+		assert.Equal(t, len(NewSelector(directory).Select("a")), tt.want, "%d are ready", tt.ready)
+		assert.Equal(t, NewSelector(directory).ActiveCount(), tt.want, "%d are ready", tt.ready)
+	}
+}
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -277,6 +277,24 @@
 	})
 }
 
+// ZoneCapacity returns the processor capacity, in thousandths of a core, of all known
+// instances of a zone except for those that leave. Those considered dead are included until
+// they are removed.
+func (d *Directory) ZoneCapacity(zone string) int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	total := 0
+	if d.self.Zone == zone && d.self.State != Leaving {
+		total += d.self.Capacity()
+	}
+	for _, m := range d.members {
+		if m.instance.Zone == zone && m.instance.State != Leaving {
+			total += m.instance.Capacity()
+		}
+	}
+	return total
+}
+
 // PeerWithNewerConfig returns another instance that is alive and whose
 // configuration is newer than the version, preferably one of the local zone.
 func (d *Directory) PeerWithNewerConfig(version int64) (Instance, bool) {
--- a/membership/instance.go
+++ b/membership/instance.go
@@ -48,4 +48,8 @@
 	return in.State != other.State || in.Isolated != other.Isolated || !slices.Equal(in.Unreachable, other.Unreachable)
 }
 
+// Capacity returns the processor capacity in thousandths of a core. An instance that does
+// not state it counts as the smallest one.
+func (in Instance) Capacity() int { return max(1, in.Millicores) }
+
 func compareID(a, b Instance) int { return cmp.Compare(a.ID, b.ID) }
