--- a/daemon/run_test.go
+++ b/daemon/run_test.go
@@ -58,8 +58,7 @@
 	return New(s, &log.Logger{Handler: lines, Level: log.InfoLevel}), lines, store
 }
 
-// Guards against instances that all state the same capacity, so that callers are sent to
-// small ones.
+// Guards against instances that all state the same capacity.
 func TestInstanceStatesItsCapacity(t *testing.T) {
 	tests := []struct {
 		share, cores float64
--- a/daemon/scheduling_test.go
+++ b/daemon/scheduling_test.go
@@ -11,8 +11,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against an instance that lacks processor time without a line in its log, and one
-// that repeats the line with each measurement.
+// Guards against a lack of processor time that is not logged, or is with each measurement.
 func TestLackOfProcessorTimeIsLogged(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/entry/selector_test.go
+++ b/entry/selector_test.go
@@ -136,8 +136,7 @@
 	}
 }
 
-// Guards against the callers of a whole zone being sent to the few small instances that are
-// ready first after a loss of power.
+// Guards against all callers of a zone coming to the few instances that are ready first.
 func TestFewReadyInstancesAreAllActive(t *testing.T) {
 	const zoneCapacity = 70*112 + 2*800
 	tests := []struct{ ready, want int }{{1, 1}, {5, 5}, {10, 10}, {40, 11}}
--- a/peer/reach_test.go
+++ b/peer/reach_test.go
@@ -31,8 +31,7 @@
 	}
 }
 
-// Guards against instances that do not learn the capacity of another one, or forget it with
-// a heartbeat, and therefore send callers to others than the remaining instances do.
+// Guards against instances that do not learn the capacity of others, or forget it.
 func TestCapacityIsAnnounced(t *testing.T) {
 	address := netip.MustParseAddrPort("10.0.0.1:80")
 	in := membership.Instance{
--- a/relay/callerleft_test.go
+++ b/relay/callerleft_test.go
@@ -16,8 +16,7 @@
 // callerLeftTimeout is far below the timeouts of the routes.
 const callerLeftTimeout = 2 * time.Second
 
-// Guards against an idempotent request that continues at the target after its caller has
-// left, because bytes of a further request are unread.
+// Guards against a close that is not seen behind unread bytes of a further request.
 func TestCallerLeavesWithRequestsUnread(t *testing.T) {
 	post := func(path string, id int) string {
 		return rawRequest("POST", path, "body", fmt.Sprintf("Rhubarbrelay-Attempt-Id: id-%d", id))
@@ -55,8 +54,7 @@
 	}
 }
 
-// Guards against a request that is sent to a target although its caller has left while an
-// earlier one of the connection was in progress.
+// Guards against a request that is sent although its caller has left during an earlier one.
 func TestCallerLeavesBehindEarlierRequest(t *testing.T) {
 	gates := newGates(2)
 	defer openGates(gates)
@@ -74,8 +72,7 @@
 	assert.DeepEqual(t, target.receivedIDs(), []string{"id-0"})
 }
 
-// Guards against a request that is sent to a target although its caller had left before it
-// was read.
+// Guards against a request that is sent although its caller had left before it was read.
 func TestCallerLeavesBeforeItsRequestIsRead(t *testing.T) {
 	const callers = 200
 	target := newScriptedTarget(t, "t-1", "a", echo)
