daemon, routing: one loop for what is done in intervals; one place for a failed try

No behavior is changed. Tests use round capacities; TestZoneCapacity is new: the capacity of a zone does not fall while instances are down, and does when they leave.

--- a/daemon/pauses.go
+++ b/daemon/pauses.go
@@ -42,16 +42,7 @@
 
 // run records until the context ends that the process runs.
 func (p *pauses) run(ctx context.Context) error {
-	ticker := time.NewTicker(pauseTickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			p.tick()
-		}
-	}
+	return runPeriodically(ctx, pauseTickInterval, p.tick)
 }
 
 func (p *pauses) tick() {
--- a/daemon/reach.go
+++ b/daemon/reach.go
@@ -30,20 +30,14 @@
 // the changes and tells the other instances of them.
 func (d *Daemon) watchReach(ctx context.Context) error {
 	sleepContext(ctx, reachStartDelay)
-	ticker := time.NewTicker(reachInterval)
-	defer ticker.Stop()
-	states := map[string]reachability.State{}
-	for turn := 0; ; turn++ {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	states, turn := map[string]reachability.State{}, 0
+	return runPeriodically(ctx, reachInterval, func() {
 		dispatchers := d.table.Dispatchers()
 		checkReach(dispatchers, turn)
 		d.logReach(dispatchers, states)
 		d.announceReach(dispatchers)
-	}
+		turn++
+	})
 }
 
 // announceReach tells the other instances to the targets of which services this one has
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -194,14 +194,5 @@
 // catchUpConfig fetches the configuration from another instance whose heartbeats
 // show a newer version, in case this instance missed the update.
 func (d *Daemon) catchUpConfig(ctx context.Context) error {
-	ticker := time.NewTicker(catchUpInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		d.configFollower.CatchUp()
-	}
+	return runPeriodically(ctx, catchUpInterval, d.configFollower.CatchUp)
 }
--- a/daemon/run_test.go
+++ b/daemon/run_test.go
@@ -63,7 +63,7 @@
 	tests := []struct {
 		share, cores float64
 		want         int
-	}{{1, 1, 1000}, {0.112, 1, 112}, {0.5, 4, 2000}, {0.001, 0.001, 0}, {1024, 1024, 1_048_576_000}}
+	}{{1, 1, 1000}, {0.25, 1, 250}, {0.5, 4, 2000}, {0.001, 0.001, 0}, {1024, 1024, 1_048_576_000}}
 	for _, tt := range tests {
 		assert.Equal(t, millicores(settings.Instance{CPUShare: tt.share, Cores: tt.cores}), tt.want)
 	}
--- a/daemon/scheduling.go
+++ b/daemon/scheduling.go
@@ -54,16 +54,7 @@
 
 // run measures until the context ends.
 func (s *schedulingDelay) run(ctx context.Context) error {
-	ticker := time.NewTicker(schedulingInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			s.measure()
-		}
-	}
+	return runPeriodically(ctx, schedulingInterval, s.measure)
 }
 
 // measure updates the delay and logs when the instance begins to lack processor time and
--- a/entry/selector_test.go
+++ b/entry/selector_test.go
@@ -119,8 +119,8 @@
 		all  []membership.Instance
 		want string
 	}{
-		{"two large ones suffice", withCapacities(zone(72), append(slices.Repeat([]int{112}, 70), 800, 800)...), "n70 n71"},
-		{"a large one does not suffice", withCapacities(zone(72), append(slices.Repeat([]int{112}, 71), 800)...), "n71 n00 n01 n02 n03 n04 n05 n06 n07 n08"},
+		{"two large ones suffice", withCapacities(zone(72), append(slices.Repeat([]int{100}, 70), 800, 800)...), "n70 n71"},
+		{"a large one does not suffice", withCapacities(zone(72), append(slices.Repeat([]int{100}, 71), 800)...), "n71 n00 n01 n02 n03 n04 n05 n06 n07 n08"},
 		{"all alike", withCapacities(zone(33), slices.Repeat([]int{320}, 33)...), "n00 n01 n02 n03 n04"},
 		{"unknown counts as the smallest", withCapacities(zone(4), 0, 0, 320, 320), "n02 n03"},
 		{"one instance", withCapacities(zone(1), 320), "n00"},
@@ -138,10 +138,10 @@
 
 // Guards against all callers of a zone coming to the few instances that are ready first.
 func TestFewReadyInstancesAreAllActive(t *testing.T) {
-	const zoneCapacity = 70*112 + 2*800
+	const zoneCapacity = 70*100 + 2*800
 	tests := []struct{ ready, want int }{{1, 1}, {5, 5}, {10, 10}, {40, 11}}
 	for _, tt := range tests {
-		ready := withCapacities(testInstances(slices.Repeat([]string{"a"}, tt.ready)...), slices.Repeat([]int{112}, tt.ready)...)
+		ready := withCapacities(testInstances(slices.Repeat([]string{"a"}, tt.ready)...), slices.Repeat([]int{100}, tt.ready)...)
 		directory := partlyReady{staticDirectory{ready: ready}, zoneCapacity}
 		assert.Equal(t, len(NewSelector(directory).Select("a")), tt.want, "%d are ready", tt.ready)
 		assert.Equal(t, NewSelector(directory).ActiveCount(), tt.want, "%d are ready", tt.ready)
--- a/membership/directory_test.go
+++ b/membership/directory_test.go
@@ -33,6 +33,26 @@
 	return text
 }
 
+// Guards against a capacity of a zone that falls while its instances are down.
+func TestZoneCapacity(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	d := NewDirectory(Instance{ID: "s", Zone: "a", Millicores: 800}, WithClock(func() time.Time { return now }))
+	small, other, unknown, leaving := instance("x", 1, Ready), instance("y", 1, Ready), instance("z", 1, Ready), instance("l", 1, Leaving)
+	small.Millicores, other.Millicores, leaving.Millicores = 100, 100, 100
+	other.Zone = "b"
+	for _, in := range []Instance{small, other, unknown, leaving} {
+		d.RecordPacket(in, heartbeatInterval)
+	}
+	assert.Equal(t, d.ZoneCapacity("a"), 800+100+1)
+	assert.Equal(t, d.ZoneCapacity("b"), 100)
+	now = now.Add(removeAfter / 2)
+	assert.Equal(t, len(d.Ready()), 0)
+	assert.Equal(t, d.ZoneCapacity("a"), 800+100+1)
+	now = now.Add(removeAfter)
+	d.RemoveDead()
+	assert.Equal(t, d.ZoneCapacity("a"), 800)
+}
+
 // Guards against sending callers to instances that are considered dead, leaving or
 // not yet ready, and against leaving out ready ones, also after a late packet, a
 // restart or a system clock that was set back.
--- a/peer/reach_test.go
+++ b/peer/reach_test.go
@@ -35,14 +35,14 @@
 func TestCapacityIsAnnounced(t *testing.T) {
 	address := netip.MustParseAddrPort("10.0.0.1:80")
 	in := membership.Instance{
-		ID: "a", Zone: "z", Incarnation: 1, State: membership.Ready, CallerAddress: address, PeerAddress: address, AdminAddress: address, Millicores: 112,
+		ID: "a", Zone: "z", Incarnation: 1, State: membership.Ready, CallerAddress: address, PeerAddress: address, AdminAddress: address, Millicores: 250,
 	}
 	directory := membership.NewDirectory(membership.Instance{ID: "b", Zone: "z"})
 	for _, m := range []*peerpb.Instance{instanceToWire(in), heartbeatToWire(in)} {
 		received, err := instanceFromWire(m)
 		assert.NilError(t, err)
 		assert.Assert(t, directory.RecordPacket(received, time.Second))
-		assert.Equal(t, directory.Ready()[0].Millicores, 112)
+		assert.Equal(t, directory.Ready()[0].Millicores, 250)
 	}
 }
 
--- a/peer/registration_test.go
+++ b/peer/registration_test.go
@@ -15,7 +15,7 @@
 // rejected although it is truncated.
 func TestRegistrationCodec(t *testing.T) {
 	address := netip.MustParseAddrPort("10.0.0.1:80")
-	self := membership.Instance{ID: "a-1", Zone: "a", PeerAddress: address, CallerAddress: address, AdminAddress: address, Millicores: 112}
+	self := membership.Instance{ID: "a-1", Zone: "a", PeerAddress: address, CallerAddress: address, AdminAddress: address, Millicores: 250}
 	peers := []netip.AddrPort{self.PeerAddress, netip.MustParseAddrPort("[fd00::1]:81")}
 	data, err := EncodeRegistration(self, 2, peers...)
 	assert.NilError(t, err)
--- a/routing/outcome.go
+++ b/routing/outcome.go
@@ -57,32 +57,41 @@
 		d.averageFailureRate -= averageFailureWeight * d.averageFailureRate
 		duration := now.Sub(l.start)
 		t.recordSuccess(now)
-		t.recordDuration(float64(duration)/(float64(l.estimate)*l.slowdown), now)
+		t.recordDuration(l.durationRatio(duration), now)
 		d.durations.record(l.route, l.estimate, time.Duration(float64(duration)/l.slowdown))
 		d.updateThroughput(now)
 	case Failed:
 		d.stats.Failures++
-		d.averageFailureRate += averageFailureWeight * (1 - d.averageFailureRate)
-		t.recordFailure(failureWeight, now)
+		d.recordFailure(t, failureWeight, now)
 	case TimedOut:
 		d.stats.Failures++
 		t.recordFailure(failureWeight, now)
 		t.recordDuration(maxSlowdownRatio, now)
 	case Shed:
 		d.stats.Sheds++
-		d.averageFailureRate += averageFailureWeight * (1 - d.averageFailureRate)
-		t.recordFailure(shedWeight, now)
+		d.recordFailure(t, shedWeight, now)
 	case Unreachable:
 		d.stats.Failures++
 		t.startBackoff(now)
 	case Superseded:
-		t.recordDuration(float64(now.Sub(l.start))/(float64(l.estimate)*l.slowdown), now)
+		t.recordDuration(l.durationRatio(now.Sub(l.start)), now)
 	case Replaced:
 		t.replaced = true
 	case Inconclusive:
 	}
 }
 
+// recordFailure counts a failed try against its target and in the average of the service.
+func (d *Dispatcher) recordFailure(t *target, weight float64, now time.Time) {
+	d.averageFailureRate += averageFailureWeight * (1 - d.averageFailureRate)
+	t.recordFailure(weight, now)
+}
+
+// durationRatio returns the ratio of a duration to the one expected at the target.
+func (l *Lease) durationRatio(duration time.Duration) float64 {
+	return float64(duration) / (float64(l.estimate) * l.slowdown)
+}
+
 // updateThroughput counts a successful try in the moving average.
 func (d *Dispatcher) updateThroughput(now time.Time) {
 	d.throughput = d.throughput*decay(now.Sub(d.throughputAt), throughputTimeConstant) + 1/throughputTimeConstant.Seconds()
