responses, upstream: a response whose status is not between 100 and 599 is no response

What callers saw: a target sent a response with status 000, and its caller got it as a success (200). With status 600 to 999 the caller got that status; below 100 the response counted as an interim one, so that what followed it was taken for the response. A probe that was answered with 000 counted its target as healthy.

Cause: fasthttp takes any three digits for a status, and its StatusCode returns 200 for 0; the reading of responses compared the result with 200 only.

Change: responses.ReadHeader checks the status line as it was received, before fasthttp parses the header: version HTTP/1, three digits from 100 to 599, a reason without control bytes. A response that fails is handled as other malformed ones: the outcome is unknown, the connection is closed, the failure counts against the target; idempotent requests are tried elsewhere, others get 502 without a seal.

--- /dev/null
+++ b/responses/responses.go
@@ -0,0 +1,22 @@
+// Package responses reads HTTP/1.1 responses. It rejects those that RFC 9110 and RFC 9112
+// do not allow, of which fasthttp accepts some with another meaning.
+package responses
+
+import "errors"
+
+// ErrMalformed means that the received bytes are no response. It is wrapped together with
+// the reason.
+var ErrMalformed = errors.New("response is malformed")
+
+// Reasons that are wrapped together with ErrMalformed.
+var (
+	errStatusLine = errors.New("status line is malformed")
+	errVersion    = errors.New("version is not HTTP/1")
+	errStatus     = errors.New("status is not between 100 and 599")
+)
+
+// Reasons for which a well-formed response is not accepted.
+var (
+	errSwitchedProtocols = errors.New("sender switched protocols")
+	errTooManyInterim    = errors.New("too many interim responses")
+)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -24,10 +24,8 @@
 	// used.
 	maxProbeBody    = 4 << 10
 	writeBufferSize = 4 << 10
-	// maxResponseReads limits the headers that readHeader reads for one response,
-	// including those of the 1xx responses that it skips, and the responses that
-	// readResponse reads for one request, including the responses to other requests
-	// that it skips.
+	// maxResponseReads limits the responses that readResponse reads for one request,
+	// including the responses to other requests that it skips.
 	maxResponseReads = 8
 	// concurrentBodySize is the request body size, in bytes, from which the
 	// response is read while the request is still being written: a target may
--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -43,3 +43,29 @@
 		})
 	}
 }
+
+// Guards against a target that counts as healthy because of a broken response to a probe.
+func TestBrokenResponseToProbe(t *testing.T) {
+	tests := []struct {
+		name, response string
+		accepted       bool
+	}{
+		{"control", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true},
+		{"status 000", "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", false},
+		{"status 099", "HTTP/1.1 099 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := NewPool(startTarget(t, sendPart(t, tt.response, false)), 1)
+			defer p.Close()
+			c := acquire(t, p)
+			_, healthy, err := c.Probe(time.Now().Add(testTimeout))
+			c.Release()
+			assert.Equal(t, healthy, tt.accepted)
+			if !tt.accepted {
+				assert.ErrorIs(t, err, ErrOutcomeUnknown)
+				assert.Equal(t, p.openConns, 0, "the connection is used again")
+			}
+		})
+	}
+}
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -7,6 +7,7 @@
 
 	"rhubarbrelay/bodies"
 	"rhubarbrelay/platform"
+	"rhubarbrelay/responses"
 )
 
 // readResponse reads the response to the request. It skips responses to other
@@ -54,7 +55,7 @@
 func (c *Conn) readOneResponse(req *fasthttp.Request, resp *fasthttp.Response, limit bodyLimit) error {
 	resp.Reset()
 	resp.SkipBody = req.Header.IsHead()
-	if err := c.readHeader(resp); err != nil {
+	if err := responses.ReadHeader(c.reader, &resp.Header); err != nil {
 		return err
 	}
 	if !hasBody(resp) {
@@ -97,22 +98,6 @@
 	return nil
 }
 
-func (c *Conn) readHeader(resp *fasthttp.Response) error {
-	for range maxResponseReads {
-		if err := resp.Header.Read(c.reader); err != nil {
-			return err
-		}
-		status := resp.StatusCode()
-		if status == fasthttp.StatusSwitchingProtocols {
-			return errSwitchedProtocols
-		}
-		if status >= fasthttp.StatusOK {
-			return nil
-		}
-	}
-	return errTooManyInterim
-}
-
 // maxErrorText limits the text of an error about a response in bytes. The errors of fasthttp
 // quote what they cannot parse.
 const maxErrorText = 256
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -26,11 +26,9 @@
 
 // Causes that are wrapped together with ErrOutcomeUnknown or ErrNotSent.
 var (
-	errOtherRequest      = errors.New("response belongs to another request")
-	errRefusedBefore     = errors.New("target has refused a request with this ID on the connection")
-	errSwitchedProtocols = errors.New("target switched protocols")
-	errTooManyInterim    = errors.New("too many interim responses")
-	errContentEncoding   = errors.New("response has a content encoding")
+	errOtherRequest    = errors.New("response belongs to another request")
+	errRefusedBefore   = errors.New("target has refused a request with this ID on the connection")
+	errContentEncoding = errors.New("response has a content encoding")
 )
 
 // Defaults of a pool.
