upstream: a body without a length is whole only after a close that is no reset

What callers saw: a target responded to a long upload at once, with a 200 without a length, sent a part of the body, and reset the connection while the upload was still being written. The caller got that part, with a length, as the whole response.

Cause: such a body ends with the connection, and the end of the stream counted as its end. The kernel reports a reset to one call only. While the request is being written, that may be the write; the read then sees the end of the stream. The error of the write was used only to keep the connection from carrying another request.

Change: after the end of such a body, beside an unfinished or failed write, the state of the socket decides. CLOSE_WAIT proves a close of the target without a reset: the response is whole, also while the upload is unfinished. In CLOSE there was a reset, too; the write has failed or fails at once, and its EPIPE in place of ECONNRESET proves that the close came first. Otherwise the outcome is unknown. If the state cannot be read, only a completed write proves it. The same holds for the other errors of a socket, such as that of TCP_USER_TIMEOUT.

Ruled out: the error of the write alone. A target that closes its sending side and reads on, or reads nothing any more, leaves the write unfinished, and its response is whole. Waiting for the write alone: it may then last until the deadline.

--- a/relay/broken_response_test.go
+++ b/relay/broken_response_test.go
@@ -1,11 +1,20 @@
 package relay
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/targets"
 )
 
 // brokenResponses are responses that a faulty target makes from its own one. None of them
@@ -59,3 +68,65 @@
 		})
 	}
 }
+
+// newResettingTarget starts a target that responds to a request before it has read the body,
+// without a length, and resets the connection after a part of its response.
+func newResettingTarget(t *testing.T, pause time.Duration) *targets.Target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var running sync.WaitGroup
+	serve := func(c *net.TCPConn) {
+		defer func() { _ = c.Close() }()
+		reader := bufio.NewReader(c)
+		for {
+			var h fasthttp.RequestHeader
+			if h.Read(reader) != nil {
+				return
+			}
+			if string(h.RequestURI()) != "/healthz" {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRhubarbrelay-Attempt-Id: %s\r\nRhubarbrelay-Response-Seal: s\r\n\r\na part", h.Peek("Rhubarbrelay-Attempt-Id"))
+				time.Sleep(pause)
+				_ = c.SetLinger(0)
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRhubarbrelay-Instance-Id: t-1\r\nRhubarbrelay-Server-Load: 0,0,8,100\r\nContent-Length: 0\r\n\r\n")
+		}
+	}
+	running.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			running.Go(func() { serve(c.(*net.TCPConn)) })
+		}
+	})
+	t.Cleanup(func() { _ = l.Close(); running.Wait() })
+	return &targets.Target{ID: "t-1", Service: "spoolkeep", Zone: "a", Slots: 8, Address: netip.MustParseAddrPort(l.Addr().String())}
+}
+
+// Guards against a part of a response that reaches the caller as a whole one, since its
+// connection was reset while the body of the request was still being sent.
+func TestResetDuringUpload(t *testing.T) {
+	request := strings.Repeat("x", 4<<20)
+	whole := respondAlways(func(req *fasthttp.Request) string { return sealed(req, fasthttp.StatusOK, "whole") }, false)
+	for _, pause := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
+		for _, tt := range []struct {
+			path, body string
+			status     int
+		}{
+			{"/once/", "exchange with the target broke\n", fasthttp.StatusBadGateway},
+			{"/safe/", "whole", fasthttp.StatusOK},
+		} {
+			t.Run(tt.path+pause.String(), func(t *testing.T) {
+				second := newScriptedTarget(t, "t-2", "b", whole)
+				h := newHarness(t, append(targetInfos(second), newResettingTarget(t, pause)))
+				got := h.call(t, "PUT", tt.path, request)
+				assert.Equal(t, got.status, tt.status)
+				assert.Equal(t, got.body, tt.body)
+				assert.Equal(t, got.seal() != "", tt.status == fasthttp.StatusOK)
+			})
+		}
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -27,10 +27,6 @@
 	// maxResponseReads limits the responses that readResponse reads for one request,
 	// including the responses to other requests that it skips.
 	maxResponseReads = 8
-	// concurrentBodySize is the request body size, in bytes, from which the
-	// response is read while the request is still being written: a target may
-	// respond before it has read the whole body.
-	concurrentBodySize = 8 << 10
 	// idleTimeoutMargin is subtracted from the target's keep-alive timeout so
 	// that the pool does not use a connection that the target is about to close.
 	idleTimeoutMargin = 1500 * time.Millisecond
@@ -48,6 +44,8 @@
 	// bytesSent is the number of bytes of the current request that the kernel
 	// has accepted.
 	bytesSent int
+	// endsWithConn is set if the body of the current response ends with the connection.
+	endsWithConn bool
 	// noReuse is set when the connection must not carry another request.
 	noReuse bool
 	// used is set once the connection has carried a request or a probe, whose response a
@@ -175,7 +173,7 @@
 // roundTrip implements RoundTrip and Probe, which call updateReuse once they have
 // accepted the response.
 func (c *Conn) roundTrip(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, limit bodyLimit) error {
-	c.bytesSent = 0
+	c.bytesSent, c.endsWithConn = 0, false
 	if err := c.netConn.SetDeadline(deadline); err != nil {
 		c.noReuse = true
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -193,27 +191,6 @@
 	return c.readResponse(req, resp, limit)
 }
 
-// roundTripConcurrently reads the response while the request is being written.
-// If the response is complete first, the connection is closed: the target would
-// read the next request as the rest of this body.
-func (c *Conn) roundTripConcurrently(req *fasthttp.Request, resp *fasthttp.Response, limit bodyLimit) error {
-	sent := make(chan bool, 1)
-	go func() { sent <- c.writeRequest(req) == nil }()
-	err := c.readResponse(req, resp, limit)
-	select {
-	case complete := <-sent:
-		if !complete {
-			c.noReuse = true
-		}
-		return err
-	default:
-		c.noReuse = true
-		c.Cancel()
-		<-sent
-		return err
-	}
-}
-
 // writeRequest writes the request. It does not use Request.Write, which
 // normalizes the path and rejects a GET request with a body.
 func (c *Conn) writeRequest(req *fasthttp.Request) error {
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -92,7 +92,7 @@
 	}
 	if length == lengthUntilEOF {
 		resp.Header.SetContentLength(len(body))
-		c.noReuse = true
+		c.noReuse, c.endsWithConn = true, true
 	}
 	resp.SetBodyRaw(body)
 	return nil
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -28,6 +28,7 @@
 var (
 	errOtherRequest    = errors.New("response belongs to another request")
 	errRefusedBefore   = errors.New("target has refused a request with this ID on the connection")
+	errCutOff          = errors.New("connection was reset before the end of the response")
 	errContentEncoding = errors.New("response has a content encoding")
 )
 
