responses, headers: a header that the grammar does not allow is no response

What callers saw: a target sent a response in whose header the name of a field held a blank or a control byte, and its caller got it as an answer. A line with a blank in its name was passed on; a line that began with a blank or a tab was appended to the value before it, even to the seal; after a line that began with a line feed, the rest of the header was the start of the body.

Cause: fasthttp tolerates spaces in names and before the colon, continued lines and bare line feeds in responses, and its parsed header does not show them. Requests were inspected as they were received (relay/header.go); responses were not.

Change: responses.ReadHeader inspects the lines of a header as they arrive, before fasthttp parses it: lines end with CR LF, none continues another, names are tokens (by httpguts), and fasthttp must find the end of the header at the same place. Values are checked by fasthttp, as before. Both directions share the new package headers, which cuts and parses the lines. A malformed header is rejected as soon as its line has arrived.

Ruled out: a check of the parsed header, which comes too late for all but spaces inside a name. RFC 9112 lets a proxy remove whitespace before a colon and replace continued lines; such a response is rejected here, as the users take it for a broken one.

--- a/relay/broken_response_test.go
+++ b/relay/broken_response_test.go
@@ -28,12 +28,35 @@
 	{"status 099", withStatusLine("HTTP/1.1 099 X")},
 	{"status 600", withStatusLine("HTTP/1.1 600 X")},
 	{"status 999", withStatusLine("HTTP/1.1 999 X")},
+	{"blank in a name", withLine("X Y: b\r\n")},
+	{"blank before the colon", withLine("X : b\r\n")},
+	{"blank in front of a name", withLine(" X: b\r\n")},
+	{"tab in front of a name", withLine("\tX: b\r\n")},
+	{"tab in a name", withLine("X\tY: b\r\n")},
+	{"line feed in front of a name", withLine("\nX: b\r\n")},
+	{"line feed behind a line", withLine("X: b\n")},
+	{"carriage return in a name", withLine("X\rY: b\r\n")},
+	{"NUL in a name", withLine("X\x00Y: b\r\n")},
+	{"DEL in a name", withLine("X\x7fY: b\r\n")},
+	{"no name", withLine(": b\r\n")},
+	{"no colon", withLine("X\r\n")},
+	{"control byte in a value", withLine("X: b\x01\r\n")},
+	{"blank before the colon of the length", func(response string) string {
+		return strings.Replace(response, "Content-Length:", "Content-Length :", 1)
+	}},
 }
 
 func withStatusLine(line string) func(string) string {
 	return func(response string) string { return strings.Replace(response, "HTTP/1.1 200 X", line, 1) }
 }
 
+// withLine inserts a line behind that of the seal.
+func withLine(line string) func(string) string {
+	return func(response string) string {
+		return strings.Replace(response, "Content-Length:", line+"Content-Length:", 1)
+	}
+}
+
 // Guards against a response that is broken and reaches the caller as one of the target,
 // and against a request that must not run twice and does after such a response. The
 // target may have run the request.
--- a/relay/header.go
+++ b/relay/header.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"rhubarbrelay/headers"
 	"rhubarbrelay/platform"
 )
 
@@ -16,8 +17,6 @@
 	errLengthAndEncoding = errors.New("content length together with a transfer encoding")
 	errEncoding          = errors.New("transfer encoding is not chunked")
 	errLength            = errors.New("content length is not a number")
-	errHeaderName        = errors.New("header name is malformed")
-	errHeaderLine        = errors.New("header line is folded or does not end with CR LF")
 	errRepeatedControl   = errors.New("control header occurs more than once")
 )
 
@@ -50,18 +49,17 @@
 func (in *headerInspection) inspect(raw []byte) error {
 	in.removed = in.removedBuf[:0]
 	for len(raw) > 0 {
-		end := bytes.IndexByte(raw, '\n')
-		if end < 1 || raw[end-1] != '\r' || raw[0] == ' ' || raw[0] == '\t' {
-			return errHeaderLine
+		line, rest, err := headers.CutLine(raw)
+		if err != nil {
+			return headers.ErrLine
 		}
-		line := raw[:end-1]
-		raw = raw[end+1:]
 		if len(line) == 0 {
 			break
 		}
 		if err := in.inspectLine(line); err != nil {
 			return err
 		}
+		raw = rest
 	}
 	if in.hasContentLength && in.hasTransferEncoding {
 		return errLengthAndEncoding
@@ -70,11 +68,11 @@
 }
 
 func (in *headerInspection) inspectLine(line []byte) error {
-	colon := bytes.IndexByte(line, ':')
-	if colon < 1 || bytes.ContainsAny(line[:colon], " \t") {
-		return errHeaderName
+	field, err := headers.ParseField(line)
+	if err != nil {
+		return err
 	}
-	name, value := line[:colon], bytes.TrimSpace(line[colon+1:])
+	name, value := field.Name, field.Value()
 	if isProxyHeader(name) {
 		in.removed = append(in.removed, name)
 		return nil
@@ -84,7 +82,7 @@
 	}
 	var buf [maxKnownName]byte
 	lower := appendLower(buf[:0], name)
-	in.credentials.inspect(string(lower), name, bytes.Trim(line[colon+1:], " \t"))
+	in.credentials.inspect(string(lower), name, value)
 	if isInternalOrHopByHop(lower) {
 		in.removed = append(in.removed, name)
 	}
--- a/responses/header.go
+++ b/responses/header.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
+	"fmt"
 	"io"
 
 	"github.com/valyala/fasthttp"
+
+	"rhubarbrelay/headers"
 )
 
 // maxHeaders limits the headers that ReadHeader reads for one response, including those of
@@ -18,44 +20,105 @@
 // or of fasthttp.
 func ReadHeader(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	for range maxHeaders {
-		line, err := peekLine(r)
-		if err != nil {
-			return err
-		}
-		parsed, err := parseStatusLine(line)
-		if err != nil {
-			return err
-		}
-		if err := h.Read(r); err != nil {
+		status, err := readOneHeader(r, h)
+		switch {
+		case err != nil:
 			return err
-		}
-		if parsed.status == fasthttp.StatusSwitchingProtocols {
+		case status == fasthttp.StatusSwitchingProtocols:
 			return errSwitchedProtocols
-		}
-		if parsed.status >= fasthttp.StatusOK {
+		case status >= fasthttp.StatusOK:
 			return nil
 		}
 	}
 	return errTooManyInterim
 }
 
-// peekLine returns the next line without its line end, and leaves it in the buffer.
-func peekLine(r *bufio.Reader) ([]byte, error) {
-	for size := 1; ; size = r.Buffered() + 1 {
-		if _, err := r.Peek(size); err != nil {
-			return nil, lineError(err, r.Buffered())
+// readOneHeader reads a header, which may be that of an interim response, and returns its
+// status. fasthttp parses only a header that was inspected as it was received, and must find
+// its end at the same place.
+func readOneHeader(r *bufio.Reader, h *fasthttp.ResponseHeader) (status int, err error) {
+	var in inspection
+	if err := in.inspect(r); err != nil {
+		return 0, err
+	}
+	buffered := r.Buffered()
+	if err := h.Read(r); err != nil {
+		return 0, err
+	}
+	if buffered-r.Buffered() != in.size {
+		return 0, malformed(errHeaderEnd)
+	}
+	return in.statusLine.status, nil
+}
+
+// inspection is the result of a single pass over the lines of a header.
+type inspection struct {
+	// size is the number of bytes that were inspected.
+	size       int
+	statusLine statusLine
+}
+
+// inspect inspects the lines of a header as they arrive, so that a malformed one is rejected
+// at once, and leaves them in the buffer of the reader.
+func (in *inspection) inspect(r *bufio.Reader) error {
+	for {
+		buffered, _ := r.Peek(r.Buffered()) // they are there
+		ended, err := in.inspectLines(buffered)
+		if ended || err != nil {
+			return err
+		}
+		if _, err := r.Peek(len(buffered) + 1); err != nil {
+			return readError(err, len(buffered))
+		}
+	}
+}
+
+// inspectLines inspects the whole lines of a header that were not inspected before. It
+// reports whether the last one ends the header.
+func (in *inspection) inspectLines(header []byte) (ended bool, err error) {
+	for {
+		line, rest, err := headers.CutLine(header[in.size:])
+		if err != nil {
+			return false, lineError(err)
+		}
+		if len(line) == 0 && in.size > 0 {
+			in.size = len(header) - len(rest)
+			return true, nil
 		}
-		buffered, _ := r.Peek(r.Buffered()) // all of these bytes are there
-		if line, _, ok := bytes.Cut(buffered, []byte("\r\n")); ok {
-			return line, nil
+		if err := in.inspectLine(line); err != nil {
+			return false, err
 		}
+		in.size = len(header) - len(rest)
+	}
+}
+
+// lineError returns the error of a line that cannot be cut, nil if it is incomplete.
+func lineError(err error) error {
+	if errors.Is(err, headers.ErrIncomplete) {
+		return nil
+	}
+	return malformed(err)
+}
+
+// inspectLine inspects a line other than the empty one that ends the header.
+func (in *inspection) inspectLine(line []byte) (err error) {
+	if in.size == 0 {
+		in.statusLine, err = parseStatusLine(line)
+		return err
+	}
+	if _, err := headers.ParseField(line); err != nil {
+		return malformed(err)
 	}
+	return nil
 }
 
-// lineError returns the error of a line of which the buffer has some bytes.
-func lineError(err error, buffered int) error {
-	if errors.Is(err, io.EOF) && buffered > 0 {
+// readError returns the error of a header of which the given number of bytes has arrived.
+func readError(err error, received int) error {
+	switch {
+	case errors.Is(err, bufio.ErrBufferFull):
+		return errHeaderTooLarge
+	case errors.Is(err, io.EOF) && received > 0:
 		return io.ErrUnexpectedEOF
 	}
-	return err
+	return fmt.Errorf("read response header: %w", err)
 }
--- a/responses/header_test.go
+++ b/responses/header_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"io"
+	"net"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -119,3 +121,81 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(rest), "ok")
 }
+
+// Guards against a header that fasthttp reads in another way than the sender or the next
+// recipient, and against a proper one that is rejected.
+func TestFields(t *testing.T) {
+	const start, end = "HTTP/1.1 200 OK\r\nSeal: s\r\n", "Content-Length: 0\r\n\r\n"
+	tests := []struct {
+		name, lines string
+		accepted    bool
+	}{
+		{"none", "", true},
+		{"empty value", "A:\r\n", true},
+		{"whitespace around a value", "A: \t b \t\r\n", true},
+		{"bytes above 0x7f in a value", "A: \x80\xff\r\n", true},
+		{"colons and quotes in a value", "A: b: \"c\": d\r\n", true},
+		{"all characters of a token", "!#$%&'*+-.^_`|~09AZaz: b\r\n", true},
+		{"same name twice", "A: b\r\na: c\r\n", true},
+		{"long name", strings.Repeat("a", 1000) + ": b\r\n", true},
+		{"blank in a name", "A B: c\r\n", false},
+		{"blank before the colon", "A : b\r\n", false},
+		{"tab before the colon", "A\t: b\r\n", false},
+		{"name of a blank", " : b\r\n", false},
+		{"no name", ": b\r\n", false},
+		{"no colon", "A\r\n", false},
+		{"line that continues another", "A: b\r\n c\r\n", false},
+		{"line that continues another with a tab", "A: b\r\n\tc: d\r\n", false},
+		{"line of whitespace", "A: b\r\n \r\n", false},
+		{"bare line feed", "A: b\nC: d\r\n", false},
+		{"bare line feeds", "A: b\n\nC: d\r\n", false},
+		{"bare line feed before the end of the line", "A: b\n\r\n", false},
+		{"bare carriage return in a value", "A: b\rc\r\n", false},
+		{"two carriage returns", "A: b\r\r\n", false},
+		{"bare carriage return in a name", "A\rB: c\r\n", false},
+		{"NUL in a name", "A\x00B: c\r\n", false},
+		{"NUL in a value", "A: b\x00c\r\n", false},
+		{"DEL in a value", "A: b\x7fc\r\n", false},
+		{"escape in a value", "A: \x1b[31m\r\n", false},
+		{"byte above 0x7f in a name", "A\xe9: b\r\n", false},
+		{"parentheses in a name", "A(b): c\r\n", false},
+		{"larger than the buffer", "A: " + strings.Repeat("b", bufferSize) + "\r\n", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h, err := readHeader(start + tt.lines + end)
+			assert.Equal(t, err == nil, tt.accepted, "%v", err)
+			if tt.accepted {
+				assert.Equal(t, string(h.Peek("Seal")), "s")
+			}
+		})
+	}
+}
+
+// Guards against a malformed header whose reader waits for more of it until the deadline.
+func TestMalformedHeaderIsRejectedAtOnce(t *testing.T) {
+	for _, start := range []string{"220 ready\r\n", "HTTP/1.1 200 OK\n", "HTTP/1.1 200 OK\r\nA : b\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n"} {
+		t.Run(start, func(t *testing.T) {
+			own, other := net.Pipe()
+			defer func() { _ = other.Close() }()
+			go func() { _, _ = io.WriteString(other, start) }()
+			err := ReadHeader(bufio.NewReaderSize(own, bufferSize), &fasthttp.ResponseHeader{})
+			assert.ErrorIs(t, err, ErrMalformed)
+			assert.NilError(t, own.Close())
+		})
+	}
+}
+
+// Guards against a cut header that counts as a whole one, and against an end of the stream
+// that cannot be told from one within a response.
+func TestCutHeader(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	for size := range len(response) {
+		_, err := readHeader(response[:size])
+		want := io.ErrUnexpectedEOF
+		if size == 0 {
+			want = io.EOF
+		}
+		assert.ErrorIs(t, err, want, "cut after %d bytes", size)
+	}
+}
--- a/responses/responses.go
+++ b/responses/responses.go
@@ -2,7 +2,10 @@
 // do not allow, of which fasthttp accepts some with another meaning.
 package responses
 
-import "errors"
+import (
+	"errors"
+	"fmt"
+)
 
 // ErrMalformed means that the received bytes are no response. It is wrapped together with
 // the reason.
@@ -13,10 +16,14 @@
 	errStatusLine = errors.New("status line is malformed")
 	errVersion    = errors.New("version is not HTTP/1")
 	errStatus     = errors.New("status is not between 100 and 599")
+	errHeaderEnd  = errors.New("end of the header is ambiguous")
 )
 
 // Reasons for which a well-formed response is not accepted.
 var (
 	errSwitchedProtocols = errors.New("sender switched protocols")
+	errHeaderTooLarge    = errors.New("header is too large")
 	errTooManyInterim    = errors.New("too many interim responses")
 )
+
+func malformed(reason error) error { return fmt.Errorf("%w: %w", ErrMalformed, reason) }
--- a/responses/status_line.go
+++ b/responses/status_line.go
@@ -2,7 +2,8 @@
 
 import (
 	"bytes"
-	"fmt"
+
+	"rhubarbrelay/headers"
 )
 
 // The range of valid status codes (RFC 9110, section 15).
@@ -29,34 +30,23 @@
 func parseStatusLine(line []byte) (statusLine, error) {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	digits, reason, _ := bytes.Cut(rest, []byte(" "))
-	if len(version) != len(versionPrefix)+1 || !isDigit(version[len(version)-1]) || len(digits) != statusDigits || !isText(reason) {
-		return statusLine{}, fmt.Errorf("%w: %w", ErrMalformed, errStatusLine)
+	if len(version) != len(versionPrefix)+1 || !isDigit(version[len(version)-1]) || len(digits) != statusDigits || !headers.IsText(reason) {
+		return statusLine{}, malformed(errStatusLine)
 	}
 	if !bytes.HasPrefix(version, []byte(versionPrefix)) {
-		return statusLine{}, fmt.Errorf("%w: %w", ErrMalformed, errVersion)
+		return statusLine{}, malformed(errVersion)
 	}
 	status := 0
 	for _, d := range digits {
 		if !isDigit(d) {
-			return statusLine{}, fmt.Errorf("%w: %w", ErrMalformed, errStatusLine)
+			return statusLine{}, malformed(errStatusLine)
 		}
 		status = 10*status + int(d-'0')
 	}
 	if status < minStatus || status > maxStatus {
-		return statusLine{}, fmt.Errorf("%w: %w", ErrMalformed, errStatus)
+		return statusLine{}, malformed(errStatus)
 	}
 	return statusLine{minorVersion: version[len(version)-1], status: status}, nil
 }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
-
-// isText reports whether the bytes may occur in a reason: visible characters, spaces, tabs
-// and bytes above 0x7f.
-func isText(text []byte) bool {
-	for _, c := range text {
-		if c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-	return true
-}
--- a/upstream/exchange_bench_test.go
+++ b/upstream/exchange_bench_test.go
@@ -37,6 +37,8 @@
 	req, resp := newRequest("9c41d07be2a35f68"), fasthttp.AcquireResponse()
 	b.ReportAllocs()
 	for b.Loop() {
-		assert.NilError(b, c.RoundTrip(req, resp, time.Time{}, nil))
+		if err := c.RoundTrip(req, resp, time.Time{}, nil); err != nil {
+			b.Fatal(err)
+		}
 	}
 }
