upstream, platform: what a response states is read once

Cause: the header of each response was read in full by checkResponse, by RoundTrip and by the relay, although the first needs it only for a response without an ID, and the second only whether the request was run.

Change: both read what they need; StatesNotRun holds the rule once. No behavior is changed.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -138,7 +138,7 @@
 		return err
 	}
 	c.updateReuse(resp)
-	if platform.ReadResponseInfo(&resp.Header).NotRun {
+	if platform.StatesNotRun(&resp.Header) {
 		c.addRefusal(string(id))
 	}
 	return nil
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -39,17 +39,24 @@
 // sealed success or a refusal. Other errors and responses to probes may lack the ID, and
 // a refusal if mayRefuse is set.
 func (c *Conn) checkResponse(resp *fasthttp.Response, matches, mayRefuse bool) error {
-	success := resp.StatusCode() < fasthttp.StatusMultipleChoices
-	info := platform.ReadResponseInfo(&resp.Header)
+	cause := error(nil)
 	switch {
 	case len(resp.Header.Peek(fasthttp.HeaderContentEncoding)) > 0:
-		c.noReuse = true
-		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, errContentEncoding)
-	case !matches && (success && info.Sealed || info.NotRun && !mayRefuse):
-		c.noReuse = true
-		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, errOtherRequest)
+		cause = errContentEncoding
+	case !matches && mayBelongToOther(resp, mayRefuse):
+		cause = errOtherRequest
+	default:
+		return nil
 	}
-	return nil
+	c.noReuse = true
+	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, cause)
+}
+
+// mayBelongToOther reports whether a response without an ID may be that to another request.
+func mayBelongToOther(resp *fasthttp.Response, mayRefuse bool) bool {
+	success := resp.StatusCode() < fasthttp.StatusMultipleChoices
+	info := platform.ReadResponseInfo(&resp.Header)
+	return success && info.Sealed || info.NotRun && !mayRefuse
 }
 
 func (c *Conn) readOneResponse(req *fasthttp.Request, resp *fasthttp.Response, limit bodyLimit) error {
