responses: a response whose body has two ends or an unclear encoding is no response

What callers saw (found while looking for the cause of the broken headers elsewhere): a response with a length beside a transfer coding, of which fasthttp uses the chunks; one of HTTP/1.0 or HTTP/1.2 with a transfer coding, whose chunks reached the caller with their sizes, as the body; one that is encoded, with an empty Content-Encoding behind the first, as a plain one.

Cause: fasthttp tolerates these, and keeps the last value of a repeated field only.

Change: the inspection of a header also notes the fields that tell how the body is sent. None may occur twice, and a transfer coding needs HTTP/1.1 and no length (RFC 9112, 6.1 and 6.3).

TestUnusualResponses holds what must not be rejected.

--- a/relay/broken_response_test.go
+++ b/relay/broken_response_test.go
@@ -44,6 +44,26 @@
 	{"blank before the colon of the length", func(response string) string {
 		return strings.Replace(response, "Content-Length:", "Content-Length :", 1)
 	}},
+	{"two lengths", withLine("Content-Length: 7\r\n")},
+	{"length of a list", func(response string) string {
+		return strings.Replace(response, "Content-Length: 7", "Content-Length: 7, 7", 1)
+	}},
+	{"signed length", func(response string) string {
+		return strings.Replace(response, "Content-Length: 7", "Content-Length: +7", 1)
+	}},
+	{"length beside chunks", func(response string) string {
+		return strings.Replace(withChunks("7\r\nspoiled\r\n0\r\n\r\n")(response), "Transfer-Encoding", "Content-Length: 5\r\nTransfer-Encoding", 1)
+	}},
+	{"chunks with HTTP/1.0", func(response string) string {
+		return strings.Replace(withChunks("7\r\nspoiled\r\n0\r\n\r\n")(response), "HTTP/1.1", "HTTP/1.0", 1)
+	}},
+	{"chunks with HTTP/1.2", func(response string) string {
+		return strings.Replace(withChunks("7\r\nspoiled\r\n0\r\n\r\n")(response), "HTTP/1.1", "HTTP/1.2", 1)
+	}},
+	{"two transfer codings", func(response string) string {
+		return strings.Replace(withChunks("7\r\nspoiled\r\n0\r\n\r\n")(response), "chunked", "gzip, chunked", 1)
+	}},
+	{"content encoding and an empty one", withLine("Content-Encoding: gzip\r\nContent-Encoding:\r\n")},
 }
 
 func withStatusLine(line string) func(string) string {
@@ -57,6 +77,14 @@
 	}
 }
 
+// withChunks replaces the length and the body by a chunked body as it is sent.
+func withChunks(raw string) func(string) string {
+	return func(response string) string {
+		header, _, _ := strings.Cut(response, "Content-Length:")
+		return header + "Transfer-Encoding: chunked\r\n\r\n" + raw
+	}
+}
+
 // Guards against a response that is broken and reaches the caller as one of the target,
 // and against a request that must not run twice and does after such a response. The
 // target may have run the request.
@@ -92,6 +120,38 @@
 	}
 }
 
+// Guards against a response that is rejected although it is allowed, and against the tests
+// above passing because all responses are.
+func TestUnusualResponses(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(response string) string
+	}{
+		{"control", withLine("")},
+		{"empty reason", withStatusLine("HTTP/1.1 200 ")},
+		{"no reason", withStatusLine("HTTP/1.1 200")},
+		{"reason with bytes above 0x7f", withStatusLine("HTTP/1.1 200 \xc3\x9c")},
+		{"HTTP/1.0", withStatusLine("HTTP/1.0 200 X")},
+		{"interim response", func(response string) string { return "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + response }},
+		{"field without a value", withLine("X:\r\n")},
+		{"bytes above 0x7f in a value", withLine("X: \x80\xff\r\n")},
+		{"all characters of a token in a name", withLine("!#$%&'*+-.^_`|~09az: b\r\n")},
+		{"chunks", withChunks("3\r\nspo\r\n4\r\niled\r\n0\r\n\r\n")},
+		{"trailer", withChunks("7\r\nspoiled\r\n0\r\nX: b\r\n\r\n")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			target := newScriptedTarget(t, "t-1", "a", func(req *fasthttp.Request) (string, bool) {
+				return tt.change(sealed(req, fasthttp.StatusOK, "spoiled")), true
+			})
+			got := newHarness(t, targetInfos(target)).call(t, "POST", "/once/", "body")
+			assert.Equal(t, got.status, fasthttp.StatusOK)
+			assert.Equal(t, got.body, "spoiled")
+			assert.Equal(t, got.seal(), "seal-spoiled")
+		})
+	}
+}
+
 // newResettingTarget starts a target that responds to a request before it has read the body,
 // without a length, and resets the connection after a part of its response.
 func newResettingTarget(t *testing.T, pause time.Duration) *targets.Target {
--- a/responses/header.go
+++ b/responses/header.go
@@ -56,6 +56,7 @@
 	// size is the number of bytes that were inspected.
 	size       int
 	statusLine statusLine
+	framing    framing
 }
 
 // inspect inspects the lines of a header as they arrive, so that a malformed one is rejected
@@ -83,7 +84,7 @@
 		}
 		if len(line) == 0 && in.size > 0 {
 			in.size = len(header) - len(rest)
-			return true, nil
+			return true, in.framing.check(in.statusLine)
 		}
 		if err := in.inspectLine(line); err != nil {
 			return false, err
@@ -106,10 +107,11 @@
 		in.statusLine, err = parseStatusLine(line)
 		return err
 	}
-	if _, err := headers.ParseField(line); err != nil {
+	field, err := headers.ParseField(line)
+	if err != nil {
 		return malformed(err)
 	}
-	return nil
+	return in.framing.add(field.Name)
 }
 
 // readError returns the error of a header of which the given number of bytes has arrived.
--- a/responses/header_fuzz_test.go
+++ b/responses/header_fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"regexp"
 	"strings"
 	"testing"
@@ -34,12 +35,36 @@
 // grammar. ok is false if there is none.
 func grammarHeader(raw []byte) (size int, status string, ok bool) {
 	match := headerPattern.FindStringSubmatch(latin1(raw))
-	if match == nil {
+	if match == nil || !grammarFraming(match[1], match[3]) {
 		return 0, "", false
 	}
 	return len([]rune(match[0])), match[2], true
 }
 
+// maxLengthDigits is the maximum number of digits of a length that fasthttp reads.
+const maxLengthDigits = 18
+
+var lengthPattern = regexp.MustCompile(fmt.Sprintf(`^[0-9]{1,%d}$`, maxLengthDigits))
+
+// grammarFraming reports whether the fields of a header tell in one way only how the body is
+// sent (RFC 9112, sections 6.1 and 6.3). Chunks are the only transfer coding.
+func grammarFraming(minorVersion, fields string) bool {
+	values := map[string][]string{}
+	for field := range strings.SplitSeq(fields, "\r\n") {
+		name, value, _ := strings.Cut(field, ":")
+		name = strings.ToLower(name)
+		values[name] = append(values[name], strings.Trim(value, " \t"))
+	}
+	lengths, codings := values["content-length"], values["transfer-encoding"]
+	if len(lengths) > 1 || len(codings) > 1 || len(values["content-encoding"]) > 1 {
+		return false
+	}
+	if len(codings) > 0 {
+		return len(lengths) == 0 && minorVersion == "1" && strings.EqualFold(codings[0], "chunked")
+	}
+	return len(lengths) == 0 || lengthPattern.MatchString(lengths[0])
+}
+
 // Guards against a header that is accepted although the grammar rejects it, and against one
 // that is rejected although the grammar allows it.
 func FuzzReadHeader(f *testing.F) {
@@ -52,13 +77,19 @@
 		"HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n",
 		"HTTP/1.1 200 OK\nA: b\n\n",
 		"HTTP/1.1 200 OK\r\nA: b\n\r\n\r\n",
+		"HTTP/1.1 200 OK\r\ncontent-length: 05\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\nhello",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nContent-Encoding: a\r\nContent-Encoding: b\r\n\r\nhello",
 		"HTTP/1.1 200 OK\r\nTrailer: A\r\nConnection: close\r\nSet-Cookie: a=b\r\n\r\n",
 	} {
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		size, status, valid := grammarHeader(raw)
-		if strings.HasPrefix(status, "1") || isRestricted(raw[:size]) {
+		if strings.HasPrefix(status, "1") || hasTrailerField(raw) {
 			return
 		}
 		reader := bufio.NewReaderSize(bytes.NewReader(raw), max(len(raw), bufferSize))
@@ -72,14 +103,8 @@
 	})
 }
 
-// isRestricted reports whether a header has a field whose value is restricted beyond the
-// grammar of fields.
-func isRestricted(header []byte) bool {
-	lower := bytes.ToLower(header)
-	for _, name := range []string{"content-length", "content-encoding", "transfer-encoding", "trailer"} {
-		if bytes.Contains(lower, []byte("\n"+name+":")) {
-			return true
-		}
-	}
-	return false
+// hasTrailerField reports whether a header may announce a trailer. fasthttp rejects some
+// names there.
+func hasTrailerField(header []byte) bool {
+	return bytes.Contains(bytes.ToLower(header), []byte("\ntrailer:"))
 }
--- a/responses/responses.go
+++ b/responses/responses.go
@@ -17,6 +17,8 @@
 	errVersion    = errors.New("version is not HTTP/1")
 	errStatus     = errors.New("status is not between 100 and 599")
 	errHeaderEnd  = errors.New("end of the header is ambiguous")
+	errRepeated   = errors.New("length or encoding occurs more than once")
+	errCoding     = errors.New("transfer coding beside a length or with another version than HTTP/1.1")
 )
 
 // Reasons for which a well-formed response is not accepted.
