upstream, platform: a response with two request IDs or two seals is no response

What callers saw (found while looking for the cause elsewhere): a response that named two requests reached the caller of the first one, with both IDs, as did one with two seals.

Cause: only the first field of a name was read. A repeated control header is refused in requests; responses had no such check.

Change: such a response is malformed, whichever of the IDs comes first.

Evidence: relay TestBrokenResponses (two IDs, two seals) and upstream TestRejectedResponses failed before.

--- a/relay/broken_response_test.go
+++ b/relay/broken_response_test.go
@@ -64,6 +64,8 @@
 		return strings.Replace(withChunks("7\r\nspoiled\r\n0\r\n\r\n")(response), "chunked", "gzip, chunked", 1)
 	}},
 	{"content encoding and an empty one", withLine("Content-Encoding: gzip\r\nContent-Encoding:\r\n")},
+	{"two IDs", withLine("Rhubarbrelay-Attempt-Id: other\r\n")},
+	{"two seals", withLine("Rhubarbrelay-Response-Seal: other\r\n")},
 }
 
 func withStatusLine(line string) func(string) string {
--- a/upstream/refusal_test.go
+++ b/upstream/refusal_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -127,6 +128,9 @@
 	}{
 		{"control", head + "Content-Length: 1\r\n\r\nb", true},
 		{"sealed success without ID", "HTTP/1.1 200 OK\r\nRhubarbrelay-Response-Seal: s\r\nContent-Length: 1\r\n\r\nb", false},
+		{"two IDs", head + "Rhubarbrelay-Attempt-Id: other\r\nContent-Length: 1\r\n\r\nb", false},
+		{"two IDs, that of another request first", strings.Replace(head, "own", "other\r\nrhubarbrelay-attempt-id: own", 1) + "Content-Length: 1\r\n\r\nb", false},
+		{"two seals", head + "Rhubarbrelay-Response-Seal: t\r\nContent-Length: 1\r\n\r\nb", false},
 		{"content encoding", head + "Content-Encoding: gzip\r\nContent-Length: 1\r\n\r\nb", false},
 		{"other protocol", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + head + "Content-Length: 1\r\n\r\nb", false},
 	}
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -21,6 +21,10 @@
 			c.noReuse = true
 			return fmt.Errorf("%w: %w", ErrOutcomeUnknown, &responseError{err})
 		}
+		if platform.RepeatsControlHeader(&resp.Header) {
+			c.noReuse = true
+			return fmt.Errorf("%w: %w", ErrOutcomeUnknown, errRepeatedControl)
+		}
 		matches, hasID := platform.MatchRequestID(&resp.Header, id)
 		if matches || !hasID {
 			return c.checkResponse(resp, matches, fresh || len(id) == 0)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -29,6 +29,7 @@
 	errOtherRequest    = errors.New("response belongs to another request")
 	errRefusedBefore   = errors.New("target has refused a request with this ID on the connection")
 	errCutOff          = errors.New("connection was reset before the end of the response")
+	errRepeatedControl = errors.New("response names its request or its seal more than once")
 	errContentEncoding = errors.New("response has a content encoding")
 )
 
