responses: chunks and trailers that the grammar does not allow are no body

What callers saw (found while looking for the cause elsewhere): a trailer with a blank in the name of a field was passed on with it, one that continues a line was accepted, as were blanks behind the size of a chunk and control bytes in its extensions. A proper chunk extension with whitespace around its parts was rejected.

Cause: fasthttp reads chunks and trailers more leniently than the grammar, and in one place more strictly, as it does headers.

Change: responses.Read reads bodies itself: chunk lines and extensions by RFC 9112, 7.1, trailers by the same rules as headers, which it drops, as the relay did before. A wrong size is rejected before the end of its line.

Ruled out: httputil.NewChunkedReader, which ignores what follows a size and reads no trailer.

--- a/headers/field.go
+++ b/headers/field.go
@@ -45,12 +45,9 @@
 // ParseField parses a field line without its line end. It does not check the value, see
 // IsText. The error is ErrLine or ErrName.
 func ParseField(line []byte) (Field, error) {
-	colon := 0
-	for colon < len(line) && httpguts.IsTokenRune(rune(line[colon])) {
-		colon++
-	}
-	if colon > 0 && colon < len(line) && line[colon] == ':' {
-		return Field{Name: line[:colon], rawValue: line[colon+1:]}, nil
+	name, rest := CutToken(line)
+	if len(name) > 0 && len(rest) > 0 && rest[0] == ':' {
+		return Field{Name: name, rawValue: rest[1:]}, nil
 	}
 	if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
 		return Field{}, ErrLine
@@ -58,6 +55,16 @@
 	return Field{}, ErrName
 }
 
+// CutToken returns the token at the start of the text, which may be empty, and the bytes
+// behind it.
+func CutToken(text []byte) (token, rest []byte) {
+	end := 0
+	for end < len(text) && httpguts.IsTokenRune(rune(text[end])) {
+		end++
+	}
+	return text[:end], text[end:]
+}
+
 // IsText reports whether the bytes may be the value of a field or the reason in a status
 // line: visible characters, spaces, tabs, and bytes above 0x7f.
 func IsText(text []byte) bool { return httpguts.ValidHeaderFieldValue(string(text)) }
--- a/relay/broken_response_test.go
+++ b/relay/broken_response_test.go
@@ -66,6 +66,17 @@
 	{"content encoding and an empty one", withLine("Content-Encoding: gzip\r\nContent-Encoding:\r\n")},
 	{"two IDs", withLine("Rhubarbrelay-Attempt-Id: other\r\n")},
 	{"two seals", withLine("Rhubarbrelay-Response-Seal: other\r\n")},
+	{"blank behind a chunk size", withChunks("7 \r\nspoiled\r\n0\r\n\r\n")},
+	{"control byte in a chunk extension", withChunks("7;a\x01=b\r\nspoiled\r\n0\r\n\r\n")},
+	{"line feed behind a chunk size", withChunks("7\nspoiled\r\n0\r\n\r\n")},
+	{"no line end behind a chunk", withChunks("7\r\nspoiled0\r\n\r\n")},
+	{"signed chunk size", withChunks("+7\r\nspoiled\r\n0\r\n\r\n")},
+	{"no last chunk", withChunks("7\r\nspoiled\r\n")},
+	{"no end of the trailer", withChunks("7\r\nspoiled\r\n0\r\n")},
+	{"blank in the name of a trailer", withChunks("7\r\nspoiled\r\n0\r\nX Y: b\r\n\r\n")},
+	{"blank before the colon of a trailer", withChunks("7\r\nspoiled\r\n0\r\nX : b\r\n\r\n")},
+	{"trailer that continues a line", withChunks("7\r\nspoiled\r\n0\r\nX: b\r\n c\r\n\r\n")},
+	{"line feed behind a trailer", withChunks("7\r\nspoiled\r\n0\r\nX: b\n\r\n")},
 }
 
 func withStatusLine(line string) func(string) string {
@@ -139,6 +150,7 @@
 		{"bytes above 0x7f in a value", withLine("X: \x80\xff\r\n")},
 		{"all characters of a token in a name", withLine("!#$%&'*+-.^_`|~09az: b\r\n")},
 		{"chunks", withChunks("3\r\nspo\r\n4\r\niled\r\n0\r\n\r\n")},
+		{"chunk extensions", withChunks("7 ; a = \"b;\\\"c\" ;d\r\nspoiled\r\n0;e\r\n\r\n")},
 		{"trailer", withChunks("7\r\nspoiled\r\n0\r\nX: b\r\n\r\n")},
 	}
 	for _, tt := range tests {
--- a/responses/responses.go
+++ b/responses/responses.go
@@ -19,12 +19,18 @@
 	errHeaderEnd  = errors.New("end of the header is ambiguous")
 	errRepeated   = errors.New("length or encoding occurs more than once")
 	errCoding     = errors.New("transfer coding beside a length or with another version than HTTP/1.1")
+	errChunkSize  = errors.New("chunk size is malformed")
+	errExtension  = errors.New("chunk extension is malformed")
+	errChunkEnd   = errors.New("chunk does not end with CR LF")
+	errTrailer    = errors.New("trailer is malformed")
 )
 
 // Reasons for which a well-formed response is not accepted.
 var (
 	errSwitchedProtocols = errors.New("sender switched protocols")
 	errHeaderTooLarge    = errors.New("header is too large")
+	errOverhead          = errors.New("chunks are too small for their extensions")
+	errTrailerTooLarge   = errors.New("trailer is too large")
 	errTooManyInterim    = errors.New("too many interim responses")
 )
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -15,6 +15,7 @@
 
 	"rhubarbrelay/bodies"
 	"rhubarbrelay/platform"
+	"rhubarbrelay/responses"
 )
 
 const (
@@ -113,7 +114,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	platform.InitProbeRequest(req, c.pool.host, c.pool.destination.HealthPath)
-	if err := c.roundTrip(req, resp, deadline, bodyLimit{size: maxProbeBody}); err != nil {
+	if err := c.roundTrip(req, resp, deadline, responses.Limit{Size: maxProbeBody}); err != nil {
 		return platform.ResponseInfo{}, false, err
 	}
 	info = platform.ReadResponseInfo(&resp.Header)
@@ -134,7 +135,7 @@
 		c.noReuse = true
 		return fmt.Errorf("%w: %w", ErrNotSent, errRefusedBefore)
 	}
-	if err := c.roundTrip(req, resp, deadline, bodyLimit{c.pool.maxResponseBody, reservation}); err != nil {
+	if err := c.roundTrip(req, resp, deadline, responses.Limit{Size: c.pool.maxResponseBody, Reservation: reservation}); err != nil {
 		return err
 	}
 	c.updateReuse(resp)
@@ -172,8 +173,8 @@
 
 // roundTrip implements RoundTrip and Probe, which call updateReuse once they have
 // accepted the response.
-func (c *Conn) roundTrip(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, limit bodyLimit) error {
-	c.bytesSent, c.endsWithConn = 0, false
+func (c *Conn) roundTrip(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, limit responses.Limit) error {
+	c.bytesSent = 0
 	if err := c.netConn.SetDeadline(deadline); err != nil {
 		c.noReuse = true
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -5,14 +5,13 @@
 
 	"github.com/valyala/fasthttp"
 
-	"rhubarbrelay/bodies"
 	"rhubarbrelay/platform"
 	"rhubarbrelay/responses"
 )
 
 // readResponse reads the response to the request. It skips responses to other
 // requests.
-func (c *Conn) readResponse(req *fasthttp.Request, resp *fasthttp.Response, limit bodyLimit) error {
+func (c *Conn) readResponse(req *fasthttp.Request, resp *fasthttp.Response, limit responses.Limit) error {
 	id := platform.RequestID(&req.Header)
 	fresh := !c.used
 	c.used = true
@@ -63,50 +62,15 @@
 	return success && info.Sealed || info.NotRun && !mayRefuse
 }
 
-func (c *Conn) readOneResponse(req *fasthttp.Request, resp *fasthttp.Response, limit bodyLimit) error {
+func (c *Conn) readOneResponse(req *fasthttp.Request, resp *fasthttp.Response, limit responses.Limit) error {
 	resp.Reset()
 	resp.SkipBody = req.Header.IsHead()
-	if err := responses.ReadHeader(c.reader, &resp.Header); err != nil {
-		return err
-	}
-	if !hasBody(resp) {
-		return nil
-	}
-	return c.readBody(resp, limit)
-}
-
-// bodyLimit limits the body of one response, in bytes, and holds its reservation.
-type bodyLimit struct {
-	size        int
-	reservation *bodies.Reservation
-}
-
-// lengthUntilEOF is the value of fasthttp's ContentLength for a body that ends with
-// the connection.
-const lengthUntilEOF = -2
-
-// readBody reads the body and the trailer of a response. It does not use fasthttp's
-// own reading of a whole body, which allocates the announced length at once.
-func (c *Conn) readBody(resp *fasthttp.Response, limit bodyLimit) error {
-	resp.StreamBody = true
-	if err := resp.ReadBody(c.reader, 0); err != nil {
-		return err
-	}
-	length := resp.Header.ContentLength()
-	body, err := bodies.ReadAll(nil, resp.BodyStream(), length, limit.size, limit.reservation)
-	if closeErr := resp.CloseBodyStream(); err == nil {
-		err = closeErr
-	}
-	resp.StreamBody = false
-	if err != nil {
-		return err
-	}
-	if length == lengthUntilEOF {
-		resp.Header.SetContentLength(len(body))
-		c.noReuse, c.endsWithConn = true, true
+	endsWithConn, err := responses.Read(c.reader, resp, limit)
+	c.endsWithConn = endsWithConn
+	if endsWithConn {
+		c.noReuse = true
 	}
-	resp.SetBodyRaw(body)
-	return nil
+	return err
 }
 
 // maxErrorText limits the text of an error about a response in bytes. The errors of fasthttp
@@ -124,8 +88,3 @@
 
 // Unwrap returns the cause.
 func (e *responseError) Unwrap() error { return e.cause }
-
-func hasBody(resp *fasthttp.Response) bool {
-	status := resp.StatusCode()
-	return !resp.SkipBody && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
-}
--- a/upstream/upload.go
+++ b/upstream/upload.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"rhubarbrelay/responses"
 	"rhubarbrelay/sockets"
 )
 
@@ -43,7 +44,7 @@
 // roundTripConcurrently reads the response while the request is being written. If the
 // response is complete first, the connection is closed: the target would read the next
 // request as the rest of this body.
-func (c *Conn) roundTripConcurrently(req *fasthttp.Request, resp *fasthttp.Response, limit bodyLimit) error {
+func (c *Conn) roundTripConcurrently(req *fasthttp.Request, resp *fasthttp.Response, limit responses.Limit) error {
 	u := c.startUpload(req)
 	err := c.readResponse(req, resp, limit)
 	if err == nil && c.endsWithConn && !c.closedInOrder(u) {
