--- a/responses/body.go
+++ b/responses/body.go
@@ -26,7 +26,7 @@
 // Read reads a response. It reads no body if resp.SkipBody is set or the status excludes
 // one, and drops a trailer. endsWithConn is set if the body has no end but that of the
 // connection: it is whole only if the connection was not reset. The error wraps
-// ErrMalformed, or is one of the reader, of fasthttp or of the package bodies.
+// ErrMalformed, or is one of the reader or of the package bodies.
 func Read(r *bufio.Reader, resp *fasthttp.Response, limit Limit) (endsWithConn bool, err error) {
 	if err := ReadHeader(r, &resp.Header); err != nil {
 		return false, err
--- a/responses/header.go
+++ b/responses/header.go
@@ -16,8 +16,7 @@
 const maxHeaders = 8
 
 // ReadHeader reads the header of a response. It skips interim responses. The header must
-// fit into the buffer of the reader. The error wraps ErrMalformed, or is one of the reader
-// or of fasthttp.
+// fit into the buffer of the reader. The error wraps ErrMalformed, or is one of the reader.
 func ReadHeader(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	for range maxHeaders {
 		status, err := readOneHeader(r, h)
@@ -43,7 +42,7 @@
 	}
 	buffered := r.Buffered()
 	if err := h.Read(r); err != nil {
-		return 0, err
+		return 0, malformed(&parseError{err})
 	}
 	if buffered-r.Buffered() != in.size {
 		return 0, malformed(errHeaderEnd)
--- a/responses/responses.go
+++ b/responses/responses.go
@@ -16,6 +16,7 @@
 	errStatusLine = errors.New("status line is malformed")
 	errVersion    = errors.New("version is not HTTP/1")
 	errStatus     = errors.New("status is not between 100 and 599")
+	errNoLength   = errors.New("body ends with the connection")
 	errHeaderEnd  = errors.New("end of the header is ambiguous")
 	errRepeated   = errors.New("length or encoding occurs more than once")
 	errCoding     = errors.New("transfer coding beside a length or with another version than HTTP/1.1")
@@ -34,4 +35,19 @@
 	errTooManyInterim    = errors.New("too many interim responses")
 )
 
+// maxReason limits the text of a reason of fasthttp in bytes: it quotes what it cannot parse.
+const maxReason = 256
+
+// parseError is an error of fasthttp with a limited text.
+type parseError struct{ cause error }
+
+// Error implements error.
+func (e *parseError) Error() string {
+	text := e.cause.Error()
+	return text[:min(len(text), maxReason)]
+}
+
+// Unwrap returns the cause.
+func (e *parseError) Unwrap() error { return e.cause }
+
 func malformed(reason error) error { return fmt.Errorf("%w: %w", ErrMalformed, reason) }
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -18,7 +18,7 @@
 	for range maxResponseReads {
 		if err := c.readOneResponse(req, resp, limit); err != nil {
 			c.noReuse = true
-			return fmt.Errorf("%w: %w", ErrOutcomeUnknown, &responseError{err})
+			return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 		}
 		if platform.RepeatsControlHeader(&resp.Header) {
 			c.noReuse = true
@@ -72,19 +72,3 @@
 	}
 	return err
 }
-
-// maxErrorText limits the text of an error about a response in bytes. The errors of fasthttp
-// quote what they cannot parse.
-const maxErrorText = 256
-
-// responseError is the error of a response that could not be read, with a limited text.
-type responseError struct{ cause error }
-
-// Error implements error.
-func (e *responseError) Error() string {
-	text := e.cause.Error()
-	return text[:min(len(text), maxErrorText)]
-}
-
-// Unwrap returns the cause.
-func (e *responseError) Unwrap() error { return e.cause }
