daemon: broken responses of other instances are no responses

What could happen (found while looking for the cause elsewhere; no report): an instance that starts, or that fetches a newer configuration, took a response with status 000 or a malformed header for the state of another one. A body without a length that is cut by a close counted as whole, and a part of an encoded state can be decoded.

Responses were read by fasthttp's client.

Change: the client of other instances uses responses.Transport, and rejects bodies that end with the connection, since instances send a length with all of theirs. A starting instance then tries another one or the store, as after other failures; a configuration is fetched again.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -105,7 +105,7 @@
 		logger.WithField("max_connections", s.Callers.MaxConnections).WithField("limit", d.limits.callers).
 			Warn("fewer connections are accepted than configured, as file descriptors are limited")
 	}
-	d.peerClient = &fasthttp.Client{MaxResponseBodySize: maxPeerResponse, NoDefaultUserAgentHeader: true}
+	d.peerClient = newPeerClient()
 	d.members = membership.NewDirectory(membership.Instance{
 		ID: s.Instance.ID, Zone: s.Instance.Zone, Incarnation: time.Now().UnixMilli(),
 		CallerAddress: s.Callers.Listen, PeerAddress: s.Peers.Listen, AdminAddress: s.Admin.Listen,
--- a/daemon/fetch.go
+++ b/daemon/fetch.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rhubarbrelay/admin"
+	"rhubarbrelay/responses"
 )
 
 // fetchTimeout limits the request for another instance's configuration.
@@ -33,6 +34,16 @@
 	return bytes.Clone(raw), peer.ID
 }
 
+// newPeerClient returns a client of the administration API of other instances, which send a
+// length with all responses.
+func newPeerClient() *fasthttp.Client {
+	return &fasthttp.Client{
+		Transport:                responses.NewTransport(responses.WithNeedsLength()),
+		MaxResponseBodySize:      maxPeerResponse,
+		NoDefaultUserAgentHeader: true,
+	}
+}
+
 // callPeer sends a request to another instance and returns the body of the response,
 // which is valid until the response is released. It accepts a compressed body, as the
 // links between instances may be slow and configurations large.
