queries: broken responses of instances are no responses

What operators would see (found while looking for the cause elsewhere; no report): the tool printed the state of an instance from a response with status 000, a malformed header or no length.

Responses were read by fasthttp's default client.

Change: the tool reads them by responses.Transport, 64 MiB at most, with a length, and sends a request once: a cut response was asked for again until the deadline of 5 s. The instance counts as one that did not respond.

Evidence: queries TestBrokenResponses, 5 of its 7 cases failed before, and the cut one took 5 s.

--- a/queries/queries.go
+++ b/queries/queries.go
@@ -20,6 +20,7 @@
 
 	"rhubarbrelay/admin"
 	"rhubarbrelay/config"
+	"rhubarbrelay/responses"
 	"rhubarbrelay/timeline"
 )
 
@@ -29,6 +30,9 @@
 // requestTimeout limits the duration of a request to an instance.
 const requestTimeout = 5 * time.Second
 
+// maxResponse limits the size of a response of an instance in bytes.
+const maxResponse = 64 << 20
+
 // PrintRoutes prints a table of the routes of a document.
 func PrintRoutes(d *config.Document, out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0) // Flush returns write errors
@@ -67,6 +71,17 @@
 	Token string
 }
 
+// newInstanceClient returns a client of the administration API of one instance, which sends a
+// length with all responses.
+func newInstanceClient(address netip.AddrPort) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                      address.String(),
+		Transport:                 responses.NewTransport(responses.WithNeedsLength()),
+		MaxResponseBodySize:       maxResponse,
+		MaxIdemponentCallAttempts: 1,
+	}
+}
+
 func (c Client) get(ctx context.Context, address netip.AddrPort, path string) ([]byte, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -79,7 +94,9 @@
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
-	if err := fasthttp.DoDeadline(req, resp, deadline); err != nil {
+	client := newInstanceClient(address)
+	defer client.CloseIdleConnections()
+	if err := client.DoDeadline(req, resp, deadline); err != nil {
 		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, address, err)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- /dev/null
+++ b/queries/queries_test.go
@@ -0,0 +1,65 @@
+package queries
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+)
+
+// startInstance starts an instance that gives the response to one request, and closes the
+// connection behind it.
+func startInstance(t *testing.T, response string) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		var req fasthttp.Request
+		assert.Check(t, req.Read(bufio.NewReader(c)))
+		_, _ = io.WriteString(c, response)
+	}()
+	t.Cleanup(func() { _ = l.Close(); <-served })
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// Guards against a broken response of an instance that operators see as its state.
+func TestBrokenResponses(t *testing.T) {
+	const body = `{"id":"i-1"}`
+	tests := []struct {
+		name, response string
+		accepted       bool
+	}{
+		{"control", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n" + body, true},
+		{"status 000", "HTTP/1.1 000 OK\r\nContent-Length: 12\r\n\r\n" + body, false},
+		{"blank before the colon", "HTTP/1.1 200 OK\r\nContent-Length : 12\r\n\r\n" + body, false},
+		{"line that continues another", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length: 12\r\n\r\n" + body, false},
+		{"bare line feeds", "HTTP/1.1 200 OK\r\nA: b\n\n" + body + "\r\n\r\n", false},
+		{"no length", "HTTP/1.1 200 OK\r\n\r\n" + body, false},
+		{"cut body", "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n" + body, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var out bytes.Buffer
+			err := Client{}.Status(context.Background(), []netip.AddrPort{startInstance(t, tt.response)}, &out)
+			assert.Equal(t, bytes.Contains(out.Bytes(), []byte("i-1")), tt.accepted, "%s", out.String())
+			if tt.accepted {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorIs(t, err, ErrUnreachable)
+		})
+	}
+}
