relay: tests of broken responses of other instances and to hedges

A request that was passed on to another instance whose response is broken gets 502 without a seal, and a broken response to a hedge does not end the request while its first try is in flight.

--- a/relay/broken_response_test.go
+++ b/relay/broken_response_test.go
@@ -166,6 +166,50 @@
 	}
 }
 
+// Guards against a broken response of another instance, to which a request was passed on, that
+// is handed on to the caller. The request may have run.
+func TestBrokenResponsesOfOtherInstances(t *testing.T) {
+	for _, tt := range brokenResponses {
+		t.Run(tt.name, func(t *testing.T) {
+			peer := newScriptedTarget(t, "peer", "a", func(req *fasthttp.Request) (string, bool) {
+				return tt.spoil(sealed(req, fasthttp.StatusOK, "spoiled")), true
+			})
+			h := newCutHarness(t, &peerList{[]netip.AddrPort{peer.info.Address}})
+			got := h.call(t, "POST", "/once/", "body")
+			assert.Equal(t, got.status, fasthttp.StatusBadGateway)
+			assert.Equal(t, got.body, "exchange with another instance broke\n")
+			assert.Equal(t, got.seal(), "")
+			assert.Equal(t, len(peer.receivedIDs()), 1)
+		})
+	}
+}
+
+// Guards against a broken response to a hedge that ends the request, although the first try
+// is still in flight and gets the target's response.
+func TestBrokenResponseToHedge(t *testing.T) {
+	release := make(chan struct{})
+	first := newScriptedTarget(t, "t-1", "a", func(req *fasthttp.Request) (string, bool) {
+		<-release
+		return sealed(req, fasthttp.StatusOK, "first"), false
+	})
+	second := newScriptedTarget(t, "t-2", "b", respondAlways(func(req *fasthttp.Request) string {
+		return withStatusLine("HTTP/1.1 000 X")(sealed(req, fasthttp.StatusOK, "spoiled"))
+	}, false))
+	h := newHarness(t, targetInfos(first))
+	c := h.connect(t)
+	c.send(rawRequest("GET", "/safe/", ""))
+	// The second target is added only when the first one has the request, so that their order
+	// is certain.
+	waitFor(t, "the first target has the request", func() bool { return len(first.receivedIDs()) == 1 })
+	h.targets = targetInfos(first, second)
+	h.table.RefreshTargets("spoolkeep")
+	waitFor(t, "the connection of the hedge is closed", func() bool { return len(second.closed) > 0 })
+	close(release)
+	got := c.mustReceive()
+	assert.Equal(t, got.status, fasthttp.StatusOK)
+	assert.Equal(t, got.body, "first")
+}
+
 // newResettingTarget starts a target that responds to a request before it has read the body,
 // without a length, and resets the connection after a part of its response.
 func newResettingTarget(t *testing.T, pause time.Duration) *targets.Target {
