routing: no data race between a lease and a changed registration

Trace: Lease.Target read the registration of its target, which SetTargets replaces under the lock of the dispatcher, without that lock: here for the log line of a request whose caller had left. Callers were not affected: all that is read are the ID, the zone and the time of start, which do not change.

Change: a lease keeps the registration that its target had when it was granted.

--- a/routing/lease.go
+++ b/routing/lease.go
@@ -13,6 +13,7 @@
 type Lease struct {
 	dispatcher *Dispatcher
 	target     *target
+	info       *targets.Target // the registration when the lease was granted
 	route      string
 	start      time.Time
 	// estimate is the estimated duration of the request, see durationEstimator.
@@ -47,8 +48,8 @@
 	Waited time.Duration
 }
 
-// Target returns the target of the lease.
-func (l *Lease) Target() *targets.Target { return l.target.info }
+// Target returns the target of the lease, as it was registered when the lease was granted.
+func (l *Lease) Target() *targets.Target { return l.info }
 
 // Expected returns the expected duration of the request on its target: the
 // estimated duration multiplied by the slowdown of the target.
--- a/routing/scan.go
+++ b/routing/scan.go
@@ -107,7 +107,7 @@
 	t.cold.share.Take(now)
 	l := &Lease{
 		cold:       d.isCold(t, now) || d.isUnconfirmed(t, now),
-		dispatcher: d, target: t, route: r.Route, start: now, conn: c.conn,
+		dispatcher: d, target: t, info: t.info, route: r.Route, start: now, conn: c.conn,
 		estimate: estimate, slowdown: t.slowdown(now), suspect: r.Suspect,
 		Decision: Decision{
 			ReportAge: now.Sub(t.loadAt), Running: t.load.Running, Waiting: t.load.Waiting, Slots: t.info.Slots,
