--- a/daemon/broken_response_test.go
+++ b/daemon/broken_response_test.go
@@ -1,39 +1,27 @@
 package daemon
 
 import (
-	"bufio"
-	"io"
 	"net"
-	"sync"
 	"testing"
 
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/standin"
 )
 
-// startBrokenPeer starts an instance that gives the same response to each request, and closes
-// the connection behind it. It returns its address.
+// startBrokenPeer starts an instance that gives the same response to each request. It returns
+// its address.
 func startBrokenPeer(t *testing.T, response string) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	var running sync.WaitGroup
-	serve := func(c net.Conn) {
-		defer func() { _ = c.Close() }()
-		var req fasthttp.Request
-		assert.Check(t, req.Read(bufio.NewReader(c)))
-		_, _ = io.WriteString(c, response)
-	}
-	running.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			running.Go(func() { serve(c) })
-		}
-	})
-	t.Cleanup(func() { _ = l.Close(); running.Wait() })
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		standin.NewRawServer(response).Serve(l)
+	}()
+	t.Cleanup(func() { _ = l.Close(); <-served })
 	return l.Addr().String()
 }
 
--- a/queries/queries_test.go
+++ b/queries/queries_test.go
@@ -1,20 +1,18 @@
 package queries
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/netip"
 	"testing"
 
-	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
+
+	"rhubarbrelay/standin"
 )
 
-// startInstance starts an instance that gives the response to one request, and closes the
-// connection behind it.
+// startInstance starts an instance that gives the same response to each request.
 func startInstance(t *testing.T, response string) netip.AddrPort {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -22,14 +20,7 @@
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		var req fasthttp.Request
-		assert.Check(t, req.Read(bufio.NewReader(c)))
-		_, _ = io.WriteString(c, response)
+		standin.NewRawServer(response).Serve(l)
 	}()
 	t.Cleanup(func() { _ = l.Close(); <-served })
 	return netip.MustParseAddrPort(l.Addr().String())
--- a/responses/body.go
+++ b/responses/body.go
@@ -28,7 +28,7 @@
 // connection: it is whole only if the connection was not reset. The error wraps
 // ErrMalformed, or is one of the reader or of the package bodies.
 func Read(r *bufio.Reader, resp *fasthttp.Response, limit Limit) (endsWithConn bool, err error) {
-	if err := ReadHeader(r, &resp.Header); err != nil {
+	if err := readHeader(r, &resp.Header); err != nil {
 		return false, err
 	}
 	if !hasBody(resp) {
--- a/responses/framing_test.go
+++ b/responses/framing_test.go
@@ -41,7 +41,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			_, err := readHeader(tt.version + " 200 OK\r\n" + tt.lines + "\r\n")
+			_, err := headerOf(tt.version + " 200 OK\r\n" + tt.lines + "\r\n")
 			assert.Equal(t, err == nil, tt.accepted, "%v", err)
 		})
 	}
--- a/responses/header.go
+++ b/responses/header.go
@@ -11,13 +11,13 @@
 	"rhubarbrelay/headers"
 )
 
-// maxHeaders limits the headers that ReadHeader reads for one response, including those of
+// maxHeaders limits the headers that readHeader reads for one response, including those of
 // the interim responses (1xx) that it skips.
 const maxHeaders = 8
 
-// ReadHeader reads the header of a response. It skips interim responses. The header must
+// readHeader reads the header of a response. It skips interim responses. The header must
 // fit into the buffer of the reader. The error wraps ErrMalformed, or is one of the reader.
-func ReadHeader(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
+func readHeader(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	for range maxHeaders {
 		status, err := readOneHeader(r, h)
 		switch {
--- a/responses/header_bench_test.go
+++ b/responses/header_bench_test.go
@@ -27,7 +27,7 @@
 		name string
 		read func(*bufio.Reader, *fasthttp.ResponseHeader) error
 	}{
-		{"inspected", ReadHeader},
+		{"inspected", readHeader},
 		{"fasthttp", func(r *bufio.Reader, h *fasthttp.ResponseHeader) error { return h.Read(r) }},
 	}
 	for _, reader := range readers {
--- a/responses/header_fuzz_test.go
+++ b/responses/header_fuzz_test.go
@@ -93,7 +93,7 @@
 			return
 		}
 		reader := bufio.NewReaderSize(bytes.NewReader(raw), max(len(raw), bufferSize))
-		err := ReadHeader(reader, &fasthttp.ResponseHeader{})
+		err := readHeader(reader, &fasthttp.ResponseHeader{})
 		if (err == nil) != valid {
 			t.Fatalf("allowed by the grammar: %t, error: %v", valid, err)
 		}
--- a/responses/header_test.go
+++ b/responses/header_test.go
@@ -15,10 +15,10 @@
 // bufferSize is the size of the buffer in bytes into which a header must fit.
 const bufferSize = 8 << 10
 
-// readHeader reads the header of a response that arrives at once.
-func readHeader(response string) (*fasthttp.ResponseHeader, error) {
+// headerOf reads the header of a response that arrives at once.
+func headerOf(response string) (*fasthttp.ResponseHeader, error) {
 	h := &fasthttp.ResponseHeader{}
-	return h, ReadHeader(bufio.NewReaderSize(strings.NewReader(response), bufferSize), h)
+	return h, readHeader(bufio.NewReaderSize(strings.NewReader(response), bufferSize), h)
 }
 
 // Guards against a first line that is no status line, or has no valid status, and that
@@ -69,7 +69,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.line, func(t *testing.T) {
-			h, err := readHeader(tt.line + "\r\nContent-Length: 0\r\n\r\n")
+			h, err := headerOf(tt.line + "\r\nContent-Length: 0\r\n\r\n")
 			if tt.status == 0 {
 				assert.ErrorIs(t, err, ErrMalformed)
 				return
@@ -100,7 +100,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			h, err := readHeader(tt.interim + final)
+			h, err := headerOf(tt.interim + final)
 			assert.Equal(t, err == nil, tt.accepted, "%v", err)
 			if tt.accepted {
 				assert.Equal(t, h.StatusCode(), fasthttp.StatusOK)
@@ -114,7 +114,7 @@
 	const response = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\nA: b\r\nContent-Length: 2\r\n\r\nok"
 	reader := bufio.NewReaderSize(iotest.OneByteReader(strings.NewReader(response)), bufferSize)
 	var h fasthttp.ResponseHeader
-	assert.NilError(t, ReadHeader(reader, &h))
+	assert.NilError(t, readHeader(reader, &h))
 	assert.Equal(t, h.StatusCode(), fasthttp.StatusCreated)
 	assert.Equal(t, string(h.Peek("A")), "b")
 	rest, err := reader.Peek(2)
@@ -163,7 +163,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			h, err := readHeader(start + tt.lines + end)
+			h, err := headerOf(start + tt.lines + end)
 			assert.Equal(t, err == nil, tt.accepted, "%v", err)
 			if tt.accepted {
 				assert.Equal(t, string(h.Peek("Seal")), "s")
@@ -179,7 +179,7 @@
 			own, other := net.Pipe()
 			defer func() { _ = other.Close() }()
 			go func() { _, _ = io.WriteString(other, start) }()
-			err := ReadHeader(bufio.NewReaderSize(own, bufferSize), &fasthttp.ResponseHeader{})
+			err := readHeader(bufio.NewReaderSize(own, bufferSize), &fasthttp.ResponseHeader{})
 			assert.ErrorIs(t, err, ErrMalformed)
 			assert.NilError(t, own.Close())
 		})
@@ -191,7 +191,7 @@
 func TestCutHeader(t *testing.T) {
 	const response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 	for size := range len(response) {
-		_, err := readHeader(response[:size])
+		_, err := headerOf(response[:size])
 		want := io.ErrUnexpectedEOF
 		if size == 0 {
 			want = io.EOF
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -42,7 +42,7 @@
 // sealed success or a refusal. Other errors and responses to probes may lack the ID, and
 // a refusal if mayRefuse is set.
 func (c *Conn) checkResponse(resp *fasthttp.Response, matches, mayRefuse bool) error {
-	cause := error(nil)
+	var cause error
 	switch {
 	case len(resp.Header.Peek(fasthttp.HeaderContentEncoding)) > 0:
 		cause = errContentEncoding
