upstream: the stand-in of a reset waits until bytes are unread

Trace: the stand-in, not the product. The kernel resets a connection that is closed with unread bytes, and closes it in order without. Under load the target closed it before bytes behind those that it had read had arrived, so that the close was in order, and a body without a length ends there. The check is as it was; the target now closes only when bytes are unread.

--- a/upstream/early_close_test.go
+++ b/upstream/early_close_test.go
@@ -48,9 +48,19 @@
 // reset resets the connection.
 func reset(c *net.TCPConn, _ <-chan struct{}) { _ = c.SetLinger(0) }
 
-// closeUnread closes the connection. The kernel resets it, as bytes of the request are
-// unread.
-func closeUnread(*net.TCPConn, <-chan struct{}) {}
+// closeUnread closes the connection when bytes of the request have arrived that are unread, so
+// that the kernel resets it. Without such bytes it would close it in order.
+func closeUnread(c *net.TCPConn, _ <-chan struct{}) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Read(func(fd uintptr) bool {
+		var peek [1]byte
+		n, _, _ := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return n > 0
+	})
+}
 
 // closeThenReset ends the response in order and resets the connection behind it.
 func closeThenReset(c *net.TCPConn, _ <-chan struct{}) { _ = c.CloseWrite() }
