--- a/daemon/broken_response_test.go
+++ b/daemon/broken_response_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"net"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -14,15 +13,10 @@
 // its address.
 func startBrokenPeer(t *testing.T, response string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := standin.StartRawServer(response)
 	assert.NilError(t, err)
-	served := make(chan struct{})
-	go func() {
-		defer close(served)
-		standin.NewRawServer(response).Serve(l)
-	}()
-	t.Cleanup(func() { _ = l.Close(); <-served })
-	return l.Addr().String()
+	t.Cleanup(func() { assert.Check(t, s.Close()) })
+	return s.Address().String()
 }
 
 // Guards against a broken or cut response of another instance that is taken for its state or
--- a/queries/queries_test.go
+++ b/queries/queries_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/netip"
 	"testing"
 
@@ -15,15 +14,10 @@
 // startInstance starts an instance that gives the same response to each request.
 func startInstance(t *testing.T, response string) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := standin.StartRawServer(response)
 	assert.NilError(t, err)
-	served := make(chan struct{})
-	go func() {
-		defer close(served)
-		standin.NewRawServer(response).Serve(l)
-	}()
-	t.Cleanup(func() { _ = l.Close(); <-served })
-	return netip.MustParseAddrPort(l.Addr().String())
+	t.Cleanup(func() { assert.Check(t, s.Close()) })
+	return s.Address()
 }
 
 // Guards against a broken response of an instance that operators see as its state.
--- a/standin/raw_server.go
+++ b/standin/raw_server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 
 	"github.com/valyala/fasthttp"
@@ -13,17 +14,36 @@
 // not be a response, and closes the connection.
 type RawServer struct {
 	response string
+	listener net.Listener
 	running  sync.WaitGroup
 }
 
-// NewRawServer returns a server that has not been started.
-func NewRawServer(response string) *RawServer { return &RawServer{response: response} }
+// StartRawServer starts a server on an address of its own.
+func StartRawServer(response string) (*RawServer, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // It does not wait.
+	if err != nil {
+		return nil, err
+	}
+	s := &RawServer{response: response, listener: l}
+	s.running.Go(s.serve)
+	return s, nil
+}
+
+// Address returns the address of the server.
+func (s *RawServer) Address() netip.AddrPort {
+	return netip.MustParseAddrPort(s.listener.Addr().String())
+}
+
+// Close stops the server. It waits until its connections are closed.
+func (s *RawServer) Close() error {
+	err := s.listener.Close()
+	s.running.Wait()
+	return err
+}
 
-// Serve serves the connections of the listener until it is closed.
-func (s *RawServer) Serve(l net.Listener) {
-	defer s.running.Wait()
+func (s *RawServer) serve() {
 	for {
-		c, err := l.Accept()
+		c, err := s.listener.Accept()
 		if err != nil {
 			return
 		}
