review: case 11, a zone that follows the configuration late

The store turns away three of nine instances by connection resets. A fourth one of their zone, which nothing disturbs, runs requests with a dropped route and refuses the added one up to 3.03 s after the acknowledgement; the bound is 2 s.

--- /dev/null
+++ b/review/11/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Runs the case from the root of the repository, after the build of the deploy file and
+# review/build-3.sh. Exit codes: 1 the rule was broken, 0 it held, 2 the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/rhubarbrelayd ] && [ -x target/standin-3 ] || { echo "build first" >&2; exit 2; }
+exec target/standin-3 turned-away-zone review/11
